--- /dev/null
+++ b/Makefile
@@ -0,0 +1,32 @@
+# Every target sets up what it needs in a virtual environment beside the sources.
+PYTHON ?= python3
+VENV ?= .venv
+BIN := $(VENV)/bin
+
+.PHONY: setup test lint format demo binary generate
+
+setup: $(VENV)/.ready
+
+$(VENV)/.ready: requirements.lock pyproject.toml
+	$(PYTHON) -m venv $(VENV)
+	$(BIN)/pip install --quiet --disable-pip-version-check --requirement requirements.lock
+	$(BIN)/pip install --quiet --disable-pip-version-check --no-deps --no-build-isolation --editable .
+	touch $@
+
+test: setup
+	$(BIN)/nose2 --config nose2.cfg
+
+lint: setup
+	$(BIN)/black --check --quiet .
+	$(BIN)/ruff check .
+
+format: setup
+	$(BIN)/black --quiet .
+	$(BIN)/ruff check --fix .
+
+demo: setup
+	$(BIN)/apricotrail demo
+
+# Needs Debian's thrift-compiler; the result is committed.
+generate:
+	sh tools/generate-messages
--- /dev/null
+++ b/apricotrail/clocks.py
@@ -0,0 +1,49 @@
+"""Clocks passed into protocol code, so that tests can run it on virtual time."""
+
+from collections.abc import Callable
+from time import monotonic_ns, time_ns
+
+__all__ = ["Clock", "VirtualClock", "monotonic_ms", "wall_ms"]
+
+Clock = Callable[[], float]
+"""A function without arguments that gives a time in milliseconds."""
+
+_NS_PER_MS = 1_000_000
+
+
+def monotonic_ms() -> float:
+    """Return the monotonic clock in milliseconds; its zero point is arbitrary."""
+    return monotonic_ns() / _NS_PER_MS
+
+
+def wall_ms() -> int:
+    """Return the wall clock in whole milliseconds since the Unix epoch."""
+    return time_ns() // _NS_PER_MS
+
+
+class VirtualClock:
+    """A clock that moves only when told to.
+
+    Parameters
+    ----------
+    now_ms : float
+        First reading in milliseconds.
+
+    Examples
+    --------
+    >>> clock = VirtualClock(5.0)
+    >>> clock.advance(2.5)
+    >>> clock()
+    7.5
+    """
+
+    def __init__(self, now_ms: float = 0.0) -> None:
+        self.now_ms = now_ms
+
+    def __call__(self) -> float:
+        """Return the present reading in milliseconds."""
+        return self.now_ms
+
+    def advance(self, step_ms: float) -> None:
+        """Move the clock forward by `step_ms` milliseconds."""
+        self.now_ms += step_ms
--- /dev/null
+++ b/apricotrail/membership/_configuration.py
@@ -0,0 +1,102 @@
+"""The configuration items of one node, and what changed since an earlier version.
+
+Items are JSON values by key; every node holds those it was sent and passes on what its neighbours
+lack. Versions only grow.
+"""
+
+from collections import OrderedDict
+from typing import NamedTuple
+
+from apricotrail.wire.generated.ttypes import ConfigurationChange, ConfigurationItem
+
+__all__ = ["Configuration", "MAX_REMOVED_ITEMS"]
+
+MAX_REMOVED_ITEMS = 4_096
+
+
+class _Versioned(NamedTuple):
+    value: bytes | None
+    version: int
+
+
+class Configuration:
+    """Versioned items of one node.
+
+    Attributes
+    ----------
+    version : int
+        Highest version applied, 0 for none.
+
+    Examples
+    --------
+    >>> configuration = Configuration()
+    >>> change = ConfigurationChange(0, 3, [ConfigurationItem("zone/pipa", b"{}")])
+    >>> configuration.apply(change)
+    True
+    >>> configuration.items()
+    {'zone/pipa': b'{}'}
+    """
+
+    def __init__(self) -> None:
+        self.version = 0
+        self._items: OrderedDict[str, _Versioned] = OrderedDict()
+        self._removed = 0
+        self._oldest_base = 0
+
+    def items(self) -> dict[str, bytes]:
+        """Return the present items by key."""
+        return {key: item.value for key, item in self._items.items() if item.value is not None}
+
+    def apply(self, change: ConfigurationChange) -> bool:
+        """Apply a change that is newer than the present version.
+
+        Returns
+        -------
+        bool
+            False if the change builds on a version that this node has not reached: ask for all
+            changes since `version`. An old change is ignored and gives True.
+        """
+        if change.version <= self.version:
+            return True
+        if change.base_version > self.version:
+            return False
+        if change.base_version == 0:
+            self._replace_all(change)
+        for item in change.items:
+            self._put(item.key, item.value, change.version)
+        self.version = change.version
+        return True
+
+    def changes_since(self, version: int) -> ConfigurationChange:
+        """Return what a node at `version` lacks; the whole configuration if it is too far behind."""
+        if version < self._oldest_base or version <= 0:
+            items = [ConfigurationItem(key, value) for key, value in self.items().items()]
+            return ConfigurationChange(0, self.version, items)
+        newer = []
+        for key in reversed(self._items):
+            item = self._items[key]
+            if item.version <= version:
+                break
+            newer.append(ConfigurationItem(key, item.value))
+        return ConfigurationChange(version, self.version, newer)
+
+    def _replace_all(self, change: ConfigurationChange) -> None:
+        keys = {item.key for item in change.items}
+        for key in [key for key in self._items if key not in keys]:
+            self._put(key, None, change.version)
+
+    def _put(self, key: str, value: bytes | None, version: int) -> None:
+        present = self._items.pop(key, None)
+        if present is not None and present.value is None:
+            self._removed -= 1
+        self._items[key] = _Versioned(value, version)
+        if value is None:
+            self._removed += 1
+            self._drop_oldest_removed()
+
+    def _drop_oldest_removed(self) -> None:
+        if self._removed <= MAX_REMOVED_ITEMS:
+            return
+        key = next(key for key, item in self._items.items() if item.value is None)
+        self._oldest_base = max(self._oldest_base, self._items.pop(key).version)
+        self._removed -= 1
--- /dev/null
+++ b/apricotrail/membership/_freshness.py
@@ -0,0 +1,66 @@
+"""How old a node's knowledge of the newest configuration version is.
+
+A statement says that no version above `version` was accepted before `as_of_ms`. A node's clock
+measures only its own waiting, so a late or repeated statement never makes old news look young.
+"""
+
+from apricotrail.clocks import Clock
+from apricotrail.settings import declare_setting
+
+__all__ = ["CONFIG_STALE_MS", "NEVER_CONFIRMED_AGE_MS", "Freshness"]
+
+CONFIG_STALE_MS = declare_setting(
+    "membership.config_stale_ms",
+    3_000,
+    "A node whose configuration was not confirmed for this long starts no task.",
+    unit="ms",
+    minimum=100,
+    maximum=7_000,
+)
+NEVER_CONFIRMED_AGE_MS = 2**31 - 1
+
+
+class Freshness:
+    """Age of the configuration of one node.
+
+    Parameters
+    ----------
+    clock : Clock
+        Monotonic time in milliseconds.
+    stale_ms : float
+        Age from which the configuration is too old to start tasks.
+    """
+
+    def __init__(self, clock: Clock, stale_ms: float) -> None:
+        self._clock = clock
+        self._stale_ms = stale_ms
+        self._own_version = 0
+        self._as_of_ms: float | None = None
+        self._ahead: tuple[int, float] | None = None
+
+    def receive(self, version: int, as_of_ms: float) -> None:
+        """Take in a statement that `version` was the newest at `as_of_ms` of the own clock."""
+        if version > self._own_version:
+            if self._ahead is None or (version, as_of_ms) > self._ahead:
+                self._ahead = (version, as_of_ms)
+            return
+        if self._as_of_ms is None or as_of_ms > self._as_of_ms:
+            self._as_of_ms = as_of_ms
+
+    def advance(self, own_version: int) -> None:
+        """Note that this node has applied `own_version`."""
+        self._own_version = max(self._own_version, own_version)
+        if self._ahead is not None and self._ahead[0] <= self._own_version:
+            version, as_of_ms = self._ahead
+            self._ahead = None
+            self.receive(version, as_of_ms)
+
+    def age_ms(self) -> float:
+        """Return the age of the last confirmation in milliseconds."""
+        if self._as_of_ms is None:
+            return NEVER_CONFIRMED_AGE_MS
+        return max(0.0, self._clock() - self._as_of_ms)
+
+    def is_fresh(self) -> bool:
+        """Return whether tasks may start."""
+        return self.age_ms() < self._stale_ms
--- /dev/null
+++ b/apricotrail/wire/_endpoint.py
@@ -0,0 +1,269 @@
+"""All links of one process: listening, dialing again, heartbeats, handlers by message type."""
+
+import asyncio
+import random
+from collections.abc import Awaitable, Callable
+from typing import Any
+
+from apricotrail.clocks import Clock, monotonic_ms
+from apricotrail.settings import Settings, declare_setting
+from apricotrail.wire._keys import KeyRing
+from apricotrail.wire._link import BUFFER_BYTES, HEARTBEAT_MS, SILENT_MS, Link
+from apricotrail.wire.generated import ttypes
+from apricotrail.wire.generated.ttypes import Heartbeat, Identity
+
+__all__ = ["LinkEndpoint", "parse_address"]
+
+REDIAL_MS = declare_setting(
+    "link.redial_ms",
+    200,
+    "Mean pause before a lost link is dialed again; doubles up to ten times this.",
+    unit="ms",
+    minimum=1,
+    maximum=10_000,
+)
+MAX_LINKS = declare_setting(
+    "link.max_links", 4_096, "Open links of one process, both directions.", minimum=1
+)
+CONNECT_MS = declare_setting(
+    "link.connect_ms", 1_000, "Time for a connection and its handshake.", unit="ms", minimum=10
+)
+_REDIAL_GROWTH_LIMIT = 10
+
+_REPLY_TYPES = frozenset(
+    {
+        ttypes.AttemptStates,
+        ttypes.Ledger,
+        ttypes.ClaimReply,
+        ttypes.CopyAnswerReply,
+        ttypes.CopyClaims,
+        ttypes.JobAnswer,
+        ttypes.CancelReply,
+        ttypes.Report,
+        ttypes.ConfigurationChange,
+        ttypes.VoteReply,
+        ttypes.AppendReply,
+        ttypes.SnapshotReply,
+        ttypes.ProposeReply,
+        ttypes.StatusReply,
+    }
+)
+
+Handler = Callable[[Link, Any], Any]
+HeartbeatSource = Callable[[Link], Heartbeat]
+HeartbeatSink = Callable[[Link, Heartbeat, float | None], None]
+
+
+class LinkEndpoint:
+    """The links of one process.
+
+    Parameters
+    ----------
+    identity : Identity
+        Who this process is; `address` is filled in by `listen`.
+    environment : str
+        Name of the environment; links between different ones are refused.
+    keys : KeyRing
+        Keys for the proof of identity.
+    settings : Settings
+        Heartbeat, silence and buffer limits.
+    clock : Clock
+        Monotonic time in milliseconds.
+
+    Attributes
+    ----------
+    links : dict of str to Link
+        Ready links by the peer's name; the newest link of a peer replaces an older one.
+    """
+
+    def __init__(
+        self,
+        identity: Identity,
+        environment: str,
+        keys: KeyRing,
+        settings: Settings,
+        clock: Clock = monotonic_ms,
+    ) -> None:
+        self.identity = identity
+        self.environment = environment
+        self.keys = keys
+        self.clock = clock
+        self.links: dict[str, Link] = {}
+        self.silent_ms = settings.get(SILENT_MS)
+        self.buffer_bytes = settings.get(BUFFER_BYTES)
+        self.state_heartbeat: HeartbeatSource = lambda link: Heartbeat(config_version=0)
+        self.receive_heartbeat: HeartbeatSink = lambda link, heartbeat, asked_ms: None
+        self._heartbeat_ms = settings.get(HEARTBEAT_MS)
+        self._redial_ms = settings.get(REDIAL_MS)
+        self._connect_ms = settings.get(CONNECT_MS)
+        self._max_links = settings.get(MAX_LINKS)
+        self._handlers: dict[type, Handler] = {}
+        self._up_hooks: list[Callable[[Link], None]] = []
+        self._down_hooks: list[Callable[[Link], None]] = []
+        self._open: set[Link] = set()
+        self._dialers: dict[str, asyncio.Task] = {}
+        self._tasks: set[asyncio.Task] = set()
+        self._server: asyncio.Server | None = None
+
+    # ---- set up ----
+
+    def on(self, type_: type, handler: Handler) -> None:
+        """Handle messages of `type_`.
+
+        The handler gets the link and the message. What it returns, directly or as a coroutine, is
+        sent as the reply; None sends nothing.
+        """
+        self._handlers[type_] = handler
+
+    def on_up(self, hook: Callable[[Link], None]) -> None:
+        """Call `hook` with each link that becomes ready."""
+        self._up_hooks.append(hook)
+
+    def on_down(self, hook: Callable[[Link], None]) -> None:
+        """Call `hook` with each ready link that is lost."""
+        self._down_hooks.append(hook)
+
+    async def listen(self, host: str, port: int) -> str:
+        """Accept links; returns the address that peers dial.
+
+        Parameters
+        ----------
+        host : str
+            IP number to bind.
+        port : int
+            Port, 0 for any free one.
+        """
+        loop = asyncio.get_running_loop()
+        self._server = await loop.create_server(lambda: Link(self, dialing=False), host, port)
+        bound_port = self._server.sockets[0].getsockname()[1]
+        self.identity.address = f"{host}:{bound_port}"
+        return self.identity.address
+
+    def start(self) -> None:
+        """Start sending heartbeats."""
+        self.spawn(self._beat_forever())
+
+    def dial(self, address: str) -> None:
+        """Keep a link to `address` open until `undial`."""
+        if address not in self._dialers:
+            self._dialers[address] = self.spawn(self._dial_forever(address))
+
+    def undial(self, address: str) -> None:
+        """Stop dialing `address`; an open link to it is closed."""
+        task = self._dialers.pop(address, None)
+        if task is not None:
+            task.cancel()
+
+    def dialed(self) -> list[str]:
+        """Return the addresses that are being dialed."""
+        return list(self._dialers)
+
+    async def stop(self) -> None:
+        """Close the listener and every link."""
+        if self._server is not None:
+            self._server.close()
+        for task in list(self._tasks):
+            task.cancel()
+        for link in list(self._open):
+            link.close()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+
+    # ---- used by Link ----
+
+    def spawn(self, work: Awaitable[Any]) -> asyncio.Task:
+        """Run `work` until it ends or the endpoint stops."""
+        task = asyncio.ensure_future(work)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+        return task
+
+    def track(self, link: Link) -> None:
+        """Count a new connection; one too many is closed."""
+        self._open.add(link)
+        if len(self._open) > self._max_links:
+            link.close()
+
+    def admit(self, link: Link) -> None:
+        """Take a link into use after its handshake."""
+        older = self.links.get(link.peer.name)
+        if older is not None and older.peer.incarnation > link.peer.incarnation:
+            link.close()
+            return
+        self.links[link.peer.name] = link
+        if older is not None:
+            older.close()
+            for hook in self._down_hooks:
+                hook(older)
+        for hook in self._up_hooks:
+            hook(link)
+
+    def release(self, link: Link) -> None:
+        """Forget a closed link."""
+        self._open.discard(link)
+        if not link.ready or self.links.get(link.peer.name) is not link:
+            return
+        del self.links[link.peer.name]
+        for hook in self._down_hooks:
+            hook(link)
+
+    def find_handler(self, message: Any) -> Handler | None:
+        """Return the handler for a message, or None."""
+        return self._handlers.get(type(message))
+
+    def is_reply(self, message: Any) -> bool:
+        """Return whether messages of this type answer a call."""
+        return type(message) in _REPLY_TYPES
+
+    # ---- loops ----
+
+    async def _beat_forever(self) -> None:
+        while True:
+            for link in list(self._open):
+                link.beat()
+            await asyncio.sleep(self._heartbeat_ms / 1000)
+
+    async def _dial_forever(self, address: str) -> None:
+        pause_ms = self._redial_ms
+        host, port = parse_address(address)
+        while True:
+            link = await self._open_link(host, port)
+            if link is not None:
+                pause_ms = self._redial_ms
+                try:
+                    await asyncio.shield(link.closed)
+                except asyncio.CancelledError:
+                    link.close()
+                    raise
+            await asyncio.sleep(pause_ms * random.uniform(0.5, 1.5) / 1000)
+            pause_ms = min(pause_ms * 2, self._redial_ms * _REDIAL_GROWTH_LIMIT)
+
+    async def _open_link(self, host: str, port: int) -> Link | None:
+        loop = asyncio.get_running_loop()
+        link: Link | None = None
+        try:
+            async with asyncio.timeout(self._connect_ms / 1000):
+                _, link = await loop.create_connection(lambda: Link(self, dialing=True), host, port)
+                return link if await asyncio.shield(link.opened) else None
+        except (OSError, TimeoutError):
+            if link is not None:
+                link.close()
+            return None
+
+
+def parse_address(address: str) -> tuple[str, int]:
+    """Split ``host:port``.
+
+    Raises
+    ------
+    ValueError
+        If the address is not of that form.
+
+    Examples
+    --------
+    >>> parse_address("127.0.0.1:80")
+    ('127.0.0.1', 80)
+    """
+    host, separator, port = address.rpartition(":")
+    if not separator or not host or not port.isdigit():
+        raise ValueError(f"{address!r} is no address; write it as host:port")
+    return host.strip("[]"), int(port)
--- /dev/null
+++ b/apricotrail/wire/messages.thrift
@@ -0,0 +1,435 @@
+// Messages between apricotrail's own processes (compact protocol).
+// Field numbers are never reused; a reader skips fields that it does not know.
+
+enum TaskState {
+  DONE = 1,
+  FAILED = 2,
+  NOT_RUN = 3,
+  MAY_HAVE_RUN = 4,
+  RUNNING = 5,
+}
+
+enum Reason {
+  NONE = 0,
+  FULL = 1,
+  STALE_CONFIGURATION = 2,
+  ZONE_OUT = 3,
+  TARGET_LEAVING = 4,
+  SEEN = 5,
+  WRONG_INCARNATION = 6,
+  FENCED = 7,
+  EXPIRED = 8,
+  CANCELLED = 9,
+  TARGET_ERROR = 10,
+  TARGET_SILENT = 11,
+  TARGET_UNREACHABLE = 12,
+  WRONG_LENGTH = 13,
+  AGENT_LOST = 14,
+  UNKNOWN_TARGET = 15,
+  LEDGER_FULL = 16,
+  STOPPING = 17,
+}
+
+// ---- links ----------------------------------------------------------------------------------
+
+struct Identity {
+  1: string name,
+  2: string role,
+  3: string zone,
+  4: i64 incarnation,
+  5: string address,
+}
+
+struct Hello {
+  1: i32 wire_version,
+  2: Identity identity,
+  3: binary nonce,
+  4: string environment,
+}
+
+struct Proof {
+  1: binary digest,
+}
+
+struct Load {
+  1: string target,
+  2: i32 slots,
+  3: i32 free_slots,
+  4: i32 running,
+  5: bool accepting,
+}
+
+// echo is the highest sequence received from the peer: the sender of that sequence knows that this
+// message was written after it. config_age_ms is the age of the confirmation of config_version.
+struct Heartbeat {
+  1: i64 sequence,
+  2: i64 echo,
+  3: i64 config_version,
+  4: i32 config_age_ms,
+  5: optional list<Load> loads,
+  6: optional i64 ready_epoch,
+  7: optional bool stopping,
+  8: optional i64 confirmed_version,  // every node behind the sender has at least this version
+}
+
+// ---- configuration --------------------------------------------------------------------------
+
+struct ConfigurationItem {
+  1: string key,
+  2: optional binary value,   // JSON; absent: the item is removed
+}
+
+struct ConfigurationRequest {
+  1: i64 version,             // the version that the asking node has, 0 for none
+}
+
+// base_version 0: items are the whole configuration, otherwise what changed since base_version.
+struct ConfigurationChange {
+  1: i64 base_version,
+  2: i64 version,
+  3: list<ConfigurationItem> items,
+}
+
+// ---- announcements --------------------------------------------------------------------------
+
+struct Announcement {
+  1: string target,           // reference in any scheme
+  2: string address,          // host:port of the target's HTTP server
+  3: i32 slots,
+  4: i32 connections,
+  5: i64 incarnation,         // grows with each start of the target
+  6: i32 lease_ms,
+  7: bool leaving,
+  8: optional bool has_agent,
+}
+
+struct ShareAnnouncements {
+  1: list<Announcement> announcements,
+}
+
+// ---- tasks ----------------------------------------------------------------------------------
+
+struct TaskStart {
+  1: i32 task,
+  2: i32 attempt,
+  3: binary body,
+}
+
+// job is "caller/submission". want: how many more queued tasks the owner could start here.
+struct StartTasks {
+  1: string job,
+  2: string target,
+  3: string owner,
+  4: i64 epoch,
+  5: i64 agent_incarnation,
+  6: i32 budget_ms,
+  7: list<TaskStart> tasks,
+  8: i32 want,
+}
+
+struct TaskOutcome {
+  1: i32 task,
+  2: i32 attempt,
+  3: TaskState state,
+  4: Reason reason,
+  5: i32 answer_length,
+  6: optional binary answer,
+  7: i32 run_ms,
+  8: optional string detail,
+}
+
+// granted: slots now reserved for the receiving entry.
+struct TaskOutcomes {
+  1: string job,
+  2: string target,
+  3: i64 agent_incarnation,
+  4: list<TaskOutcome> outcomes,
+  5: Load load,
+  6: i32 granted,
+}
+
+struct AttemptKey {
+  1: i32 task,
+  2: i32 attempt,
+}
+
+// Asked after a lost link: an attempt that the agent never saw is tombstoned and reported NOT_RUN.
+struct ResolveAttempts {
+  1: string job,
+  2: string target,
+  3: i64 epoch,
+  4: i64 agent_incarnation,
+  5: list<AttemptKey> attempts,
+}
+
+struct AttemptStates {
+  1: string job,
+  2: string target,
+  3: i64 agent_incarnation,
+  4: list<TaskOutcome> outcomes,
+}
+
+// Raises the lowest epoch that the agent accepts for the job and asks for all it knows of the job.
+struct FenceJob {
+  1: string job,
+  2: string target,
+  3: i64 epoch,
+  4: string owner,
+}
+
+struct StopTasks {
+  1: string job,
+  2: string target,
+  3: i64 epoch,
+  4: list<i32> tasks,         // empty: every task of the job
+}
+
+// An entry with queued work registers for free slots; want 0 withdraws.
+struct SlotWant {
+  1: string target,
+  2: i64 agent_incarnation,
+  3: i32 want,
+}
+
+struct SlotOffer {
+  1: string target,
+  2: i64 agent_incarnation,
+  3: i32 granted,
+  4: Load load,
+}
+
+// One job of an agent's ledger, for the rebuilding of claims.
+struct LedgerJob {
+  1: string job,
+  2: string owner,
+  3: i64 epoch,
+}
+
+struct LedgerRequest {
+  1: string target,
+}
+
+struct Ledger {
+  1: string target,
+  2: i64 agent_incarnation,
+  3: i64 age_ms,              // how long this ledger has been kept
+  4: list<LedgerJob> jobs,
+}
+
+// ---- claims ---------------------------------------------------------------------------------
+
+struct ClaimRecord {
+  1: string job,
+  2: string owner,
+  3: i64 owner_incarnation,
+  4: i64 epoch,
+  5: binary digest,           // SHA-256 of the submission's canonical body
+  6: i64 age_ms,
+  7: optional binary answer,  // JSON answer once finished
+}
+
+struct Claim {
+  1: i64 view_epoch,
+  2: ClaimRecord record,
+}
+
+enum ClaimVerdict {
+  GRANTED = 1,
+  HELD = 2,                   // another owner holds it: record says who
+  MISMATCH = 3,               // same id, other digest
+  WRONG_VIEW = 4,
+  NOT_READY = 5,
+  UNCERTAIN = 6,              // may have run before the view was lost
+  FULL = 7,
+}
+
+struct ClaimReply {
+  1: ClaimVerdict verdict,
+  2: i64 view_epoch,
+  3: optional ClaimRecord record,
+}
+
+struct CopyAnswer {
+  1: i64 view_epoch,
+  2: ClaimRecord record,
+}
+
+struct CopyAnswerReply {
+  1: bool stored,
+}
+
+struct ClaimsRequest {
+  1: i64 sealed_epoch,        // the answering member accepts no more claims in this epoch
+  2: string after,            // continue after this job, empty from the start
+}
+
+struct CopyClaims {
+  1: i64 epoch,
+  2: bool ready,
+  3: list<ClaimRecord> records,
+  4: bool more,
+}
+
+struct AttachJob {
+  1: string job,
+  2: i32 wait_ms,
+}
+
+struct JobAnswer {
+  1: string job,
+  2: bool known,
+  3: optional binary answer,  // absent: still running
+}
+
+struct CancelJob {
+  1: string job,
+}
+
+struct CancelReply {
+  1: bool known,
+}
+
+struct ReportRequest {
+  1: i32 windows,
+}
+
+struct Report {
+  1: binary body,             // JSON
+}
+
+// ---- control --------------------------------------------------------------------------------
+
+struct LogEntry {
+  1: i64 index,
+  2: i64 term,
+  3: binary command,
+}
+
+struct Vote {
+  1: i64 term,
+  2: string candidate,
+  3: i64 last_index,
+  4: i64 last_term,
+  5: bool pre_vote,
+}
+
+struct VoteReply {
+  1: i64 term,
+  2: bool granted,
+  3: bool pre_vote,
+}
+
+struct Append {
+  1: i64 term,
+  2: string leader,
+  3: i64 previous_index,
+  4: i64 previous_term,
+  5: list<LogEntry> entries,
+  6: i64 commit_index,
+  7: i64 round,               // echoed in the reply
+  8: i32 confirmed_age_ms,    // age of the leader's last quorum round
+}
+
+struct AppendReply {
+  1: i64 term,
+  2: bool accepted,
+  3: i64 match_index,
+  4: i64 round,
+}
+
+struct InstallSnapshot {
+  1: i64 term,
+  2: string leader,
+  3: i64 last_index,
+  4: i64 last_term,
+  5: i64 offset_bytes,
+  6: binary chunk,
+  7: bool last,
+}
+
+struct SnapshotReply {
+  1: i64 term,
+  2: i64 offset_bytes,
+  3: bool installed,
+}
+
+struct TimeoutNow {
+  1: i64 term,
+}
+
+struct PutDocument {
+  1: binary text,
+  2: binary sha256,
+  3: bool trial,              // accept in the trial environment
+  4: optional string acceptance,
+}
+
+struct SetZoneState {
+  1: string zone,
+  2: bool in_service,
+}
+
+struct SetTargetState {
+  1: string target,
+  2: bool leaving,
+}
+
+struct ViewMember {
+  1: string name,
+  2: i64 incarnation,
+  3: string zone,
+  4: string address,
+}
+
+struct InstallView {
+  1: i64 epoch,               // must be the present epoch + 1
+  2: list<ViewMember> members,
+  3: i64 lost_wall_ms,        // 0: the previous view's claims can be copied
+}
+
+struct AssignHost {
+  1: string target,
+  2: string entry,
+  3: i64 incarnation,
+  4: i64 epoch,               // must be the present host epoch + 1
+}
+
+struct ChangeMember {
+  1: string name,
+  2: string address,
+  3: string identity,         // identity of the replica's data folder
+  4: string action,           // add_learner, promote, remove
+}
+
+struct Command {
+  1: string request_id,
+  2: string author,
+  3: i64 wall_ms,
+  4: optional i64 expect,     // configuration version that the change was based on
+  5: optional PutDocument put_document,
+  6: optional SetZoneState set_zone_state,
+  7: optional SetTargetState set_target_state,
+  8: optional InstallView install_view,
+  9: optional AssignHost assign_host,
+  10: optional ChangeMember change_member,
+}
+
+struct Propose {
+  1: Command command,
+}
+
+struct ProposeReply {
+  1: bool accepted,
+  2: i64 version,
+  3: binary answer,           // JSON; on refusal {kind, message, remedy, ...}
+  4: optional string leader,  // address to ask instead; nothing was recorded
+}
+
+struct StatusRequest {
+  1: string what,             // status, history, document, forced
+  2: i64 number,
+}
+
+struct StatusReply {
+  1: binary body,             // JSON, or the document's exact bytes
+}
