--- a/apricotrail/membership/_configuration.py
+++ b/apricotrail/membership/_configuration.py
@@ -68,7 +68,7 @@
         return True
 
     def changes_since(self, version: int) -> ConfigurationChange:
-        """Return what a node at `version` lacks; the whole configuration if it is too far behind."""
+        """Return what a node at `version` lacks, or everything if it is too far behind."""
         if version < self._oldest_base or version <= 0:
             items = [ConfigurationItem(key, value) for key, value in self.items().items()]
             return ConfigurationChange(0, self.version, items)
