--- /dev/null
+++ b/apricotrail/control/__init__.py
@@ -0,0 +1,1 @@
+"""Replicated configuration: documents, zone and target states, views, hosts and members."""
--- /dev/null
+++ b/apricotrail/control/_election.py
@@ -0,0 +1,171 @@
+"""Elections: pre-vote, votes, step-down without a quorum, leadership transfer."""
+
+from apricotrail.control._members import is_quorum
+from apricotrail.control._replica import (
+    Progress,
+    ReplicaState,
+    Role,
+    Transfer,
+    become_follower,
+    postpone_election,
+    set_term,
+)
+from apricotrail.control._replication import append_command, start_round
+from apricotrail.wire.generated.ttypes import TimeoutNow, Vote, VoteReply
+
+__all__ = [
+    "begin_transfer",
+    "check_election",
+    "check_quorum",
+    "check_transfer",
+    "receive_timeout_now",
+    "receive_vote",
+    "receive_vote_reply",
+]
+
+
+def check_election(state: ReplicaState) -> None:
+    """Begin an election if the leader has been silent for too long."""
+    if state.is_leader or not state.is_voter:
+        return
+    if is_quorum(state.log.members, {state.own_id}):
+        _campaign(state, transfer=False)
+        return
+    if state.now_ms >= state.deadline_ms:
+        _ask_pre_votes(state)
+
+
+def check_quorum(state: ReplicaState) -> None:
+    """Step down if no quorum confirmed a round of this leader for the election time."""
+    confirmed_ms = state.elected_ms if state.quorum_ms is None else state.quorum_ms
+    if state.now_ms - confirmed_ms > state.timing.election_ms:
+        become_follower(state, state.term, "")
+
+
+def begin_transfer(state: ReplicaState) -> bool:
+    """Begin to hand leadership to the voter with the longest log; False if there is none."""
+    if not state.is_leader:
+        return False
+    voters = [
+        (progress.acked_round, progress.match_index, peer)
+        for peer, progress in state.progress.items()
+        if peer in state.log.members and state.log.members[peer].voter
+    ]
+    if not voters:
+        return False
+    _, _, target = max(voters)
+    state.transfer = Transfer(target, state.now_ms + state.timing.election_ms)
+    check_transfer(state)
+    return True
+
+
+def check_transfer(state: ReplicaState) -> None:
+    """Ask the transfer's target to campaign once it holds the whole log."""
+    if state.transfer is None:
+        return
+    progress = state.progress.get(state.transfer.target)
+    if progress is None or state.now_ms > state.transfer.deadline_ms:
+        state.transfer = None
+        return
+    if progress.match_index == state.log.last_index:
+        state.send(state.transfer.target, TimeoutNow(state.term))
+
+
+def receive_timeout_now(state: ReplicaState, sender: str, message: TimeoutNow) -> None:
+    """Campaign at once on the leader's wish."""
+    if message.term == state.term and state.leader == sender and state.is_voter:
+        _campaign(state, transfer=True)
+
+
+def receive_vote(state: ReplicaState, sender: str, message: Vote) -> None:
+    """Answer a request for a vote or pre-vote."""
+    if _has_leader(state) and not message.transfer:
+        if message.pre_vote:
+            state.send(sender, VoteReply(state.term, False, True))
+        return
+    current = (message.last_term, message.last_index) >= (state.log.last_term, state.log.last_index)
+    if message.pre_vote:
+        granted = current and message.term > state.term
+        state.send(sender, VoteReply(message.term if granted else state.term, granted, True))
+        return
+    if message.term > state.term:
+        become_follower(state, message.term, "")
+    granted = current and message.term == state.term and state.vote in ("", sender)
+    if granted:
+        if state.vote != sender:
+            set_term(state, state.term, sender)
+        postpone_election(state)
+    state.send(sender, VoteReply(state.term, granted, False))
+
+
+def receive_vote_reply(state: ReplicaState, sender: str, message: VoteReply) -> None:
+    """Count a vote."""
+    if message.term > state.term and not (message.pre_vote and message.granted):
+        become_follower(state, message.term, "")
+        return
+    if state.role is not Role.CANDIDATE or not message.granted:
+        return
+    expected_term = state.term + 1 if state.pre_vote else state.term
+    if message.pre_vote != state.pre_vote or message.term != expected_term:
+        return
+    state.votes.add(sender)
+    if not is_quorum(state.log.members, state.votes):
+        return
+    if state.pre_vote:
+        _campaign(state, transfer=False)
+    else:
+        _become_leader(state)
+
+
+def _has_leader(state: ReplicaState) -> bool:
+    if state.is_leader:
+        return True
+    return state.now_ms - state.heard_ms < state.timing.election_ms
+
+
+def _ask_pre_votes(state: ReplicaState) -> None:
+    state.role = Role.CANDIDATE
+    state.leader = ""
+    state.pre_vote = True
+    state.votes = {state.own_id}
+    postpone_election(state)
+    _ask_votes(state, state.term + 1, transfer=False)
+
+
+def _campaign(state: ReplicaState, transfer: bool) -> None:
+    state.role = Role.CANDIDATE
+    state.leader = ""
+    state.pre_vote = False
+    set_term(state, state.term + 1, state.own_id)
+    state.votes = {state.own_id}
+    postpone_election(state)
+    if is_quorum(state.log.members, state.votes):
+        _become_leader(state)
+        return
+    _ask_votes(state, state.term, transfer)
+
+
+def _ask_votes(state: ReplicaState, term: int, transfer: bool) -> None:
+    log = state.log
+    for peer, member in log.members.items():
+        if member.voter and peer != state.own_id:
+            vote = Vote(
+                term, state.own_id, log.last_index, log.last_term, state.pre_vote, transfer or None
+            )
+            state.send(peer, vote)
+
+
+def _become_leader(state: ReplicaState) -> None:
+    state.role = Role.LEADER
+    state.leader = state.own_id
+    state.transfer = None
+    state.quorum_ms = None
+    state.elected_ms = state.now_ms
+    state.rounds_sent.clear()
+    state.progress = {
+        peer: Progress(state.log.last_index + 1, state.now_ms)
+        for peer in state.log.members
+        if peer != state.own_id
+    }
+    state.term_start_index = append_command(state, b"")
+    start_round(state)
--- /dev/null
+++ b/apricotrail/control/_members.py
@@ -0,0 +1,100 @@
+"""The replicas of a control group and how one change at a time alters them.
+
+A change takes effect as soon as it is in a replica's log; with one uncommitted change at a time any
+majority before and any majority after it share a replica (Ongaro, "Consensus: Bridging Theory and
+Practice", 2014, chapter 4).
+"""
+
+from collections.abc import Iterable, Mapping
+from typing import NamedTuple
+
+from apricotrail.wire.generated.ttypes import ChangeMember
+
+__all__ = [
+    "Member",
+    "Members",
+    "apply_member_change",
+    "is_quorum",
+    "make_replica_id",
+    "quorum_value",
+    "replica_name",
+]
+
+_SEPARATOR = "#"
+
+
+class Member(NamedTuple):
+    """One replica.
+
+    Attributes
+    ----------
+    address : str
+        ``host:port`` that the other replicas dial.
+    voter : bool
+        False for a learner: it receives the log and counts in no quorum.
+    """
+
+    address: str
+    voter: bool
+
+
+Members = Mapping[str, Member]
+"""Replicas by id."""
+
+
+def make_replica_id(name: str, identity: str) -> str:
+    """Return the id of a replica: its name and the identity of its data folder.
+
+    Examples
+    --------
+    >>> make_replica_id("pipa-1", "c0ffee")
+    'pipa-1#c0ffee'
+    """
+    return f"{name}{_SEPARATOR}{identity}"
+
+
+def replica_name(replica_id: str) -> str:
+    """Return the name in a replica's id.
+
+    Examples
+    --------
+    >>> replica_name("pipa-1#c0ffee")
+    'pipa-1'
+    """
+    return replica_id.partition(_SEPARATOR)[0]
+
+
+def apply_member_change(members: Members, change: ChangeMember) -> Members:
+    """Return the members after `change`; a change that does not fit leaves them as they are."""
+    replica_id = make_replica_id(change.name, change.identity)
+    present = members.get(replica_id)
+    if change.action == "add_learner" and present is None:
+        return {**members, replica_id: Member(change.address, False)}
+    if change.action == "promote" and present is not None:
+        return {**members, replica_id: present._replace(voter=True)}
+    if change.action == "remove" and present is not None:
+        return {key: member for key, member in members.items() if key != replica_id}
+    return members
+
+
+def is_quorum(members: Members, replica_ids: Iterable[str]) -> bool:
+    """Return whether `replica_ids` hold a majority of the voters."""
+    voters = {key for key, member in members.items() if member.voter}
+    return len(voters.intersection(replica_ids)) * 2 > len(voters)
+
+
+def quorum_value(members: Members, values: Mapping[str, float]) -> float:
+    """Return the highest value that a majority of the voters has reached.
+
+    Parameters
+    ----------
+    members : dict
+        Replicas by id, with at least one voter.
+    values : dict
+        Value by replica id; a missing one counts as minus infinity.
+    """
+    reached = sorted(
+        (values.get(key, float("-inf")) for key, member in members.items() if member.voter),
+        reverse=True,
+    )
+    return reached[len(reached) // 2]
--- /dev/null
+++ b/apricotrail/control/_node.py
@@ -0,0 +1,365 @@
+"""One replica: protocol, storage and state machine, driven by messages, ticks and commands.
+
+Whatever comes in during one pass of the loop is written as one group and synced once. Appends leave
+before the sync, so that the other replicas write at the same time; every other message, and every
+answer, waits for it. The sync blocks the loop: control is a process of its own and has nothing
+else to do that a task would wait for.
+"""
+
+from collections.abc import Callable
+from random import Random
+from typing import Any, NamedTuple
+
+from returns.result import Failure, Result, Success
+
+from apricotrail.clocks import Clock
+from apricotrail.control._changes import DocumentFunctions
+from apricotrail.control._files import FileLayer
+from apricotrail.control._log import ReplicatedLog
+from apricotrail.control._members import Members, make_replica_id
+from apricotrail.control._protocol import note_synced, receive, send_due, tick
+from apricotrail.control._replica import ReplicaState, Timing, confirmation_age_ms
+from apricotrail.control._replication import append_command
+from apricotrail.control._requests import Outcome
+from apricotrail.control._state import StateMachine
+from apricotrail.control._storage import FORMATION_INDEX, Snapshot, Storage
+from apricotrail.control._transfer import holds_snapshot, reset_to_snapshot
+from apricotrail.errors import ErrorKind, Problem
+from apricotrail.wire import decode_message, encode_message
+from apricotrail.wire.generated.ttypes import ChangeMember, Command
+
+__all__ = ["Limits", "Node", "Setup"]
+
+FORMATION_TERM = 1
+
+Answer = Result[Outcome, Problem]
+
+
+class Limits(NamedTuple):
+    """Bounds of one replica.
+
+    Attributes
+    ----------
+    snapshot_entries : int
+        Entries applied since the last snapshot before the next one.
+    snapshot_log_bytes : int
+        Size of the log file that brings a snapshot forward.
+    kept_entries : int
+        Entries kept behind a snapshot for replicas that lag a little.
+    pending : int
+        Commands logged and not yet committed.
+    """
+
+    snapshot_entries: int = 10_000
+    snapshot_log_bytes: int = 32 * 1024 * 1024
+    kept_entries: int = 500
+    pending: int = 1_024
+
+
+class Setup(NamedTuple):
+    """What a replica is made of.
+
+    Attributes
+    ----------
+    name : str
+        Name of the replica, the same after a loss of its disk.
+    files : FileLayer
+        Its data folder.
+    documents : DocumentFunctions
+        Check and reading of documents.
+    clock : Clock
+        Monotonic time in milliseconds.
+    random : Random
+        Source of election jitter.
+    send : callable
+        ``send(replica_id, message)`` sends without waiting.
+    on_change : callable
+        ``on_change()`` is called after the configuration version grew.
+    timing : Timing
+        Protocol times.
+    limits : Limits
+        Bounds.
+    """
+
+    name: str
+    files: FileLayer
+    documents: DocumentFunctions
+    clock: Clock
+    random: Random
+    send: Callable[[str, Any], None]
+    on_change: Callable[[], None]
+    timing: Timing = Timing()
+    limits: Limits = Limits()
+
+
+class _Pending(NamedTuple):
+    term: int
+    done: Callable[[Answer], None]
+
+
+class Node:
+    """One replica of the control log.
+
+    Parameters
+    ----------
+    setup : Setup
+        Parts and limits.
+
+    Raises
+    ------
+    StorageError
+        If the data folder is damaged.
+
+    Attributes
+    ----------
+    machine : StateMachine
+        State after the entry `applied_index`.
+    replica : ReplicaState
+        Protocol state.
+    """
+
+    def __init__(self, setup: Setup) -> None:
+        self.setup = setup
+        self.storage = Storage(setup.files)
+        stored = self.storage.load()
+        self.replica_id = make_replica_id(setup.name, stored.identity)
+        self.machine = StateMachine(setup.documents)
+        self.applied_index = 0
+        self.snapshot_index = 0
+        self._pending: dict[int, _Pending] = {}
+        members: Members = {}
+        snapshot = stored.snapshot
+        if snapshot is not None:
+            self.machine.restore(snapshot.payload)
+            self.applied_index = self.snapshot_index = snapshot.index
+            members = self.machine.members
+        log = ReplicatedLog(
+            _read_change,
+            snapshot.index if snapshot is not None else 0,
+            snapshot.term if snapshot is not None else 0,
+            members,
+            [entry for entry in stored.entries if entry.index > self.applied_index],
+        )
+        self.replica = ReplicaState(
+            self.replica_id,
+            log,
+            stored.term,
+            stored.vote,
+            setup.timing,
+            setup.random,
+            setup.clock(),
+            self._make_snapshot,
+        )
+
+    # ---- what comes in ----
+
+    @property
+    def is_formed(self) -> bool:
+        """Whether this replica knows a group."""
+        return bool(self.replica.log.members)
+
+    def form(self, members: Members) -> None:
+        """Found a group of `members`, which all have empty folders."""
+        payload = StateMachine(self.setup.documents, members).export()
+        snapshot = Snapshot(FORMATION_INDEX, FORMATION_TERM, payload)
+        self.storage.add_term(FORMATION_TERM, "")
+        self.replica.term = FORMATION_TERM
+        self._install(snapshot)
+
+    def receive(self, sender: str, message: Any) -> None:
+        """Handle a protocol message; `flush` must follow."""
+        receive(self.replica, sender, message, self.setup.clock())
+
+    def tick(self) -> None:
+        """Do what has become due; `flush` must follow."""
+        tick(self.replica, self.setup.clock())
+
+    def propose(self, command: Command, done: Callable[[Answer], None]) -> None:
+        """Log a command on the leader; `flush` must follow.
+
+        `done` is called once: with the outcome when the command is committed, or with a problem.
+        """
+        replica = self.replica
+        replica.now_ms = self.setup.clock()
+        known = self.machine.find_answer(command)
+        if known is not None:
+            done(Success(known))
+            return
+        refusal = self._check_proposal(command)
+        if refusal is not None:
+            done(Failure(refusal))
+            return
+        index = append_command(replica, encode_message(command))
+        self._wait(index, done)
+
+    def flush(self) -> None:
+        """Write, sync, send and apply everything that is due.
+
+        Raises
+        ------
+        StorageError
+            If the disk failed; the replica must not go on.
+        """
+        while self._flush_once():
+            pass
+
+    def confirmation_age_ms(self) -> float:
+        """Return the age in milliseconds of the confirmation of the applied state."""
+        self.replica.now_ms = self.setup.clock()
+        self.replica.freshness.advance(self.applied_index)
+        return confirmation_age_ms(self.replica)
+
+    def close(self) -> None:
+        """Close the files and fail what still waits."""
+        for pending in self._pending.values():
+            pending.done(Failure(_unknown_outcome()))
+        self._pending.clear()
+        self.storage.close()
+
+    # ---- internals ----
+
+    def _wait(self, index: int, done: Callable[[Answer], None]) -> None:
+        replaced = self._pending.pop(index, None)
+        if replaced is not None:
+            replaced.done(Failure(_overtaken()))
+        self._pending[index] = _Pending(self.replica.term, done)
+
+    def _check_proposal(self, command: Command) -> Problem | None:
+        replica = self.replica
+        if not replica.is_leader:
+            return Problem(ErrorKind.NO_QUORUM, "This replica does not lead.", "Ask the leader.")
+        if replica.transfer is not None:
+            message = "The leader is handing over."
+            return Problem(ErrorKind.NO_QUORUM, message, "Retry within a second.")
+        if len(self._pending) >= self.setup.limits.pending:
+            message = f"{len(self._pending)} changes wait to be committed."
+            return Problem(ErrorKind.OVERLOADED, message, "Retry in a second.")
+        if command.change_member is not None:
+            return self._check_member_change(command.change_member)
+        return None
+
+    def _check_member_change(self, change: ChangeMember) -> Problem | None:
+        replica = self.replica
+        if replica.commit_index < max(replica.log.change_index, replica.term_start_index):
+            message = "Another change of members is not yet committed."
+            return Problem(ErrorKind.CONFLICT, message, "Retry within a second.")
+        replica_id = make_replica_id(change.name, change.identity)
+        member = replica.log.members.get(replica_id)
+        if change.action != "add_learner" and member is None:
+            message = f"There is no replica {replica_id!r}."
+            return Problem(ErrorKind.NOT_FOUND, message, "List the members and name one of them.")
+        voters = [key for key, it in replica.log.members.items() if it.voter]
+        if change.action == "remove" and voters == [replica_id]:
+            message = f"{replica_id!r} is the only voter."
+            return Problem(ErrorKind.REFUSED, message, "Add and promote another replica first.")
+        return None
+
+    def _flush_once(self) -> bool:
+        replica = self.replica
+        send_due(replica)
+        if replica.installed is not None:
+            snapshot, replica.installed = replica.installed, None
+            self._write_records()
+            if not holds_snapshot(replica, snapshot.index, snapshot.term):
+                self._install(snapshot)
+        self._write_records()
+        self._send_all(replica.early)
+        synced = self.storage.commit()
+        note_synced(replica)
+        self._send_all(replica.outbox)
+        applied = self._apply_committed()
+        return synced or applied or replica.broadcast_due
+
+    def _write_records(self) -> None:
+        for write in self.replica.writes:
+            if isinstance(write, tuple):
+                self.storage.add_term(*write)
+            else:
+                self.storage.add_entry(write)
+        self.replica.writes.clear()
+
+    def _send_all(self, queue: list[tuple[str, Any]]) -> None:
+        messages = queue[:]
+        queue.clear()
+        for peer, message in messages:
+            self.setup.send(peer, message)
+
+    def _apply_committed(self) -> bool:
+        replica = self.replica
+        version = self.machine.version
+        first = self.applied_index
+        while self.applied_index < replica.commit_index:
+            self.applied_index += 1
+            entry = replica.log.entry_at(self.applied_index)
+            outcome = self.machine.apply(entry.command)
+            self._resolve(entry.index, entry.term, outcome)
+        replica.freshness.advance(self.applied_index)
+        if self.applied_index == first:
+            return False
+        self._save_snapshot_if_due()
+        if self.machine.version > version:
+            self.setup.on_change()
+        return True
+
+    def _resolve(self, index: int, term: int, outcome: Outcome) -> None:
+        pending = self._pending.pop(index, None)
+        if pending is None:
+            return
+        if pending.term == term:
+            pending.done(Success(outcome))
+            return
+        pending.done(Failure(_overtaken()))
+
+    def _save_snapshot_if_due(self) -> None:
+        limits = self.setup.limits
+        if (
+            self.applied_index - self.snapshot_index < limits.snapshot_entries
+            and self.storage.log_bytes < limits.snapshot_log_bytes
+        ):
+            return
+        self.save_snapshot()
+
+    def save_snapshot(self) -> None:
+        """Write a snapshot of the applied state and shorten the log."""
+        log = self.replica.log
+        index = self.applied_index
+        if index <= log.base_index:
+            return
+        snapshot = self._make_snapshot()
+        if snapshot is None:
+            return
+        base = max(log.base_index, index - self.setup.limits.kept_entries)
+        self.storage.save_snapshot(snapshot, log.entries_from(base + 1))
+        log.compact(base)
+        self.snapshot_index = index
+
+    def _install(self, snapshot: Snapshot) -> None:
+        self.storage.save_snapshot(snapshot, [])
+        version = self.machine.version
+        self.machine.restore(snapshot.payload)
+        reset_to_snapshot(self.replica, snapshot.index, snapshot.term, self.machine.members)
+        self.applied_index = self.snapshot_index = snapshot.index
+        self.replica.freshness.advance(snapshot.index)
+        for index in [index for index in self._pending if index <= snapshot.index]:
+            self._pending.pop(index).done(Failure(_unknown_outcome()))
+        if self.machine.version > version:
+            self.setup.on_change()
+
+    def _make_snapshot(self) -> Snapshot | None:
+        index = self.applied_index
+        term = self.replica.log.term_at(index)
+        return Snapshot(index, term, self.machine.export()) if term is not None else None
+
+
+def _read_change(command: bytes) -> ChangeMember | None:
+    return decode_message(Command, command).change_member
+
+
+def _overtaken() -> Problem:
+    message = "Another leader took over before the change was committed."
+    return Problem(ErrorKind.NO_QUORUM, message, "Send it again under the same request id.")
+
+
+def _unknown_outcome() -> Problem:
+    message = "The replica stopped leading before the change was committed."
+    return Problem(ErrorKind.UNKNOWN_OUTCOME, message, "Send it again under the same request id.")
--- /dev/null
+++ b/apricotrail/control/_protocol.py
@@ -0,0 +1,65 @@
+"""Entry points of the protocol: a message, a tick or a command goes in."""
+
+from collections.abc import Callable
+from typing import Any
+
+from apricotrail.control._election import (
+    check_election,
+    check_quorum,
+    check_transfer,
+    receive_timeout_now,
+    receive_vote,
+    receive_vote_reply,
+)
+from apricotrail.control._replica import ReplicaState
+from apricotrail.control._replication import (
+    advance_commit,
+    receive_append,
+    receive_append_reply,
+    start_round,
+)
+from apricotrail.control._transfer import receive_chunk, receive_chunk_reply
+from apricotrail.wire.generated import ttypes
+
+__all__ = ["MESSAGE_TYPES", "note_synced", "receive", "send_due", "tick"]
+
+_RECEIVERS: dict[type, Callable[[ReplicaState, str, Any], None]] = {
+    ttypes.Vote: receive_vote,
+    ttypes.VoteReply: receive_vote_reply,
+    ttypes.Append: receive_append,
+    ttypes.AppendReply: receive_append_reply,
+    ttypes.InstallSnapshot: receive_chunk,
+    ttypes.SnapshotReply: receive_chunk_reply,
+    ttypes.TimeoutNow: receive_timeout_now,
+}
+MESSAGE_TYPES = tuple(_RECEIVERS)
+
+
+def receive(state: ReplicaState, sender: str, message: Any, now_ms: float) -> None:
+    """Handle a message of the replica `sender`."""
+    state.now_ms = now_ms
+    _RECEIVERS[type(message)](state, sender, message)
+
+
+def tick(state: ReplicaState, now_ms: float) -> None:
+    """Do what has become due; call it several times in each round."""
+    state.now_ms = now_ms
+    if not state.is_leader:
+        check_election(state)
+        return
+    check_quorum(state)
+    if state.is_leader and now_ms >= state.next_round_ms:
+        start_round(state)
+    check_transfer(state)
+
+
+def send_due(state: ReplicaState) -> None:
+    """Start a round if commands or a new commit index wait to be sent."""
+    if state.is_leader and state.broadcast_due:
+        start_round(state)
+
+
+def note_synced(state: ReplicaState) -> None:
+    """Note that every record written so far is on the disk."""
+    state.synced_index = state.log.last_index
+    advance_commit(state)
--- a/apricotrail/membership/_configuration.py
+++ b/apricotrail/membership/_configuration.py
@@ -47,6 +47,11 @@
         """Return the present items by key."""
         return {key: item.value for key, item in self._items.items() if item.value is not None}
 
+    def find(self, key: str) -> bytes | None:
+        """Return the present value of one item, or None."""
+        item = self._items.get(key)
+        return item.value if item is not None else None
+
     def apply(self, change: ConfigurationChange) -> bool:
         """Apply a change that is newer than the present version.
 
@@ -84,6 +89,7 @@
         keys = {item.key for item in change.items}
         for key in [key for key in self._items if key not in keys]:
             self._put(key, None, change.version)
+        self._oldest_base = change.version
 
     def _put(self, key: str, value: bytes | None, version: int) -> None:
         present = self._items.pop(key, None)
--- a/apricotrail/wire/messages.thrift
+++ b/apricotrail/wire/messages.thrift
@@ -311,6 +311,7 @@
   3: i64 last_index,
   4: i64 last_term,
   5: bool pre_vote,
+  6: optional bool transfer,  // the leader asked for this election
 }
 
 struct VoteReply {
@@ -328,6 +329,7 @@
   6: i64 commit_index,
   7: i64 round,               // echoed in the reply
   8: i32 confirmed_age_ms,    // age of the leader's last quorum round
+  9: optional i64 echo,       // newest AppendReply.sequence that the leader got from the receiver
 }
 
 struct AppendReply {
@@ -335,6 +337,7 @@
   2: bool accepted,
   3: i64 match_index,
   4: i64 round,
+  5: optional i64 sequence,   // the sender notes when it wrote this number
 }
 
 struct InstallSnapshot {
@@ -351,6 +354,7 @@
   1: i64 term,
   2: i64 offset_bytes,
   3: bool installed,
+  4: optional i64 last_index, // of the snapshot
 }
 
 struct TimeoutNow {
