--- /dev/null
+++ b/apricotrail/entry/_admission.py
@@ -0,0 +1,149 @@
+"""Admits or refuses a new submission, before anything is claimed or started."""
+
+from collections.abc import Callable
+from typing import NamedTuple
+
+from returns.result import Failure, Result, Success
+
+from apricotrail.clocks import Clock
+from apricotrail.document import EffectiveConfiguration
+from apricotrail.entry._agents import AgentTable
+from apricotrail.entry._dispatch import Dispatcher
+from apricotrail.entry._submission import Submission
+from apricotrail.errors import ErrorKind, Problem
+from apricotrail.policy import Admission, AdmissionRequest, ServiceState
+from apricotrail.settings import declare_setting
+
+__all__ = ["MAX_JOBS_OF_CALLER", "AdmissionParts", "AdmitSubmission", "Admitted", "make_admit"]
+
+MAX_JOBS_OF_CALLER = declare_setting(
+    "entry.max_jobs_of_caller", 1_000, "Unfinished jobs of one caller at one entry.", minimum=1
+)
+
+
+class Admitted(NamedTuple):
+    """What the configuration says about an admitted submission.
+
+    Attributes
+    ----------
+    service : str
+        Service id.
+    team : str
+        Team id of the caller.
+    share : float
+        Weight of the team.
+    deadline_ms : float
+        Time to answer.
+    """
+
+    service: str
+    team: str
+    share: float
+    deadline_ms: float
+
+
+AdmitSubmission = Callable[[Submission], Result[Admitted, Problem]]
+
+
+class AdmissionParts(NamedTuple):
+    """What the decision looks at.
+
+    Attributes
+    ----------
+    configuration : callable
+        Gives the configuration in force.
+    is_fresh : callable
+        Whether that configuration was confirmed lately.
+    is_stopping : callable
+        Whether this entry takes no new jobs any more.
+    dispatcher : Dispatcher
+        Queues and run times.
+    agents : AgentTable
+        Slots.
+    admission : Admission
+        The policy.
+    max_jobs_of_caller : int
+        Bound per caller.
+    clock : callable
+        Monotonic time in milliseconds.
+    """
+
+    configuration: Callable[[], EffectiveConfiguration]
+    is_fresh: Callable[[], bool]
+    is_stopping: Callable[[], bool]
+    dispatcher: Dispatcher
+    agents: AgentTable
+    admission: Admission
+    max_jobs_of_caller: int
+    clock: Clock
+
+
+def make_admit(parts: AdmissionParts) -> AdmitSubmission:
+    """Return the filter that admits submissions."""
+
+    def admit(submission: Submission) -> Result[Admitted, Problem]:
+        if parts.is_stopping():
+            message = "This entry is stopping; nothing was started."
+            return Failure(Problem(ErrorKind.STOPPING, message, "Retry the same id elsewhere."))
+        if not parts.is_fresh():
+            message = "This entry's configuration is not confirmed; nothing was started."
+            return Failure(
+                Problem(ErrorKind.STALE_CONFIGURATION, message, "Retry the same id in a second.")
+            )
+        if parts.dispatcher.count_unfinished(submission.caller) >= parts.max_jobs_of_caller:
+            message = f"Caller {submission.caller} has too many unfinished jobs here."
+            return Failure(Problem(ErrorKind.QUOTA_EXCEEDED, message, "Wait for answers first."))
+        resolved = parts.configuration().resolve("service", submission.service)
+        return resolved.bind(lambda service: _admit_to(parts, submission, service))
+
+    return admit
+
+
+def _admit_to(
+    parts: AdmissionParts, submission: Submission, service_id: str
+) -> Result[Admitted, Problem]:
+    configuration = parts.configuration()
+    service = configuration.services[service_id]
+    if len(submission.bodies) > service.max_tasks:
+        message = f"{len(submission.bodies)} tasks are over the service's {service.max_tasks}."
+        return Failure(Problem(ErrorKind.TOO_LARGE, message, "Split the job."))
+    if max(map(len, submission.bodies)) > service.max_body_bytes:
+        message = f"A task's body is over the service's {service.max_body_bytes} bytes."
+        return Failure(Problem(ErrorKind.TOO_LARGE, message, "Send smaller bodies."))
+    known_slots = _list_slots(parts, service_id)
+    if known_slots and submission.slots_needed > max(known_slots):
+        message = f"No target of {service_id} has {submission.slots_needed} slots; not run."
+        remedy = f"Ask for at most {max(known_slots)} slots a task."
+        return Failure(Problem(ErrorKind.IMPOSSIBLE, message, remedy))
+    if not configuration.targets_of(service_id):
+        message = f"Service {service_id} has no target; not run."
+        return Failure(Problem(ErrorKind.IMPOSSIBLE, message, "Add a target to the document."))
+    team = configuration.team_of(submission.caller)
+    deadline_ms = float(submission.deadline_ms or service.deadline_ms)
+    request = AdmissionRequest(
+        service_id, team.id, len(submission.bodies), deadline_ms, parts.clock()
+    )
+    state = _describe_service(parts, service_id, known_slots)
+    admitted = Admitted(service_id, team.id, team.share, deadline_ms)
+    return parts.admission.decide(request, state).map(lambda _: admitted)
+
+
+def _list_slots(parts: AdmissionParts, service_id: str) -> list[int]:
+    agents = (
+        parts.agents.by_target(target) for target in parts.configuration().targets_of(service_id)
+    )
+    return [agent.slots for agent in agents if agent is not None and agent.slots]
+
+
+def _describe_service(
+    parts: AdmissionParts, service_id: str, known_slots: list[int]
+) -> ServiceState:
+    agents = [
+        parts.agents.by_target(target) for target in parts.configuration().targets_of(service_id)
+    ]
+    return ServiceState(
+        queued_tasks=parts.dispatcher.count_queued(service_id),
+        slots=sum(known_slots),
+        running=sum(agent.open_count for agent in agents if agent is not None),
+        mean_task_ms=parts.dispatcher.run_times.mean_ms(service_id),
+    )
--- /dev/null
+++ b/apricotrail/entry/_claiming.py
@@ -0,0 +1,141 @@
+"""Claims a submission at a majority of the entry view."""
+
+import asyncio
+from collections.abc import Callable, Sequence
+from enum import Enum, auto
+from typing import NamedTuple
+
+from returns.result import Success
+
+from apricotrail.entry._claims import ClaimTable, count_majority
+from apricotrail.membership import View
+from apricotrail.settings import declare_setting
+from apricotrail.wire import Link
+from apricotrail.wire.generated.ttypes import Claim, ClaimRecord, ClaimReply, ClaimVerdict
+
+__all__ = ["CLAIM_CALL_MS", "CLAIM_HEDGE_MS", "ClaimAttempt", "ClaimOutcome", "ClaimStatus"]
+
+CLAIM_CALL_MS = declare_setting(
+    "entry.claim_call_ms", 1_000, "Time for one member to answer a claim.", unit="ms", minimum=10
+)
+CLAIM_HEDGE_MS = declare_setting(
+    "entry.claim_hedge_ms",
+    25,
+    "Wait for the members asked first before the others of the view are asked too.",
+    unit="ms",
+    minimum=1,
+)
+
+
+class ClaimStatus(Enum):
+    """What became of a claim."""
+
+    OWNED = auto()
+    HELD = auto()
+    MISMATCH = auto()
+    UNCERTAIN = auto()
+    FULL = auto()
+    NO_QUORUM = auto()
+    VIEW_CHANGED = auto()
+
+
+class ClaimOutcome(NamedTuple):
+    """Status of a claim, with the record of another owner if one holds it."""
+
+    status: ClaimStatus
+    record: ClaimRecord | None = None
+
+
+_REFUSALS = {
+    ClaimVerdict.MISMATCH: ClaimStatus.MISMATCH,
+    ClaimVerdict.HELD: ClaimStatus.HELD,
+    ClaimVerdict.UNCERTAIN: ClaimStatus.UNCERTAIN,
+    ClaimVerdict.FULL: ClaimStatus.FULL,
+    ClaimVerdict.WRONG_VIEW: ClaimStatus.VIEW_CHANGED,
+    ClaimVerdict.NOT_READY: ClaimStatus.VIEW_CHANGED,
+}
+
+
+class ClaimAttempt:
+    """One claim on its way to a majority.
+
+    Parameters
+    ----------
+    view : View
+        View whose members are asked.
+    record : ClaimRecord
+        Claim of this entry.
+    links : sequence of Link
+        Other members that can be reached, preferred ones first.
+    call_ms, hedge_ms : float
+        Time for an answer; wait before the members beyond a majority are asked.
+
+    Attributes
+    ----------
+    abandoned : bool
+        Set when this entry has promised another one not to become owner.
+    """
+
+    def __init__(
+        self, view: View, record: ClaimRecord, links: Sequence[Link], call_ms: float, hedge_ms: float
+    ) -> None:
+        self.abandoned = False
+        self._claim = Claim(view.epoch, record)
+        self._needed = count_majority(len(view.members))
+        self._links = links
+        self._call_ms = call_ms
+        self._hedge_ms = hedge_ms
+
+    async def run(
+        self, table: ClaimTable, is_certain: Callable[[], bool], own_first: ClaimReply | None = None
+    ) -> ClaimOutcome:
+        """Ask the own table, then other members until a majority has granted the claim."""
+        own = own_first or table.decide(self._claim, is_certain())
+        if own.verdict != ClaimVerdict.GRANTED:
+            return ClaimOutcome(_REFUSALS[own.verdict], own.record)
+        if self._needed == 1:
+            return ClaimOutcome(ClaimStatus.OWNED)
+        outcome = await self._ask_members()
+        if outcome.status is not ClaimStatus.OWNED:
+            table.release(self._claim.record.job, self._claim.record.epoch)
+        return outcome
+
+    async def _ask_members(self) -> ClaimOutcome:
+        first = self._links[: self._needed - 1]
+        rest = self._links[self._needed - 1 :]
+        pending = {asyncio.ensure_future(self._ask(link)) for link in first}
+        grants, hedge_ms = 1, self._hedge_ms
+        try:
+            while pending or rest:
+                done, pending = await _wait_some(pending, hedge_ms if rest else None)
+                for task in done:
+                    reply = task.result()
+                    if self.abandoned:
+                        return ClaimOutcome(ClaimStatus.HELD)
+                    if reply is None:
+                        continue
+                    if reply.verdict != ClaimVerdict.GRANTED:
+                        return ClaimOutcome(_REFUSALS[reply.verdict], reply.record)
+                    grants += 1
+                if grants >= self._needed:
+                    return ClaimOutcome(ClaimStatus.OWNED)
+                if rest:
+                    pending |= {asyncio.ensure_future(self._ask(link)) for link in rest}
+                    rest = ()
+        finally:
+            for task in pending:
+                task.cancel()
+        return ClaimOutcome(ClaimStatus.NO_QUORUM)
+
+    async def _ask(self, link: Link) -> ClaimReply | None:
+        reply = await link.call(self._claim, self._call_ms)
+        return reply.unwrap() if isinstance(reply, Success) else None
+
+
+async def _wait_some(
+    pending: set[asyncio.Task], timeout_ms: float | None
+) -> tuple[set[asyncio.Task], set[asyncio.Task]]:
+    if not pending:
+        return set(), set()
+    timeout_s = None if timeout_ms is None else timeout_ms / 1000
+    return await asyncio.wait(pending, timeout=timeout_s, return_when=asyncio.FIRST_COMPLETED)
--- /dev/null
+++ b/apricotrail/entry/_claims.py
@@ -0,0 +1,230 @@
+"""The claims that one member of the entry view holds in memory.
+
+A claim records which entry owns a submission. An owner needs grants from a majority of the view.
+A member that has sealed an epoch accepts no more claims in it, so what it hands to the next view
+is complete.
+"""
+
+from collections import OrderedDict
+from typing import NamedTuple
+
+from apricotrail.clocks import Clock
+from apricotrail.settings import declare_setting
+from apricotrail.wire.generated.ttypes import (
+    Claim,
+    ClaimRecord,
+    ClaimReply,
+    ClaimsRequest,
+    ClaimVerdict,
+    CopyClaims,
+)
+
+__all__ = ["MAX_CLAIMS", "RETENTION_S", "ClaimTable", "count_majority", "count_read_quorum"]
+
+RETENTION_S = declare_setting(
+    "entry.retention_s",
+    900,
+    "How long a submission id and its answer are kept.",
+    unit="s",
+    minimum=10,
+)
+MAX_CLAIMS = declare_setting(
+    "entry.max_claims", 400_000, "Most claims held; beyond it new jobs are refused.", minimum=100
+)
+MAX_ANSWERS_BYTES = declare_setting(
+    "entry.max_answers_bytes",
+    256 * 1024 * 1024,
+    "Bytes of kept answers; beyond it the oldest answer text is dropped, its claim stays.",
+    unit="bytes",
+    minimum=1_000_000,
+)
+COPY_PAGE_RECORDS = 1_000
+COPY_PAGE_BYTES = 4 * 1024 * 1024
+_MS_PER_S = 1_000
+
+
+def count_majority(members: int) -> int:
+    """Return how many grants a claim needs in a view of `members` entries."""
+    return members // 2 + 1
+
+
+def count_read_quorum(members: int) -> int:
+    """Return how many members are sure to include one of every majority.
+
+    Examples
+    --------
+    >>> [count_read_quorum(n) for n in (1, 2, 3, 4, 5)]
+    [1, 1, 2, 2, 3]
+    """
+    return members - count_majority(members) + 1
+
+
+class _Held(NamedTuple):
+    record: ClaimRecord
+    recorded_ms: float
+
+
+class ClaimTable:
+    """Claims of one member.
+
+    Parameters
+    ----------
+    clock : Clock
+        Monotonic time in milliseconds.
+    retention_ms : float
+        How long a claim is kept.
+    max_claims : int
+        Bound on the table.
+    max_answers_bytes : int
+        Bound on kept answers.
+
+    Attributes
+    ----------
+    ready_epoch : int
+        Newest epoch in which this member grants claims: it holds all claims of earlier ones.
+    sealed_epoch : int
+        No claim is granted in this epoch or an earlier one any more.
+    """
+
+    def __init__(
+        self, clock: Clock, retention_ms: float, max_claims: int, max_answers_bytes: int
+    ) -> None:
+        self.ready_epoch = 0
+        self.sealed_epoch = 0
+        self._clock = clock
+        self._retention_ms = retention_ms
+        self._max_claims = max_claims
+        self._max_answers_bytes = max_answers_bytes
+        self._held: OrderedDict[str, _Held] = OrderedDict()
+        self._answers_bytes = 0
+        self._answered: OrderedDict[str, int] = OrderedDict()
+
+    def __len__(self) -> int:
+        return len(self._held)
+
+    def find(self, job: str) -> ClaimRecord | None:
+        """Return the claim of a job with its present age, or None."""
+        held = self._held.get(job)
+        return self._aged(held) if held else None
+
+    def become_ready(self, epoch: int) -> None:
+        """Grant claims in `epoch` from now on, unless it is sealed already."""
+        if epoch > self.sealed_epoch:
+            self.ready_epoch = max(self.ready_epoch, epoch)
+            self.sealed_epoch = max(self.sealed_epoch, epoch - 1)
+
+    def seal(self, epoch: int) -> None:
+        """Grant no more claims in `epoch` and earlier ones."""
+        self.sealed_epoch = max(self.sealed_epoch, epoch)
+
+    def decide(self, claim: Claim, certain: bool) -> ClaimReply:
+        """Grant or refuse a claim.
+
+        Parameters
+        ----------
+        claim : Claim
+            Claim in the epoch of a view.
+        certain : bool
+            Whether an unknown submission is known not to have run before claims were lost.
+        """
+        self._expire()
+        if claim.view_epoch <= self.sealed_epoch:
+            return ClaimReply(ClaimVerdict.WRONG_VIEW, self.sealed_epoch + 1)
+        if claim.view_epoch != self.ready_epoch:
+            return ClaimReply(ClaimVerdict.NOT_READY, self.ready_epoch)
+        record = claim.record
+        held = self.find(record.job)
+        if held is None:
+            return self._decide_new(record, certain)
+        if held.digest and record.digest and held.digest != record.digest:
+            return self._answer(ClaimVerdict.MISMATCH, held)
+        if held.answer is None and (held.epoch or 0) < (record.epoch or 0):
+            self._put(record)
+            return self._answer(ClaimVerdict.GRANTED, record)
+        if _is_same_owner(held, record):
+            return self._answer(ClaimVerdict.GRANTED, held)
+        return self._answer(ClaimVerdict.HELD, held)
+
+    def store(self, record: ClaimRecord) -> None:
+        """Take in a claim or an answer that another member holds; the newest knowledge wins."""
+        held = self.find(record.job)
+        if held is None or _rank(record) > _rank(held):
+            self._put(record, record.age_ms or 0)
+
+    def release(self, job: str, epoch: int) -> None:
+        """Forget a claim of this epoch that reached no majority and started nothing."""
+        held = self.find(job)
+        if held is not None and held.epoch == epoch and held.answer is None:
+            del self._held[job]
+
+    def copy_page(self, request: ClaimsRequest) -> CopyClaims:
+        """Seal the asked epoch and return one page of claims in job order."""
+        self.seal(request.sealed_epoch)
+        keys = sorted(key for key in self._held if key > (request.after or ""))
+        page: list[ClaimRecord] = []
+        size_bytes = 0
+        for key in keys[:COPY_PAGE_RECORDS]:
+            record = self._aged(self._held[key])
+            size_bytes += len(record.answer or b"")
+            page.append(record)
+            if size_bytes > COPY_PAGE_BYTES:
+                break
+        return CopyClaims(self.ready_epoch, True, page, len(page) < len(keys))
+
+    def orphans(self, owners: set[tuple[str, int]]) -> list[ClaimRecord]:
+        """Return unfinished claims whose owner is not among (name, incarnation) `owners`."""
+        records = (held.record for held in self._held.values())
+        return [
+            record
+            for record in records
+            if record.answer is None and (record.owner, record.owner_incarnation) not in owners
+        ]
+
+    def _decide_new(self, record: ClaimRecord, certain: bool) -> ClaimReply:
+        if not certain:
+            return ClaimReply(ClaimVerdict.UNCERTAIN, self.ready_epoch)
+        if len(self._held) >= self._max_claims:
+            return ClaimReply(ClaimVerdict.FULL, self.ready_epoch)
+        self._put(record)
+        return self._answer(ClaimVerdict.GRANTED, record)
+
+    def _answer(self, verdict: int, record: ClaimRecord) -> ClaimReply:
+        return ClaimReply(verdict, self.ready_epoch, record)
+
+    def _put(self, record: ClaimRecord, age_ms: float = 0) -> None:
+        self._held.pop(record.job, None)
+        self._answers_bytes -= self._answered.pop(record.job, 0)
+        self._held[record.job] = _Held(record, self._clock() - age_ms)
+        if record.answer is None:
+            return
+        self._answered[record.job] = len(record.answer)
+        self._answers_bytes += len(record.answer)
+        while self._answers_bytes > self._max_answers_bytes and len(self._answered) > 1:
+            job, size_bytes = self._answered.popitem(last=False)
+            self._answers_bytes -= size_bytes
+            self._held[job].record.answer = b""
+
+    def _aged(self, held: _Held) -> ClaimRecord:
+        held.record.age_ms = int(self._clock() - held.recorded_ms)
+        return held.record
+
+    def _expire(self) -> None:
+        oldest_ms = self._clock() - self._retention_ms
+        while self._held:
+            job = next(iter(self._held))
+            if self._held[job].recorded_ms > oldest_ms:
+                return
+            del self._held[job]
+            self._answers_bytes -= self._answered.pop(job, 0)
+
+
+def _rank(record: ClaimRecord) -> tuple[bool, int, bool]:
+    return record.answer is not None, record.epoch or 0, bool(record.digest)
+
+
+def _is_same_owner(held: ClaimRecord, record: ClaimRecord) -> bool:
+    return (held.owner, held.owner_incarnation, held.epoch) == (
+        record.owner,
+        record.owner_incarnation,
+        record.epoch,
+    )
--- /dev/null
+++ b/apricotrail/entry/_relay.py
@@ -0,0 +1,151 @@
+"""Takes configuration from control and passes it, with its age, to agents."""
+
+from collections.abc import Callable
+
+from returns.result import Success
+
+from apricotrail.clocks import Clock
+from apricotrail.document import EffectiveConfiguration, read_items
+from apricotrail.entry._agents import AgentTable, read_target
+from apricotrail.events import Level, declare_event, emit
+from apricotrail.membership import Configuration, Freshness, View, read_view
+from apricotrail.wire import Link, LinkEndpoint
+from apricotrail.wire.generated.ttypes import (
+    ConfigurationChange,
+    ConfigurationRequest,
+    Heartbeat,
+)
+
+__all__ = ["ConfigurationRelay", "filter_for_target"]
+
+FETCH_CALL_MS = 2_000
+
+CONFIGURATION_APPLIED = declare_event(
+    2001, "configuration_applied", Level.INFO, "A newer configuration version is in force here."
+)
+
+_SHARED_KEYS = frozenset({"view", "schemes"})
+_SHARED_PREFIXES = ("zone/", "zone-state/")
+
+
+def filter_for_target(change: ConfigurationChange, target: str, service: str | None):
+    """Return the part of a change that the agent of `target` needs.
+
+    Parameters
+    ----------
+    change : ConfigurationChange
+        Whole change.
+    target : str
+        Target id.
+    service : str or None
+        Service of the target, None if it is unknown.
+    """
+    own = {f"target/{target}", f"target-state/{target}", f"host/{target}", f"service/{service}"}
+    items = [
+        item
+        for item in change.items
+        if item.key in own or item.key in _SHARED_KEYS or item.key.startswith(_SHARED_PREFIXES)
+    ]
+    return ConfigurationChange(change.base_version, change.version, items)
+
+
+class ConfigurationRelay:
+    """Configuration of one entry.
+
+    Parameters
+    ----------
+    endpoint : LinkEndpoint
+        Links to control and agents.
+    agents : AgentTable
+        Agents, for the versions that they have.
+    clock : Clock
+        Monotonic time in milliseconds.
+    stale_ms : float
+        Age from which no task starts.
+
+    Attributes
+    ----------
+    effective : EffectiveConfiguration
+        Configuration in force here.
+    view : View
+        Entry view in it.
+    """
+
+    def __init__(
+        self, endpoint: LinkEndpoint, agents: AgentTable, clock: Clock, stale_ms: float
+    ) -> None:
+        self.configuration = Configuration()
+        self.freshness = Freshness(clock, stale_ms)
+        self.effective: EffectiveConfiguration = read_items({})
+        self.view: View = read_view(None)
+        self.on_applied: list[Callable[[], None]] = []
+        self._endpoint = endpoint
+        self._agents = agents
+        self._fetching = False
+        endpoint.on(ConfigurationChange, self._receive_change)
+        endpoint.on(ConfigurationRequest, self._answer_request)
+
+    def receive_heartbeat(self, link: Link, heartbeat: Heartbeat, asked_ms: float | None) -> None:
+        """Take in what control says of the newest version and its age."""
+        version = heartbeat.config_version or 0
+        if asked_ms is not None:
+            self.freshness.receive(version, asked_ms - (heartbeat.config_age_ms or 0))
+        if version > self.configuration.version and not self._fetching:
+            self._fetching = True
+            self._endpoint.spawn(self._fetch(link))
+
+    def confirmed_version(self) -> int:
+        """Return the version that this entry and every agent linked to it have."""
+        behind = [agent.config_version for agent in self._agents.connected()]
+        return min([self.configuration.version, *behind])
+
+    def push_to(self, link: Link) -> None:
+        """Send an agent what it lacks."""
+        agent = self._agents.find(link.peer.name)
+        since = agent.config_version if agent is not None else 0
+        link.send(self._changes_for(link, since))
+
+    def _receive_change(self, link: Link, change: ConfigurationChange) -> None:
+        if link.peer.role == "control":
+            self._apply(link, change)
+
+    def _answer_request(self, link: Link, request: ConfigurationRequest) -> ConfigurationChange:
+        return self._changes_for(link, request.version or 0)
+
+    async def _fetch(self, link: Link) -> None:
+        try:
+            request = ConfigurationRequest(self.configuration.version)
+            reply = await link.call(request, FETCH_CALL_MS)
+            if isinstance(reply, Success):
+                self._apply(link, reply.unwrap())
+        finally:
+            self._fetching = False
+
+    def _apply(self, link: Link, change: ConfigurationChange) -> None:
+        before = self.configuration.version
+        if not self.configuration.apply(change):
+            if not self._fetching:
+                self._fetching = True
+                self._endpoint.spawn(self._fetch(link))
+            return
+        if self.configuration.version == before:
+            return
+        items = self.configuration.items()
+        self.effective = read_items(items)
+        self.view = read_view(items.get("view"))
+        self.freshness.advance(self.configuration.version)
+        emit(CONFIGURATION_APPLIED, version=self.configuration.version, items=len(change.items))
+        for agent in self._agents.connected():
+            self.push_to(agent.link)
+        for hook in self.on_applied:
+            hook()
+
+    def _changes_for(self, link: Link, since: int) -> ConfigurationChange:
+        change = self.configuration.changes_since(since)
+        if link.peer.role != "agent":
+            return change
+        target = read_target(link.peer.name)
+        known = self.effective.targets.get(target)
+        return filter_for_target(change, target, known.service if known else None)
+
+
--- /dev/null
+++ b/apricotrail/entry/_submission.py
@@ -0,0 +1,208 @@
+"""Reads and checks a caller's submission: the first filter of the pipeline."""
+
+import re
+from hashlib import sha256
+from typing import NamedTuple
+
+import orjson
+from returns.result import Failure, Result, Success
+
+from apricotrail.errors import ErrorKind, Problem
+from apricotrail.settings import Settings, declare_setting
+
+__all__ = [
+    "MAX_TASKS",
+    "Submission",
+    "SubmissionLimits",
+    "make_job_key",
+    "parse_submission",
+    "read_limits",
+    "read_uuid7_ms",
+]
+
+MAX_TASKS = declare_setting(
+    "entry.max_tasks", 300, "Most tasks of one job.", minimum=1, maximum=10_000
+)
+MAX_TASK_BYTES = declare_setting(
+    "entry.max_task_bytes", 1_048_576, "Largest body of one task.", unit="bytes", minimum=1
+)
+MAX_DEADLINE_MS = declare_setting(
+    "entry.max_deadline_ms",
+    300_000,
+    "Longest deadline of a job; must stay under the retention of claims.",
+    unit="ms",
+    minimum=100,
+    maximum=900_000,
+)
+_IDENTIFIER = re.compile(r"[A-Za-z0-9._~-]{1,128}")
+_KNOWN_KEYS = frozenset(
+    {"submission", "caller", "service", "deadline_ms", "tasks", "cancel_on_disconnect"}
+)
+_KNOWN_TASK_KEYS = frozenset({"body", "needs"})
+_UUID7 = re.compile(r"([0-9a-f]{8})-([0-9a-f]{4})-7[0-9a-f]{3}-[89ab][0-9a-f]{3}-[0-9a-f]{12}")
+
+
+class SubmissionLimits(NamedTuple):
+    """Bounds on what a caller can send; sizes in bytes, times in milliseconds."""
+
+    max_tasks: int
+    max_task_bytes: int
+    max_deadline_ms: int
+
+
+class Submission(NamedTuple):
+    """One checked submission.
+
+    Attributes
+    ----------
+    caller, submission : str
+        Who sent it and its id, unique per caller.
+    service : str
+        Reference as sent: ``scheme:name`` or a bare name.
+    deadline_ms : int or None
+        Time to answer in milliseconds; None for the service's default.
+    bodies : tuple of bytes
+        Task bodies in order.
+    slots_needed : int
+        Most slots that one task says it needs; a hint.
+    cancel_on_disconnect : bool
+        Whether a closed connection cancels the job.
+    digest : bytes
+        SHA-256 over service and tasks: same id and other digest is a conflict.
+    """
+
+    caller: str
+    submission: str
+    service: str
+    deadline_ms: int | None
+    bodies: tuple[bytes, ...]
+    slots_needed: int
+    cancel_on_disconnect: bool
+    digest: bytes
+
+    @property
+    def job(self) -> str:
+        """Key of the job in the whole system."""
+        return make_job_key(self.caller, self.submission)
+
+
+def make_job_key(caller: str, submission: str) -> str:
+    """Return the key of a job.
+
+    Examples
+    --------
+    >>> make_job_key("natal", "42")
+    'natal/42'
+    """
+    return f"{caller}/{submission}"
+
+
+def read_limits(settings: Settings) -> SubmissionLimits:
+    """Return the limits that `settings` give."""
+    return SubmissionLimits(
+        settings.get(MAX_TASKS), settings.get(MAX_TASK_BYTES), settings.get(MAX_DEADLINE_MS)
+    )
+
+
+def read_uuid7_ms(identifier: str) -> int | None:
+    """Return the Unix time in milliseconds inside a UUIDv7 (RFC 9562), None for other ids.
+
+    Examples
+    --------
+    >>> read_uuid7_ms("017f22e2-79b0-7cc3-98c4-dc0c0c07398f")
+    1645557742000
+    """
+    match = _UUID7.fullmatch(identifier.lower())
+    return int(match.group(1) + match.group(2), 16) if match else None
+
+
+def parse_submission(body: bytes, limits: SubmissionLimits) -> Result[Submission, Problem]:
+    """Read and check the body of ``POST /v1/jobs``.
+
+    Parameters
+    ----------
+    body : bytes
+        JSON as sent.
+    limits : SubmissionLimits
+        Bounds.
+
+    Returns
+    -------
+    Result
+        The submission or the first problem found.
+    """
+    try:
+        value = orjson.loads(body)
+    except orjson.JSONDecodeError as error:
+        return _malformed(f"The body is not JSON: {error}.", "Send one JSON object.")
+    if not isinstance(value, dict):
+        return _malformed("The body is not a JSON object.", "Send one JSON object.")
+    unknown = sorted(set(value) - _KNOWN_KEYS)
+    if unknown:
+        return _malformed(f"Unknown keys: {', '.join(unknown)}.", "Remove or rename them.")
+    for key in ("submission", "caller"):
+        if not isinstance(value.get(key), str) or not _IDENTIFIER.fullmatch(value[key]):
+            remedy = "Give 1 to 128 letters, digits, dots, hyphens, underscores or tildes."
+            return _malformed(f"{key} is missing or not an identifier.", remedy)
+    if not isinstance(value.get("service"), str) or not value["service"]:
+        return _malformed("service is missing.", "Name a service, bare or as scheme:name.")
+    deadline = value.get("deadline_ms")
+    if deadline is not None and not _is_within(deadline, 1, limits.max_deadline_ms):
+        remedy = f"Give whole milliseconds from 1 to {limits.max_deadline_ms}."
+        return _malformed("deadline_ms is out of range.", remedy)
+    return _parse_tasks(value.get("tasks"), limits).map(
+        lambda tasks: Submission(
+            value["caller"],
+            value["submission"],
+            value["service"],
+            deadline,
+            tasks[0],
+            tasks[1],
+            value.get("cancel_on_disconnect") is True,
+            _digest(value["service"], tasks[0]),
+        )
+    )
+
+
+def _parse_tasks(
+    tasks: object, limits: SubmissionLimits
+) -> Result[tuple[tuple[bytes, ...], int], Problem]:
+    if not isinstance(tasks, list) or not tasks:
+        return _malformed("tasks is missing or empty.", "Send a list of at least one task.")
+    if len(tasks) > limits.max_tasks:
+        message = f"{len(tasks)} tasks are over the limit of {limits.max_tasks}."
+        return Failure(Problem(ErrorKind.TOO_LARGE, message, "Split the job."))
+    bodies = []
+    slots_needed = 1
+    for number, task in enumerate(tasks):
+        if not isinstance(task, dict) or set(task) - _KNOWN_TASK_KEYS:
+            return _malformed(f"Task {number} is no object of body and needs.", "Mend the task.")
+        text = task.get("body")
+        if not isinstance(text, str):
+            return _malformed(f"Task {number} has no text as body.", "Send the body as a string.")
+        data = text.encode()
+        if len(data) > limits.max_task_bytes:
+            message = f"Task {number} has {len(data)} bytes, over {limits.max_task_bytes}."
+            return Failure(Problem(ErrorKind.TOO_LARGE, message, "Send a smaller body."))
+        needs = task.get("needs") or {}
+        if not isinstance(needs, dict) or not _is_within(needs.get("slots", 1), 1, 2**31):
+            return _malformed(f"Task {number} has malformed needs.", 'Send {"slots": 1}.')
+        slots_needed = max(slots_needed, needs.get("slots", 1))
+        bodies.append(data)
+    return Success((tuple(bodies), slots_needed))
+
+
+def _digest(service: str, bodies: tuple[bytes, ...]) -> bytes:
+    digest = sha256(service.encode())
+    for body in bodies:
+        digest.update(len(body).to_bytes(8, "big"))
+        digest.update(body)
+    return digest.digest()
+
+
+def _is_within(value: object, low: int, high: int) -> bool:
+    return type(value) is int and low <= value <= high
+
+
+def _malformed(message: str, remedy: str) -> Failure:
+    return Failure(Problem(ErrorKind.MALFORMED, message, remedy))
--- /dev/null
+++ b/apricotrail/entry/_takeover.py
@@ -0,0 +1,203 @@
+"""Collects what agents know of a job whose owner is gone, and goes on from there."""
+
+import asyncio
+from collections.abc import Awaitable, Callable
+from typing import NamedTuple
+
+from returns.result import Result, Success
+
+from apricotrail.clocks import Clock, wall_ms
+from apricotrail.entry._admission import Admitted
+from apricotrail.entry._agents import AgentState, AgentTable
+from apricotrail.entry._dispatch import Dispatcher
+from apricotrail.entry._job import Attempt, Job, JobResult
+from apricotrail.entry._submission import Submission
+from apricotrail.entry._uncertainty import CLOCK_MARGIN_MS
+from apricotrail.errors import ErrorKind, Problem
+from apricotrail.events import Level, declare_event, emit
+from apricotrail.wire.generated.ttypes import (
+    AttemptStates,
+    ClaimRecord,
+    FenceJob,
+    TaskOutcome,
+    TaskState,
+)
+
+__all__ = ["TakeOver", "TakeOverParts", "make_take_over"]
+
+FENCE_CALL_MS = 2_000
+REPORT_DEADLINE_MS = 30_000
+
+JOB_TAKEN_OVER = declare_event(
+    4201, "job_taken_over", Level.WARNING, "The owner of a job was lost; this entry goes on."
+)
+
+TakeOver = Callable[
+    [ClaimRecord, Submission | None, Result[Admitted, Problem] | None],
+    Awaitable[Result["asyncio.Future[JobResult]", Problem]],
+]
+
+
+class TakeOverParts(NamedTuple):
+    """What a takeover works with.
+
+    Attributes
+    ----------
+    agents : AgentTable
+        Agents that can be fenced.
+    dispatcher : Dispatcher
+        Takes the job on.
+    list_targets : callable
+        Gives every target id of the document.
+    identity : callable
+        Gives (name, incarnation) of this entry.
+    clock : callable
+        Monotonic time in milliseconds.
+    """
+
+    agents: AgentTable
+    dispatcher: Dispatcher
+    list_targets: Callable[[], list[str]]
+    identity: Callable[[], tuple[str, int]]
+    clock: Clock
+
+
+class _Fenced(NamedTuple):
+    agent: AgentState
+    states: AttemptStates
+
+
+def make_take_over(parts: TakeOverParts) -> TakeOver:
+    """Return the function that takes over a job claimed with a higher epoch."""
+
+    async def take_over(
+        record: ClaimRecord,
+        submission: Submission | None,
+        admission: Result[Admitted, Problem] | None,
+    ) -> Result["asyncio.Future[JobResult]", Problem]:
+        epoch = record.epoch + 1
+        fenced = await _fence_all(parts, record.job, epoch)
+        complete = _is_complete(parts, record, fenced)
+        emit(JOB_TAKEN_OVER, job=record.job, former=record.owner, complete=complete)
+        admitted = admission.unwrap() if isinstance(admission, Success) else None
+        job = _make_job(parts, record, epoch, submission, admitted, fenced)
+        _take_states(job, fenced)
+        goes_on = complete and submission is not None and admitted is not None
+        unseen = [task for task, state in enumerate(job.states) if _is_unseen(job, task, state)]
+        if not goes_on:
+            _settle_unseen(job, unseen, complete)
+            unseen = []
+        parts.dispatcher.resume(job, unseen)
+        return Success(job.result)
+
+    return take_over
+
+
+async def _fence_all(parts: TakeOverParts, job: str, epoch: int) -> list[_Fenced]:
+    owner = parts.identity()[0]
+    agents = parts.agents.connected()
+    replies = await asyncio.gather(
+        *(
+            agent.link.call(FenceJob(job, agent.target, epoch, owner), FENCE_CALL_MS)
+            for agent in agents
+        )
+    )
+    return [
+        _Fenced(agent, reply.unwrap())
+        for agent, reply in zip(agents, replies, strict=True)
+        if isinstance(reply, Success)
+    ]
+
+
+def _is_complete(parts: TakeOverParts, record: ClaimRecord, fenced: list[_Fenced]) -> bool:
+    """Return whether the fenced ledgers include every start the former owner can have made."""
+    claimed_wall_ms = wall_ms() - (record.age_ms or 0) - CLOCK_MARGIN_MS
+    covering = {f.agent.target for f in fenced if f.agent.incarnation < claimed_wall_ms}
+    return covering.issuperset(parts.list_targets())
+
+
+def _make_job(
+    parts: TakeOverParts,
+    record: ClaimRecord,
+    epoch: int,
+    submission: Submission | None,
+    admitted: Admitted | None,
+    fenced: list[_Fenced],
+) -> Job:
+    seen = [outcome.task + 1 for f in fenced for outcome in f.states.outcomes]
+    count = record.tasks or max(seen, default=1)
+    bodies = submission.bodies if submission is not None else (b"",) * count
+    deadline_ms = admitted.deadline_ms if admitted else REPORT_DEADLINE_MS
+    now_ms = parts.clock()
+    return Job(
+        record.job,
+        admitted.service if admitted else "",
+        bodies,
+        now_ms + deadline_ms,
+        epoch,
+        record.digest or b"",
+        now_ms,
+        admitted.team if admitted else "",
+        admitted.share if admitted else 1.0,
+    )
+
+
+def _take_states(job: Job, fenced: list[_Fenced]) -> None:
+    for agent, states in fenced:
+        for outcome in states.outcomes:
+            if outcome.task < len(job.bodies):
+                _take_state(job, agent, outcome)
+
+
+def _take_state(job: Job, agent: AgentState, outcome: TaskOutcome) -> None:
+    job.attempts[outcome.task] = max(job.attempts[outcome.task], outcome.attempt)
+    if outcome.state == TaskState.NOT_RUN:
+        return
+    if outcome.state == TaskState.RUNNING:
+        job.open[outcome.task] = Attempt(
+            outcome.attempt, agent.name, agent.incarnation, job.submitted_ms
+        )
+        agent.open[job.key].add(outcome.task)
+        agent.open_count += 1
+        return
+    if outcome.state == TaskState.DONE and _is_whole(outcome):
+        job.settle(outcome.task, TaskState.DONE, outcome.answer)
+        return
+    job.settle(outcome.task, outcome.state)
+    job.fail(_lost_answer_problem(outcome))
+
+
+def _is_whole(outcome: TaskOutcome) -> bool:
+    return outcome.answer is not None and len(outcome.answer) == outcome.answer_length
+
+
+def _is_unseen(job: Job, task: int, state: int | None) -> bool:
+    return state is None and task not in job.open
+
+
+def _settle_unseen(job: Job, tasks: list[int], complete: bool) -> None:
+    state = TaskState.NOT_RUN if complete else TaskState.MAY_HAVE_RUN
+    for task in tasks:
+        job.settle(task, state)
+    if tasks:
+        job.fail(_owner_lost_problem(complete))
+
+
+def _owner_lost_problem(complete: bool) -> Problem:
+    message = "The entry that owned the job was lost."
+    if complete:
+        remedy = "Submit the tasks that did not run under a new id."
+        return Problem(ErrorKind.NOT_READY, message, remedy)
+    remedy = "Check with the target before submitting again under a new id."
+    return Problem(ErrorKind.MAY_HAVE_RUN, message, remedy)
+
+
+def _lost_answer_problem(outcome: TaskOutcome) -> Problem:
+    if outcome.state == TaskState.FAILED:
+        message = f"Task {outcome.task} failed at its target."
+        return Problem(ErrorKind.TASK_FAILED, message, "Submit under a new id.")
+    message = f"Task {outcome.task} ran, but its answer is lost or its outcome unknown."
+    remedy = "Check with the target before submitting again under a new id."
+    return Problem(ErrorKind.MAY_HAVE_RUN, message, remedy)
+
+
--- a/apricotrail/membership/__init__.py
+++ b/apricotrail/membership/__init__.py
@@ -6,5 +6,15 @@
     NEVER_CONFIRMED_AGE_MS,
     Freshness,
 )
+from apricotrail.membership._view import NO_VIEW, View, ViewMember, read_view
 
-__all__ = ["CONFIG_STALE_MS", "NEVER_CONFIRMED_AGE_MS", "Configuration", "Freshness"]
+__all__ = [
+    "CONFIG_STALE_MS",
+    "NEVER_CONFIRMED_AGE_MS",
+    "NO_VIEW",
+    "Configuration",
+    "Freshness",
+    "View",
+    "ViewMember",
+    "read_view",
+]
--- a/apricotrail/wire/messages.thrift
+++ b/apricotrail/wire/messages.thrift
@@ -57,6 +57,7 @@
   3: i32 free_slots,
   4: i32 running,
   5: bool accepting,
+  6: optional i64 received,   // tasks received in StartTasks on the link that carries this load
 }
 
 // echo is the highest sequence received from the peer: the sender of that sequence knows that this
@@ -226,6 +227,7 @@
   5: binary digest,           // SHA-256 of the submission's canonical body
   6: i64 age_ms,
   7: optional binary answer,  // JSON answer once finished
+  8: optional i32 tasks,      // number of tasks of the job
 }
 
 struct Claim {
@@ -268,6 +270,7 @@
   2: bool ready,
   3: list<ClaimRecord> records,
   4: bool more,
+  5: optional i64 lost_wall_ms,  // claims older than this may be missing here
 }
 
 struct AttachJob {
@@ -279,6 +282,7 @@
   1: string job,
   2: bool known,
   3: optional binary answer,  // absent: still running
+  4: optional ClaimRecord record,  // what a member that is not the owner knows
 }
 
 struct CancelJob {
