--- /dev/null
+++ b/apricotrail/policy/admission.py
@@ -0,0 +1,134 @@
+"""Early refusal of jobs that could not be answered in time or that would not fit in memory."""
+
+from random import Random
+from typing import NamedTuple
+
+from returns.result import Failure, Result, Success
+
+from apricotrail.errors import ErrorKind, Problem
+from apricotrail.settings import Settings, declare_setting
+
+__all__ = ["Admission", "AdmissionRequest", "ServiceState"]
+
+MAX_QUEUED_TASKS = declare_setting(
+    "policy.max_queued_tasks",
+    100_000,
+    "Most tasks that one entry keeps queued for a service.",
+    minimum=1,
+)
+DEADLINE_SHARE = declare_setting(
+    "policy.deadline_share",
+    0.8,
+    "A job is refused if its expected response time exceeds this share of its deadline.",
+    minimum=0.1,
+    maximum=1.0,
+)
+MIN_RETRY_AFTER_MS = 100.0
+MAX_RETRY_AFTER_MS = 60_000.0
+RETRY_SPREAD = 1.0
+
+
+class AdmissionRequest(NamedTuple):
+    """The job to decide on.
+
+    Attributes
+    ----------
+    service, team : str
+        Ids.
+    tasks : int
+        Number of tasks.
+    deadline_ms : float
+        Time left until the job's deadline.
+    now_ms : float
+        Monotonic time.
+    """
+
+    service: str
+    team: str
+    tasks: int
+    deadline_ms: float
+    now_ms: float
+
+
+class ServiceState(NamedTuple):
+    """Load of a service as one entry sees it.
+
+    Attributes
+    ----------
+    queued_tasks : int
+        Tasks in this entry's queue.
+    slots : int
+        Slots of usable targets that this entry can count on.
+    running : int
+        Tasks of this entry that run now.
+    mean_task_ms : float
+        Learned mean run time, 0 if unknown.
+    team_queued : int
+        Tasks of the request's team in this entry's queue.
+    team_share : float
+        The team's part (0 to 1) of all shares.
+    """
+
+    queued_tasks: int
+    slots: int
+    running: int
+    mean_task_ms: float
+    team_queued: int = 0
+    team_share: float = 1.0
+
+
+class Admission:
+    """Decides whether a job is taken.
+
+    Parameters
+    ----------
+    random : Random
+        Source of the jitter on Retry-After.
+    settings : Settings, optional
+        Values of ``policy.max_queued_tasks`` and ``policy.deadline_share``.
+
+    Examples
+    --------
+    >>> admission = Admission(Random(1))
+    >>> request = AdmissionRequest("repair", "shops", 10, 1_000.0, now_ms=0.0)
+    >>> admission.decide(request, ServiceState(100_000, 88, 88, 300.0)).failure().kind.value
+    'overloaded'
+    """
+
+    def __init__(self, random: Random, settings: Settings | None = None) -> None:
+        settings = settings or Settings()
+        self._random = random
+        self._max_queued = settings.get(MAX_QUEUED_TASKS)
+        self._deadline_share = settings.get(DEADLINE_SHARE)
+
+    def decide(self, request: AdmissionRequest, state: ServiceState) -> Result[None, Problem]:
+        """Take a job, or say why it is refused before any of it could run."""
+        if state.queued_tasks + request.tasks > self._max_queued:
+            return Failure(_overloaded("The queue of the service is full."))
+        if expected_response_ms(request.tasks, state) > self._limit_ms(request):
+            return Failure(_overloaded("The job would not be answered before its deadline."))
+        return Success(None)
+
+    def retry_after_ms(self, request: AdmissionRequest, state: ServiceState) -> float:
+        """Return when to send a refused job again, spread so that callers return apart."""
+        excess_ms = expected_response_ms(request.tasks, state) - self._limit_ms(request)
+        base_ms = min(max(excess_ms, MIN_RETRY_AFTER_MS), MAX_RETRY_AFTER_MS)
+        return base_ms * (1 + self._random.uniform(0.0, RETRY_SPREAD))
+
+    def _limit_ms(self, request: AdmissionRequest) -> float:
+        return request.deadline_ms * self._deadline_share
+
+
+def expected_response_ms(tasks: int, state: ServiceState) -> float:
+    """Return the time in which `tasks` more tasks would be done, by the learned mean.
+
+    Without any slot the wait has no estimate and counts as zero: targets may return.
+    """
+    if state.slots <= 0 or state.mean_task_ms <= 0:
+        return 0.0
+    ahead = state.queued_tasks + max(0, state.running + tasks - state.slots)
+    return state.mean_task_ms * (1 + ahead / state.slots)
+
+
+def _overloaded(message: str) -> Problem:
+    return Problem(ErrorKind.OVERLOADED, message, "Send it again after Retry-After.")
--- /dev/null
+++ b/apricotrail/policy/ejection.py
@@ -0,0 +1,214 @@
+"""Targets that fail what their peers can do get no work but a slow probe.
+
+A target is ejected when its failures stand out from those of the other targets of its service
+(cumulative sum test, E. S. Page, "Continuous inspection schemes", Biometrika 1954); a class of
+tasks that fails everywhere therefore ejects nobody. A floor keeps part of each service in use.
+
+An ejected target is probed with one task at a time. The wait before a probe doubles with each
+ejection and shrinks again only after a long healthy time, so a flapping target backs off.
+"""
+
+from math import log
+from random import Random
+
+from apricotrail.settings import Settings, declare_setting
+
+__all__ = ["TargetHealth"]
+
+EJECTION_FLOOR = declare_setting(
+    "policy.ejection_floor",
+    0.5,
+    "Share of a service's targets that stays in use whatever fails.",
+    minimum=0.0,
+    maximum=1.0,
+)
+PROBE_MS = declare_setting(
+    "policy.probe_ms", 1_000, "Wait before the first probe of a target.", unit="ms", minimum=10
+)
+PROBE_LIMIT_MS = declare_setting(
+    "policy.probe_limit_ms", 60_000, "Longest wait before a probe.", unit="ms", minimum=10
+)
+BROKEN_FAILURE_SHARE = 0.8
+MIN_PEER_SHARE = 0.02
+MAX_PEER_SHARE = 0.5
+EJECTION_SCORE = log(10_000)
+RECENT_WEIGHT = 0.25
+MAX_PEERS_COMPARED = 32
+PROBE_SUCCESSES = 3
+FORGIVE_MS = 60_000.0
+PROBE_JITTER = 0.25
+
+
+class _Target:
+    def __init__(self, service: str) -> None:
+        self.service = service
+        self.recent_failures = 0.0
+        self.score = 0.0
+        self.failed_job = ""
+        self.ejections = 0
+        self.ejected = False
+        self.probe_at_ms = 0.0
+        self.probing = False
+        self.successes = 0
+        self.healthy_since_ms = 0.0
+
+
+class TargetHealth:
+    """Which targets may be used, learned from the outcomes of their tasks.
+
+    Parameters
+    ----------
+    random : Random, optional
+        Source of the jitter on probes.
+    settings : Settings, optional
+        Values of ``policy.ejection_floor`` and ``policy.probe_*``.
+
+    Examples
+    --------
+    >>> health = TargetHealth()
+    >>> for _ in range(20):
+    ...     for target in ["a", "b", "c"]:
+    ...         health.observe(target, "repair", target == "a", 5.0, now_ms=0.0)
+    >>> [health.may_use(target, 0.0) for target in ["a", "b", "c"]]
+    [False, True, True]
+    """
+
+    def __init__(self, random: Random | None = None, settings: Settings | None = None) -> None:
+        settings = settings or Settings()
+        self._random = random or Random(0)
+        self._floor = settings.get(EJECTION_FLOOR)
+        self._probe_ms = settings.get(PROBE_MS)
+        self._probe_limit_ms = settings.get(PROBE_LIMIT_MS)
+        self._targets: dict[str, _Target] = {}
+        self._services: dict[str, dict[str, _Target]] = {}
+
+    def observe(
+        self,
+        target: str,
+        service: str,
+        failed: bool,
+        run_ms: float,
+        now_ms: float,
+        job: str = "",
+    ) -> None:
+        """Take in the outcome of a task that was started at `target`.
+
+        A task that was stopped, cancelled or not run says nothing of its target: leave it out.
+        Failures of one `job` in a row at one target count once, since they share a cause.
+        """
+        record = self._record(target, service, now_ms)
+        if failed and job and record.failed_job == job and not record.ejected:
+            return
+        record.failed_job = job if failed else ""
+        record.recent_failures += RECENT_WEIGHT * (float(failed) - record.recent_failures)
+        if record.ejected:
+            self._observe_probe(record, failed, now_ms)
+            return
+        self._score(record, failed)
+        if record.score >= EJECTION_SCORE and self._above_floor(record):
+            self._eject(record, now_ms)
+        elif not failed:
+            self._forgive(record, now_ms)
+
+    def note_start(self, target: str, now_ms: float) -> None:
+        """Note that a task was sent, so that an ejected target gets no second probe beside it."""
+        record = self._targets.get(target)
+        if record is not None and record.ejected:
+            record.probing = True
+            record.probe_at_ms = now_ms + self._wait_ms(record)
+
+    def may_use(self, target: str, now_ms: float) -> bool:
+        """Return whether `target` may get work: not ejected, or due for a probe."""
+        record = self._targets.get(target)
+        return record is None or not record.ejected or now_ms >= record.probe_at_ms
+
+    def slots_to_use(self, target: str, free_slots: int, now_ms: float) -> int:
+        """Return how many of its free slots may be used: one for a probe, none between probes."""
+        if not self.may_use(target, now_ms):
+            return 0
+        record = self._targets.get(target)
+        return min(free_slots, 1) if record is not None and record.ejected else free_slots
+
+    def forget(self, target: str) -> None:
+        """Drop what was learned, such as when a new incarnation of the target announces itself."""
+        record = self._targets.pop(target, None)
+        if record is not None:
+            del self._services[record.service][target]
+
+    def ejected(self) -> list[str]:
+        """Return the ejected targets, sorted."""
+        return sorted(name for name, record in self._targets.items() if record.ejected)
+
+    def _record(self, target: str, service: str, now_ms: float) -> _Target:
+        record = self._targets.get(target)
+        if record is not None and record.service != service:
+            self.forget(target)
+            record = None
+        if record is None:
+            record = self._targets[target] = _Target(service)
+            record.healthy_since_ms = now_ms
+            self._services.setdefault(service, {})[target] = record
+        return record
+
+    def _score(self, record: _Target, failed: bool) -> None:
+        if not failed and record.score <= 0:
+            return
+        share = self._peer_share(record)
+        if share is None or share > MAX_PEER_SHARE:
+            record.score = 0.0
+            return
+        share = max(share, MIN_PEER_SHARE)
+        if failed:
+            record.score += log(BROKEN_FAILURE_SHARE / share)
+        else:
+            record.score = max(0.0, record.score + log((1 - BROKEN_FAILURE_SHARE) / (1 - share)))
+
+    def _peer_share(self, record: _Target) -> float | None:
+        peers = [
+            peer.recent_failures
+            for peer in self._services[record.service].values()
+            if peer is not record and not peer.ejected
+        ]
+        if not peers:
+            return None
+        if len(peers) > MAX_PEERS_COMPARED:
+            peers = self._random.sample(peers, MAX_PEERS_COMPARED)
+        return sorted(peers)[len(peers) // 4]
+
+    def _above_floor(self, record: _Target) -> bool:
+        peers = self._services[record.service].values()
+        used = sum(not peer.ejected for peer in peers)
+        return used - 1 >= self._floor * len(peers)
+
+    def _eject(self, record: _Target, now_ms: float) -> None:
+        record.ejected = True
+        record.probing = False
+        record.successes = 0
+        record.score = 0.0
+        record.ejections += 1
+        record.probe_at_ms = now_ms + self._wait_ms(record)
+
+    def _observe_probe(self, record: _Target, failed: bool, now_ms: float) -> None:
+        if not record.probing:
+            return
+        record.probing = False
+        if failed:
+            record.ejections += 1
+            record.successes = 0
+            record.probe_at_ms = now_ms + self._wait_ms(record)
+            return
+        record.successes += 1
+        record.probe_at_ms = now_ms
+        if record.successes >= PROBE_SUCCESSES:
+            record.ejected = False
+            record.recent_failures = 0.0
+            record.healthy_since_ms = now_ms
+
+    def _forgive(self, record: _Target, now_ms: float) -> None:
+        if record.ejections and now_ms - record.healthy_since_ms >= FORGIVE_MS:
+            record.ejections -= 1
+            record.healthy_since_ms = now_ms
+
+    def _wait_ms(self, record: _Target) -> float:
+        wait_ms = min(self._probe_limit_ms, self._probe_ms * 2.0 ** min(record.ejections - 1, 30))
+        return wait_ms * (1 + self._random.uniform(0.0, PROBE_JITTER))
--- /dev/null
+++ b/apricotrail/policy/placement.py
@@ -0,0 +1,221 @@
+"""Which targets get the next tasks of an entry's queue.
+
+A placement maps the known state of the targets and a number of waiting tasks to assignments. Late
+binding assigns to known free slots only and leaves the rest in the queue. The baselines push every
+task to a target at once, which the agent refuses if it has no free slot.
+"""
+
+from collections.abc import Callable, Sequence
+from random import Random
+from typing import NamedTuple
+
+__all__ = [
+    "PLACEMENTS",
+    "Assignment",
+    "Candidate",
+    "Placement",
+    "make_join_shortest",
+    "make_late_binding",
+    "make_power_of_two",
+    "make_random",
+]
+
+SLOW_FACTOR = 3.0
+
+
+class Candidate(NamedTuple):
+    """What an entry knows of one target that may be used.
+
+    Attributes
+    ----------
+    name : str
+        Target id.
+    zone : str
+        Zone id.
+    free_slots : int
+        Free slots by the last report less the starts sent since, granted slots excluded.
+    granted : int
+        Free slots reserved for this entry.
+    slots : int
+        All slots of the target.
+    queue_ahead : int
+        Tasks of this entry sent to the target and not yet answered.
+    latency_ms : float
+        Round trip to the agent.
+    service_ms : float
+        Learned run time of a task at this target, 0 if unknown.
+    """
+
+    name: str
+    zone: str
+    free_slots: int
+    granted: int
+    slots: int
+    queue_ahead: int
+    latency_ms: float
+    service_ms: float
+
+
+class Assignment(NamedTuple):
+    """Number of tasks to start at a target.
+
+    Attributes
+    ----------
+    name : str
+        Target id.
+    count : int
+        Tasks, at least 1.
+    """
+
+    name: str
+    count: int
+
+
+Placement = Callable[[Sequence[Candidate], int], list[Assignment]]
+"""Assigns up to a number of tasks to candidates; what is not assigned stays queued."""
+
+
+def make_late_binding(random: Random) -> Placement:
+    """Return the placement that binds a task only to a known free slot.
+
+    Granted slots go first, as no other entry can take them. The remaining tasks go to free slots
+    drawn at random, each slot with the same chance, so that entries with the same reports rarely
+    choose the same slot. A target whose learned run time is far above that of the fastest is used
+    only if the tasks that would wait otherwise could not start elsewhere sooner.
+
+    Parameters
+    ----------
+    random : Random
+        Source of choices.
+
+    Examples
+    --------
+    >>> place = make_late_binding(Random(1))
+    >>> place([Candidate("a", "z", 0, 2, 8, 0, 1.0, 0.0)], 5)
+    [Assignment(name='a', count=2)]
+    """
+
+    def place(candidates: Sequence[Candidate], count: int) -> list[Assignment]:
+        counts: dict[str, int] = {}
+        granted = sorted(candidates, key=lambda candidate: candidate.service_ms)
+        for candidate in granted:
+            number = min(candidate.granted, count)
+            if number > 0:
+                counts[candidate.name] = number
+                count -= number
+        for candidate in _draw_free_slots(candidates, count, random):
+            counts[candidate.name] = counts.get(candidate.name, 0) + 1
+        return [Assignment(name, number) for name, number in counts.items()]
+
+    return place
+
+
+def make_random(random: Random) -> Placement:
+    """Return the placement that sends each task to a target drawn at random."""
+
+    def place(candidates: Sequence[Candidate], count: int) -> list[Assignment]:
+        return _collect(candidates, count, lambda load: random.choice(candidates))
+
+    return place
+
+
+def make_power_of_two(random: Random) -> Placement:
+    """Return the placement that draws two targets a task and takes the less loaded one.
+
+    References
+    ----------
+    M. Mitzenmacher, "The power of two choices in randomized load balancing", IEEE Transactions on
+    Parallel and Distributed Systems, 2001.
+    """
+
+    def place(candidates: Sequence[Candidate], count: int) -> list[Assignment]:
+        def choose(load: dict[str, float]) -> Candidate:
+            pair = random.sample(candidates, min(2, len(candidates)))
+            return min(pair, key=lambda candidate: load[candidate.name])
+
+        return _collect(candidates, count, choose)
+
+    return place
+
+
+def make_join_shortest() -> Placement:
+    """Return the placement that sends each task to the target with the shortest known queue."""
+
+    def place(candidates: Sequence[Candidate], count: int) -> list[Assignment]:
+        def choose(load: dict[str, float]) -> Candidate:
+            return min(candidates, key=lambda candidate: load[candidate.name])
+
+        return _collect(candidates, count, choose)
+
+    return place
+
+
+PLACEMENTS: dict[str, Callable[[Random], Placement]] = {
+    "late-binding": make_late_binding,
+    "power-of-two": make_power_of_two,
+    "join-shortest": lambda random: make_join_shortest(),
+    "random": make_random,
+}
+"""Makers of placements by the name used in settings."""
+
+
+def _draw_free_slots(
+    candidates: Sequence[Candidate], count: int, random: Random
+) -> list[Candidate]:
+    if count <= 0:
+        return []
+    ordinary, slow = _split_by_speed(candidates)
+    slots = [candidate for candidate in ordinary for _ in range(candidate.free_slots)]
+    if len(slots) >= count:
+        return random.sample(slots, count)
+    return slots + _slots_worth_using(ordinary, slow, count - len(slots))
+
+
+def _split_by_speed(
+    candidates: Sequence[Candidate],
+) -> tuple[list[Candidate], list[Candidate]]:
+    known = sorted(candidate.service_ms for candidate in candidates if candidate.service_ms > 0)
+    if not known:
+        return list(candidates), []
+    limit_ms = known[len(known) // 2] * SLOW_FACTOR
+    ordinary = [candidate for candidate in candidates if candidate.service_ms <= limit_ms]
+    slow = [candidate for candidate in candidates if candidate.service_ms > limit_ms]
+    return ordinary, slow
+
+
+def _slots_worth_using(
+    ordinary: list[Candidate], slow: list[Candidate], waiting: int
+) -> list[Candidate]:
+    slots = sum(candidate.slots for candidate in ordinary)
+    ordinary_ms = max((candidate.service_ms for candidate in ordinary), default=0.0)
+    chosen: list[Candidate] = []
+    for candidate in sorted(slow, key=lambda candidate: candidate.service_ms):
+        for _ in range(candidate.free_slots):
+            left = waiting - len(chosen)
+            wait_ms = ordinary_ms * (1 + left / slots) if slots else float("inf")
+            if left <= 0 or candidate.service_ms > wait_ms:
+                return chosen
+            chosen.append(candidate)
+    return chosen
+
+
+def _collect(
+    candidates: Sequence[Candidate],
+    count: int,
+    choose: Callable[[dict[str, float]], Candidate],
+) -> list[Assignment]:
+    if not candidates:
+        return []
+    load = {candidate.name: _load(candidate) for candidate in candidates}
+    counts: dict[str, int] = {}
+    for _ in range(count):
+        candidate = choose(load)
+        counts[candidate.name] = counts.get(candidate.name, 0) + 1
+        load[candidate.name] += 1 / max(1, candidate.slots)
+    return [Assignment(name, number) for name, number in counts.items()]
+
+
+def _load(candidate: Candidate) -> float:
+    slots = max(1, candidate.slots)
+    busy = max(slots - candidate.free_slots - candidate.granted, candidate.queue_ahead)
+    return busy / slots
