Add the HTTP server and client on h11

Callers, operators and targets speak HTTP/1.1, and every bound on what they can send or hold has to be kept in one place. Adds a server with limits, timeouts by phase and draining, a router, and a client with bounded pools whose outcomes say whether anything was sent.

--- /dev/null
+++ b/apricotrail/http/_limits.py
@@ -0,0 +1,123 @@
+"""Bounds of the HTTP server and client."""
+
+from typing import NamedTuple
+
+from apricotrail.settings import Settings, declare_setting
+
+__all__ = ["ClientLimits", "ServerLimits", "read_client_limits", "read_server_limits"]
+
+MAX_CONNECTIONS = declare_setting(
+    "http.max_connections",
+    4_096,
+    "Connections that callers may hold open; further ones get 503.",
+    minimum=1,
+)
+MAX_HEADER_BYTES = declare_setting(
+    "http.max_header_bytes",
+    16 * 1024,
+    "Request line and headers of one request; more gets 431.",
+    unit="bytes",
+    minimum=256,
+)
+MAX_BODY_BYTES = declare_setting(
+    "http.max_body_bytes",
+    16 * 1024 * 1024,
+    "Body of one request; more gets 413.",
+    unit="bytes",
+    minimum=1,
+)
+HEADER_TIMEOUT_MS = declare_setting(
+    "http.header_timeout_ms",
+    5_000,
+    "Time from a request's first byte to the end of its headers; longer gets 408.",
+    unit="ms",
+    minimum=1,
+)
+BODY_TIMEOUT_MS = declare_setting(
+    "http.body_timeout_ms",
+    30_000,
+    "Time from the end of the headers to the end of the body; longer gets 408.",
+    unit="ms",
+    minimum=1,
+)
+IDLE_TIMEOUT_MS = declare_setting(
+    "http.idle_timeout_ms",
+    75_000,
+    "A connection without a request for this long is closed.",
+    unit="ms",
+    minimum=1,
+)
+LINGER_MS = declare_setting(
+    "http.linger_ms",
+    1_000,
+    "After an early refusal, time for the caller to read it before the connection is cut.",
+    unit="ms",
+    minimum=1,
+)
+CLIENT_CONNECTIONS = declare_setting(
+    "http.client_connections",
+    64,
+    "Connections that the client keeps to one address.",
+    minimum=1,
+)
+CLIENT_MAX_ANSWER_BYTES = declare_setting(
+    "http.client_max_answer_bytes",
+    16 * 1024 * 1024,
+    "Largest response body that the client accepts.",
+    unit="bytes",
+    minimum=1,
+)
+CLIENT_CONNECT_MS = declare_setting(
+    "http.client_connect_ms", 1_000, "Time for opening a connection.", unit="ms", minimum=1
+)
+CLIENT_IDLE_MS = declare_setting(
+    "http.client_idle_ms",
+    4_000,
+    "The client reuses no connection idle for longer; keep it under the servers' own idle time.",
+    unit="ms",
+    minimum=0,
+)
+
+
+class ServerLimits(NamedTuple):
+    """Bounds of one server; the settings of the same names explain them."""
+
+    max_connections: int = MAX_CONNECTIONS.default
+    max_header_bytes: int = MAX_HEADER_BYTES.default
+    max_body_bytes: int = MAX_BODY_BYTES.default
+    header_timeout_ms: float = HEADER_TIMEOUT_MS.default
+    body_timeout_ms: float = BODY_TIMEOUT_MS.default
+    idle_timeout_ms: float = IDLE_TIMEOUT_MS.default
+    linger_ms: float = LINGER_MS.default
+
+
+class ClientLimits(NamedTuple):
+    """Bounds of one client; the settings of the same names explain them."""
+
+    connections: int = CLIENT_CONNECTIONS.default
+    max_answer_bytes: int = CLIENT_MAX_ANSWER_BYTES.default
+    connect_ms: float = CLIENT_CONNECT_MS.default
+    idle_ms: float = CLIENT_IDLE_MS.default
+
+
+def read_server_limits(settings: Settings) -> ServerLimits:
+    """Return the server's bounds from the settings."""
+    return ServerLimits(
+        settings.get(MAX_CONNECTIONS),
+        settings.get(MAX_HEADER_BYTES),
+        settings.get(MAX_BODY_BYTES),
+        settings.get(HEADER_TIMEOUT_MS),
+        settings.get(BODY_TIMEOUT_MS),
+        settings.get(IDLE_TIMEOUT_MS),
+        settings.get(LINGER_MS),
+    )
+
+
+def read_client_limits(settings: Settings) -> ClientLimits:
+    """Return the client's bounds from the settings."""
+    return ClientLimits(
+        settings.get(CLIENT_CONNECTIONS),
+        settings.get(CLIENT_MAX_ANSWER_BYTES),
+        settings.get(CLIENT_CONNECT_MS),
+        settings.get(CLIENT_IDLE_MS),
+    )
--- /dev/null
+++ b/apricotrail/http/_server.py
@@ -0,0 +1,147 @@
+"""The listening side: open connections, their timeouts, draining and stop."""
+
+import asyncio
+from collections.abc import Awaitable, Callable
+from email.utils import formatdate
+
+from apricotrail.clocks import Clock, monotonic_ms
+from apricotrail.http._connection import ServerConnection
+from apricotrail.http._limits import ServerLimits
+from apricotrail.http._messages import Request, Response
+
+__all__ = ["HttpServer"]
+
+MAX_SWEEP_MS = 500
+MIN_SWEEP_MS = 5
+SWEEPS_PER_TIMEOUT = 4
+BACKLOG = 1_024
+
+Handler = Callable[[Request], Response | Awaitable[Response]]
+
+
+class HttpServer:
+    """HTTP/1.1 server (RFC 9112) for whole requests and whole responses.
+
+    Parameters
+    ----------
+    handler : callable
+        Gets a `Request` and returns a `Response`, directly or as an awaitable.
+    limits : ServerLimits
+        Bounds on what callers can send and hold.
+    clock : Clock
+        Monotonic time in milliseconds.
+
+    Attributes
+    ----------
+    draining : bool
+        Whether responses ask callers to close their connections.
+    requests : int
+        Requests answered.
+    refused : int
+        Requests and connections refused by the server itself.
+    """
+
+    def __init__(
+        self, handler: Handler, limits: ServerLimits | None = None, clock: Clock = monotonic_ms
+    ) -> None:
+        self.handler = handler
+        self.limits = limits or ServerLimits()
+        self.clock = clock
+        self.draining = False
+        self.requests = 0
+        self.refused = 0
+        self.date = formatdate(usegmt=True).encode()
+        self._connections: set[ServerConnection] = set()
+        self._server: asyncio.Server | None = None
+        self._sweeper: asyncio.TimerHandle | None = None
+        self._emptied = asyncio.Event()
+
+    def __len__(self) -> int:
+        """Return the number of open connections."""
+        return len(self._connections)
+
+    async def listen(self, host: str, port: int) -> str:
+        """Accept connections.
+
+        Parameters
+        ----------
+        host : str
+            IP number to bind.
+        port : int
+            Port, 0 for any free one.
+
+        Returns
+        -------
+        str
+            Address as ``host:port``.
+        """
+        loop = asyncio.get_running_loop()
+        factory = lambda: ServerConnection(self)  # noqa: E731
+        self._server = await loop.create_server(factory, host, port, backlog=BACKLOG)
+        self._schedule_sweep()
+        return f"{host}:{self._server.sockets[0].getsockname()[1]}"
+
+    def begin_draining(self) -> None:
+        """Ask every caller to close: responses carry ``Connection: close`` from now on."""
+        self.draining = True
+
+    async def stop(self, deadline_ms: float) -> None:
+        """Stop accepting, wait for running requests, then close what is left.
+
+        Parameters
+        ----------
+        deadline_ms : float
+            Time to wait in milliseconds.
+        """
+        self.begin_draining()
+        if self._server is not None:
+            self._server.close()
+        for connection in list(self._connections):
+            connection.close_idle()
+        try:
+            async with asyncio.timeout(deadline_ms / 1000):
+                await self._wait_until_empty()
+        except TimeoutError:
+            for connection in list(self._connections):
+                connection.abort()
+        if self._sweeper is not None:
+            self._sweeper.cancel()
+
+    # ---- used by ServerConnection ----
+
+    def track(self, connection: ServerConnection) -> bool:
+        """Count a new connection; returns False if it is one too many."""
+        self._connections.add(connection)
+        return len(self._connections) <= self.limits.max_connections
+
+    def release(self, connection: ServerConnection) -> None:
+        """Forget a closed connection."""
+        self._connections.discard(connection)
+        if not self._connections:
+            self._emptied.set()
+
+    # ---- internals ----
+
+    async def _wait_until_empty(self) -> None:
+        while self._connections:
+            self._emptied.clear()
+            await self._emptied.wait()
+
+    def _schedule_sweep(self) -> None:
+        limits = self.limits
+        shortest_ms = min(
+            limits.header_timeout_ms,
+            limits.body_timeout_ms,
+            limits.idle_timeout_ms,
+            limits.linger_ms,
+        )
+        pause_ms = min(MAX_SWEEP_MS, max(MIN_SWEEP_MS, shortest_ms / SWEEPS_PER_TIMEOUT))
+        loop = asyncio.get_running_loop()
+        self._sweeper = loop.call_later(pause_ms / 1000, self._sweep)
+
+    def _sweep(self) -> None:
+        self._schedule_sweep()
+        self.date = formatdate(usegmt=True).encode()
+        now_ms = self.clock()
+        for connection in list(self._connections):
+            connection.expire(now_ms)
--- /dev/null
+++ b/apricotrail/http/tests/test_server.py
@@ -0,0 +1,164 @@
+"""Faults on the server's raw sockets, and its planned stop."""
+
+import asyncio
+import unittest
+
+import orjson
+from nose2.tools import params
+
+from apricotrail.http import HttpServer, Request, Response, ServerLimits, json_response
+from apricotrail.http._client import HttpClient
+from apricotrail.http._router import Router
+
+LIMITS = ServerLimits(
+    max_connections=3,
+    max_header_bytes=512,
+    max_body_bytes=1_000,
+    header_timeout_ms=60,
+    body_timeout_ms=60,
+    idle_timeout_ms=60_000,
+    linger_ms=200,
+)
+HOST = b"Host: a\r\n"
+GET = b"GET /healthz HTTP/1.1\r\n" + HOST + b"\r\n"
+POST = b"POST /echo HTTP/1.1\r\n" + HOST
+
+
+def answer(request: Request) -> Response:
+    if request.path == "/boom":
+        raise RuntimeError("boom")
+    return Response(200, request.body or request.path.encode(), "text/plain")
+
+
+async def answer_slowly(request: Request) -> Response:
+    await asyncio.sleep(0.05)
+    return answer(request)
+
+
+async def exchange(server: HttpServer, *parts: bytes) -> bytes:
+    address = await server.listen("127.0.0.1", 0)
+    host, port = address.split(":")
+    reader, writer = await asyncio.open_connection(host, int(port))
+    for part in parts:
+        writer.write(part)
+        await asyncio.sleep(0.005)
+    async with asyncio.timeout(10):
+        data = await reader.read(-1)
+    writer.close()
+    await server.stop(100)
+    return data
+
+
+class TestFaults(unittest.IsolatedAsyncioTestCase):
+    REFUSALS = (
+        (408, "deadline", [b"GET / HTTP/1.1\r\n", b"A: b"]),
+        (408, "deadline", [POST + b"Content-Length: 9\r\n\r\n", b"abc"]),
+        (431, "too_large", [b"GET / HTTP/1.1\r\nA: " + b"a" * 600]),
+        (431, "too_large", [b"GET /" + b"a" * 5_000]),
+        (413, "too_large", [POST + b"Content-Length: 1001\r\n\r\n"]),
+        (413, "too_large", [POST + b"Expect: 100-continue\r\nContent-Length: 1001\r\n\r\n"]),
+        (413, "too_large", [POST + b"Transfer-Encoding: chunked\r\n\r\n3e9\r\n" + b"a" * 1_001]),
+        (400, "malformed", [POST + b"Content-Length: x\r\n\r\n"]),
+        (400, "malformed", [POST + b"Content-Length: " + b"9" * 400 + b"\r\n\r\n"]),
+        (400, "malformed", [POST + b"Content-Length: 1\r\nContent-Length: 2\r\n\r\nab"]),
+        (400, "malformed", [POST + b"Transfer-Encoding: chunked\r\n\r\nzz\r\n"]),
+        (400, "malformed", [b"\x16\x03\x01\x02garbage\r\n\r\n"]),
+        (400, "malformed", [b"GET http://a/ HTTP/1.1\r\n" + HOST + b"\r\n"]),
+        (400, "malformed", [b"GET / HTTP/1.1\r\n\r\n"]),
+    )
+
+    async def test_refusal_names_kind_and_remedy(self):
+        for status, kind, parts in self.REFUSALS:
+            with self.subTest(parts=parts):
+                data = await exchange(HttpServer(answer, LIMITS), *parts)
+                self.assertTrue(data.startswith(b"HTTP/1.1 %d " % status), data)
+                self.assertIn(b"\r\nConnection: close\r\n", data)
+                error = orjson.loads(data.partition(b"\r\n\r\n")[2])["error"]
+                self.assertEqual(error["kind"], kind)
+                self.assertTrue(error["message"] and error["remedy"])
+
+    async def test_pipelined_requests_are_answered_in_order(self):
+        last = b"GET /last HTTP/1.1\r\nConnection: close\r\n" + HOST + b"\r\n"
+        for handler in (answer, answer_slowly):
+            with self.subTest(handler=handler):
+                data = await exchange(HttpServer(handler, LIMITS), GET + GET + last)
+                self.assertEqual(data.count(b"HTTP/1.1 200"), 3)
+                self.assertTrue(data.endswith(b"/last"))
+
+    async def test_too_much_pipelining_waits(self):
+        last = b"GET /last HTTP/1.1\r\nConnection: close\r\n" + HOST + b"\r\n"
+        data = await exchange(HttpServer(answer_slowly, LIMITS), GET, GET * 20, last)
+        self.assertEqual(data.count(b"HTTP/1.1 200"), 22)
+
+    async def test_head_has_no_body_and_continue_is_sent(self):
+        head = b"HEAD /four HTTP/1.1\r\n" + HOST + b"\r\n"
+        fields = b"Expect: 100-continue\r\nConnection: close\r\nContent-Length: 2\r\n\r\n"
+        data = await exchange(HttpServer(answer, LIMITS), head, POST + fields, b"ok")
+        first, _, second = data.partition(b"HTTP/1.1 100 ")
+        self.assertTrue(first.endswith(b"\r\n\r\n"), first)
+        self.assertTrue(second.endswith(b"\r\n\r\nok"), second)
+
+    async def test_failed_handler_is_a_500(self):
+        data = await exchange(
+            HttpServer(answer, LIMITS),
+            b"GET /boom HTTP/1.1\r\nConnection: close\r\n" + HOST + b"\r\n",
+        )
+        self.assertTrue(data.startswith(b"HTTP/1.1 500 "))
+
+    async def test_connections_are_bounded(self):
+        server = HttpServer(answer, LIMITS)
+        host, port = (await server.listen("127.0.0.1", 0)).split(":")
+        held = [await asyncio.open_connection(host, int(port)) for _ in range(3)]
+        reader, writer = await asyncio.open_connection(host, int(port))
+        self.assertTrue((await reader.read(-1)).startswith(b"HTTP/1.1 503 "))
+        for _, open_writer in [*held, (reader, writer)]:
+            open_writer.close()
+        await server.stop(1_000)
+        self.assertEqual(len(server), 0)
+
+    async def test_disconnect_is_seen_by_the_handler(self):
+        seen = asyncio.get_running_loop().create_future()
+
+        async def wait_for_disconnect(request: Request) -> Response:
+            await request.disconnected
+            seen.set_result(True)
+            return Response(200)
+
+        server = HttpServer(wait_for_disconnect, LIMITS)
+        host, port = (await server.listen("127.0.0.1", 0)).split(":")
+        _, writer = await asyncio.open_connection(host, int(port))
+        writer.write(GET)
+        await asyncio.sleep(0.01)
+        writer.close()
+        async with asyncio.timeout(10):
+            self.assertTrue(await seen)
+        await server.stop(1_000)
+
+    async def test_stop_waits_for_running_requests(self):
+        server = HttpServer(answer_slowly, LIMITS)
+        address = await server.listen("127.0.0.1", 0)
+        client = HttpClient()
+        call = asyncio.ensure_future(client.request("GET", address, "/a"))
+        await asyncio.sleep(0.02)
+        await server.stop(10_000)
+        response = (await call).unwrap()
+        self.assertEqual((response.status, response.header("connection")), (200, "close"))
+
+
+@params(
+    ("GET", "/v1/jobs/surf%2Fschool/a%20b", 200, ["surf/school", "a b"]),
+    ("HEAD", "/v1/jobs/a/b", 200, ["a", "b"]),
+    ("PUT", "/v1/jobs/a/b", 405, None),
+    ("GET", "/v1/jobs/a", 404, None),
+    ("GET", "/v1/jobs//b", 404, None),
+    ("GET", "/v1/jobs/%ff/b", 400, None),
+    ("GET", "/healthz", 200, []),
+)
+def test_router(method, path, status, parameters):
+    router = Router()
+    router.add("GET", "/healthz", lambda request: json_response(200, []))
+    router.add("GET", "/v1/jobs/{c}/{s}", lambda request, c, s: json_response(200, [c, s]))
+    response = router(Request(method, path, {}, {}, b"", ""))
+    assert response.status == status
+    if parameters is not None:
+        assert orjson.loads(response.body) == parameters
