--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 VENV ?= .venv
 BIN := $(VENV)/bin
 
-.PHONY: setup test lint format demo binary generate
+.PHONY: setup test lint format demo binary generate catalogue
 
 setup: $(VENV)/.ready
 
@@ -30,3 +30,7 @@
 # Needs Debian's thrift-compiler; the result is committed.
 generate:
 	sh tools/generate-messages
+
+# Writes the pages that are generated from the code.
+catalogue: setup
+	$(BIN)/apricotrail events show > docs/EVENTS.md
--- a/apricotrail/cli/__init__.py
+++ b/apricotrail/cli/__init__.py
@@ -1,8 +1,5 @@
-"""The command line."""
-
-__all__ = ["main"]
+"""The command line: one module for each noun, loaded when its command is chosen."""
 
+from apricotrail.cli._main import main
 
-def main() -> None:
-    """Run one command."""
-    raise SystemExit("no command yet")
+__all__ = ["main"]
--- /dev/null
+++ b/apricotrail/cli/_role.py
@@ -0,0 +1,172 @@
+"""Runs one role until it is told to stop.
+
+The first SIGTERM or SIGINT begins the planned stop: the application's stop hooks finish what is
+under way. A second signal, or the stop deadline, ends the wait.
+"""
+
+import asyncio
+import signal
+import sys
+from collections.abc import Callable
+from importlib import import_module
+from pathlib import Path
+
+from returns.result import Failure
+
+from apricotrail.application import Application
+from apricotrail.cli._exit_codes import ExitCode
+from apricotrail.errors import ApricotrailError, ErrorKind, Problem
+from apricotrail.events import Level, declare_event, emit
+from apricotrail.logs import configure_logs
+from apricotrail.settings import Settings, declare_setting, load_settings
+
+__all__ = ["run_agent", "run_control", "run_entry", "run_role", "serve"]
+
+STOP_MS = declare_setting(
+    "process.stop_ms",
+    30_000,
+    "Longest time for a planned stop; what is unfinished then is cut off and reported.",
+    unit="ms",
+    minimum=100,
+    maximum=600_000,
+)
+
+ROLE_STARTED = declare_event(7001, "role_started", Level.INFO, "The role is up.")
+ROLE_STOPPING = declare_event(
+    7002, "role_stopping", Level.INFO, "A signal came; the planned stop has begun."
+)
+ROLE_STOPPED = declare_event(7003, "role_stopped", Level.INFO, "The planned stop is complete.")
+STOP_CUT_SHORT = declare_event(
+    7004,
+    "stop_cut_short",
+    Level.ERROR,
+    "A second signal or the stop deadline ended the planned stop; work may be unfinished.",
+)
+ROLE_FAILED = declare_event(
+    7005, "role_failed", Level.ERROR, "The role could not start; the problem names the remedy."
+)
+
+_SIGNALS = (signal.SIGTERM, signal.SIGINT)
+
+
+def run_entry(*, settings: Path) -> int:
+    """Run an entry: the instance that callers and operators speak to.
+
+    Parameters
+    ----------
+    settings : Path
+        Settings file (TOML).
+    """
+    return run_role("entry", settings)
+
+
+def run_control(*, settings: Path) -> int:
+    """Run a control replica: it keeps the document and the zone states on disk.
+
+    Parameters
+    ----------
+    settings : Path
+        Settings file (TOML).
+    """
+    return run_role("control", settings)
+
+
+def run_agent(*, settings: Path) -> int:
+    """Run an agent: the process beside a target through which all of its tasks start.
+
+    Parameters
+    ----------
+    settings : Path
+        Settings file (TOML).
+    """
+    return run_role("agent", settings)
+
+
+def run_role(role: str, path: Path) -> ExitCode:
+    """Load the settings of a role and run it until it has stopped.
+
+    Parameters
+    ----------
+    role : str
+        ``entry``, ``control`` or ``agent``.
+    path : Path
+        Settings file.
+    """
+    make = getattr(import_module(f"apricotrail.{role}"), f"make_{role}")
+    loaded = load_settings(path)
+    if isinstance(loaded, Failure):
+        for problem in loaded.failure():
+            print(problem, file=sys.stderr)
+        return ExitCode.REFUSED
+    settings = loaded.unwrap()
+    configure_logs(settings, role)
+    return asyncio.run(_start_and_serve(role, make, settings))
+
+
+async def _start_and_serve(
+    role: str, make: Callable[[Settings], Application], settings: Settings
+) -> ExitCode:
+    try:
+        application = make(settings)
+        await application.start()
+    except ApricotrailError as error:
+        emit(ROLE_FAILED, role=role, problem=str(error.problem))
+        return ExitCode.REFUSED
+    except OSError as error:
+        remedy = "Check the addresses and folders in the settings."
+        problem = Problem(ErrorKind.SETTINGS, f"{error}.", remedy)
+        emit(ROLE_FAILED, role=role, problem=str(problem))
+        return ExitCode.REFUSED
+    emit(ROLE_STARTED, role=role)
+    return await serve(application, settings.get(STOP_MS))
+
+
+async def serve(application: Application, stop_ms: float) -> ExitCode:
+    """Wait for a signal, then stop `application`.
+
+    Parameters
+    ----------
+    application : Application
+        A started application.
+    stop_ms : float
+        Longest time for the planned stop in milliseconds.
+
+    Returns
+    -------
+    ExitCode
+        ``DONE`` after a whole stop, ``REFUSED`` if it was cut short.
+    """
+    loop = asyncio.get_running_loop()
+    signals: asyncio.Queue[int] = asyncio.Queue()
+    for number in _SIGNALS:
+        loop.add_signal_handler(number, signals.put_nowait, number)
+    try:
+        number = await signals.get()
+        emit(ROLE_STOPPING, role=application.name, signal=signal.Signals(number).name)
+        return await _stop(application, signals, stop_ms)
+    finally:
+        for number in _SIGNALS:
+            loop.remove_signal_handler(number)
+
+
+async def _stop(
+    application: Application, signals: "asyncio.Queue[int]", stop_ms: float
+) -> ExitCode:
+    stopping = asyncio.ensure_future(application.stop())
+    second_signal = asyncio.ensure_future(signals.get())
+    try:
+        await asyncio.wait(
+            {stopping, second_signal},
+            timeout=stop_ms / 1000,
+            return_when=asyncio.FIRST_COMPLETED,
+        )
+        if stopping.done():
+            stopping.result()
+            emit(ROLE_STOPPED, role=application.name)
+            return ExitCode.DONE
+        emit(STOP_CUT_SHORT, role=application.name, by_signal=second_signal.done())
+        return ExitCode.REFUSED
+    finally:
+        for task in (stopping, second_signal):
+            task.cancel()
+        await asyncio.gather(stopping, second_signal, return_exceptions=True)
--- a/apricotrail/wire/_link.py
+++ b/apricotrail/wire/_link.py
@@ -10,7 +10,7 @@
 from apricotrail.clocks import Clock
 from apricotrail.errors import ApricotrailError, ErrorKind, Problem
 from apricotrail.events import Level, declare_event, emit
-from apricotrail.settings import declare_setting
+from apricotrail.settings import declare_constraint, declare_setting
 from apricotrail.wire._codec import FrameReader, WireError, encode_frame
 from apricotrail.wire._keys import NONCE_BYTES, KeyRing
 from apricotrail.wire.generated.ttypes import Heartbeat, Hello, Identity, Proof
@@ -45,6 +45,12 @@
     minimum=50,
     maximum=60_000,
 )
+declare_constraint(
+    (HEARTBEAT_MS, SILENT_MS),
+    lambda heartbeat_ms, silent_ms: heartbeat_ms * 2 < silent_ms,
+    "link.heartbeat_ms must be under half of link.silent_ms",
+    "Lower link.heartbeat_ms, or raise link.silent_ms.",
+)
 BUFFER_BYTES = declare_setting(
     "link.buffer_bytes",
     64 * 1024 * 1024,
