--- a/apricotrail/entry/_admission.py
+++ b/apricotrail/entry/_admission.py
@@ -3,7 +3,7 @@
 from collections.abc import Callable
 from typing import NamedTuple
 
-from returns.result import Failure, Result, Success
+from returns.result import Failure, Result
 
 from apricotrail.clocks import Clock
 from apricotrail.document import EffectiveConfiguration
@@ -14,13 +14,23 @@
 from apricotrail.policy import Admission, AdmissionRequest, ServiceState
 from apricotrail.settings import declare_setting
 
-__all__ = ["MAX_JOBS_OF_CALLER", "AdmissionParts", "AdmitSubmission", "Admitted", "make_admit"]
+__all__ = [
+    "MAX_JOBS_OF_CALLER",
+    "AdmissionParts",
+    "AdmitSubmission",
+    "Admitted",
+    "make_admit",
+    "make_retry_after",
+]
 
 MAX_JOBS_OF_CALLER = declare_setting(
     "entry.max_jobs_of_caller", 1_000, "Unfinished jobs of one caller at one entry.", minimum=1
 )
 
 
+DEFAULT_DEADLINE_MS = 10_000
+
+
 class Admitted(NamedTuple):
     """What the configuration says about an admitted submission.
 
@@ -99,6 +109,27 @@
     return admit
 
 
+def make_retry_after(parts: AdmissionParts) -> Callable[[Submission], float]:
+    """Return the function that says when a refused submission may be sent again, in ms."""
+
+    def retry_after_ms(submission: Submission) -> float:
+        service_id = parts.configuration().resolve("service", submission.service).value_or("")
+        known = parts.configuration().services.get(service_id)
+        default_ms = known.deadline_ms if known is not None else DEFAULT_DEADLINE_MS
+        request = AdmissionRequest(
+            service_id,
+            "",
+            len(submission.bodies),
+            float(submission.deadline_ms or default_ms),
+            parts.clock(),
+        )
+        slots = _list_slots(parts, service_id) if known is not None else []
+        state = _describe_service(parts, service_id, slots)
+        return parts.admission.retry_after_ms(request, state)
+
+    return retry_after_ms
+
+
 def _admit_to(
     parts: AdmissionParts, submission: Submission, service_id: str
 ) -> Result[Admitted, Problem]:
--- a/apricotrail/entry/_agents.py
+++ b/apricotrail/entry/_agents.py
@@ -43,6 +43,8 @@
     ----------
     open : dict of str to set of int
         Started tasks without outcome, by job.
+    ledger_since_ms : int
+        Wall clock time in milliseconds from which its ledger is complete, 0 if it was not read.
     want_stated : int
         Queued tasks last stated to this agent.
     """
@@ -59,6 +61,7 @@
         self.want_stated = 0
         self.latency_ms = 0.0
         self.config_version = 0
+        self.ledger_since_ms = 0
         self._clock = clock
         self._grant_ms = grant_ms
         self._reported_free = 0
--- /dev/null
+++ b/apricotrail/entry/_application.py
@@ -0,0 +1,475 @@
+"""The entry role: what it opens, in which order, and how it stops."""
+
+import asyncio
+from collections.abc import Callable
+from pathlib import Path
+from random import Random
+
+from returns.result import Failure, Result, Success
+
+from apricotrail.agent import make_hosted_agent
+from apricotrail.application import Application
+from apricotrail.clocks import monotonic_ms, wall_ms
+from apricotrail.entry._admission import (
+    MAX_JOBS_OF_CALLER,
+    AdmissionParts,
+    make_admit,
+    make_retry_after,
+)
+from apricotrail.entry._agents import AgentTable
+from apricotrail.entry._announcements import MAX_ANNOUNCEMENTS, AnnouncementTable
+from apricotrail.entry._callers import CallerParts, add_caller_routes
+from apricotrail.entry._claiming import CLAIM_CALL_MS, CLAIM_HEDGE_MS
+from apricotrail.entry._claims import MAX_ANSWERS_BYTES, MAX_CLAIMS, RETENTION_S, ClaimTable
+from apricotrail.entry._control_client import CONTROL_CALL_MS, ControlClient
+from apricotrail.entry._dispatch import AGENT_LOST_MS, STOP_GRACE_MS, Dispatcher
+from apricotrail.entry._hosting import Hosting, HostingParts
+from apricotrail.entry._relay import ConfigurationRelay
+from apricotrail.entry._submission import read_limits
+from apricotrail.entry._succession import SYNC_MS, ViewSuccession
+from apricotrail.entry._takeover import TakeOverParts, make_take_over
+from apricotrail.entry._uncertainty import Vouching
+from apricotrail.entry.pipeline import Pipeline, PipelineParts
+from apricotrail.errors import ErrorKind, Problem
+from apricotrail.events import Level, declare_event, emit
+from apricotrail.http import HttpServer, Router, read_server_limits
+from apricotrail.membership import CONFIG_STALE_MS, NEVER_CONFIRMED_AGE_MS
+from apricotrail.policy import PLACEMENTS, Admission
+from apricotrail.settings import Settings, declare_setting
+from apricotrail.wire import KEY_FILE, KeyRing, Link, LinkEndpoint, parse_address
+from apricotrail.wire.generated import ttypes
+
+__all__ = ["Entry", "make_entry"]
+
+NAME = declare_setting("entry.name", "entry-1", "Name of this entry, unique in its environment.")
+ZONE = declare_setting("entry.zone", "", "Availability zone of this entry.")
+ENVIRONMENT = declare_setting("entry.environment", "production", "Environment of this entry.")
+LISTEN = declare_setting("entry.listen", "127.0.0.1:8080", "Address for callers and targets.")
+LINK_LISTEN = declare_setting("entry.link_listen", "127.0.0.1:7080", "Address for links.")
+CONTROL_ADDRESSES = declare_setting(
+    "control.addresses", [], "Link addresses of the control replicas."
+)
+PLACEMENT = declare_setting("entry.placement", "late-binding", "Name of the placement policy.")
+DRAIN_MS = declare_setting(
+    "entry.drain_ms",
+    2_000,
+    "How long a stopping entry keeps serving while the balancer turns away.",
+    unit="ms",
+    minimum=0,
+)
+FINISH_MS = declare_setting(
+    "entry.finish_ms", 20_000, "How long a stopping entry waits for its jobs.", unit="ms", minimum=0
+)
+GRANT_MS = declare_setting(
+    "agent.grant_ms", 50, "How long an agent reserves a granted slot.", unit="ms", minimum=1
+)
+TICK_MS = 250
+POLL_MS = 20
+MS_PER_S = 1_000
+LEAVE_VIEW_MS = 2_000
+LEDGER_CALL_MS = 2_000
+
+EXCLUDED = declare_event(
+    2002,
+    "entry_excluded",
+    Level.ERROR,
+    "The view went on without this entry; its open jobs are reported as may_have_run.",
+)
+TICK_FAILED = declare_event(4401, "tick_failed", Level.ERROR, "A periodic step of an entry failed.")
+
+
+class Entry:
+    """One entry process.
+
+    Parameters
+    ----------
+    settings : Settings
+        Values of its settings.
+
+    Attributes
+    ----------
+    application : Application
+        Life cycle.
+    address : str
+        Address for callers, once started.
+    """
+
+    def __init__(self, settings: Settings) -> None:
+        self.settings = settings
+        self.application = Application("entry")
+        self.address = ""
+        self.ready = False
+        self.stopping = False
+        self.random = Random()
+        self.stale_ms = float(settings.get(CONFIG_STALE_MS))
+        self.endpoint = _make_endpoint(settings)
+        self.agents = AgentTable(monotonic_ms, settings.get(GRANT_MS))
+        self.announcements = AnnouncementTable(monotonic_ms, settings.get(MAX_ANNOUNCEMENTS))
+        self.control = ControlClient(self.endpoint, settings.get(CONTROL_CALL_MS))
+        self.relay = ConfigurationRelay(self.endpoint, self.agents, monotonic_ms, self.stale_ms)
+        self.table = ClaimTable(
+            monotonic_ms,
+            settings.get(RETENTION_S) * MS_PER_S,
+            settings.get(MAX_CLAIMS),
+            settings.get(MAX_ANSWERS_BYTES),
+        )
+        self.succession = ViewSuccession(
+            self.table, self.find_link, self.identity, monotonic_ms, settings.get(SYNC_MS)
+        )
+        self.dispatcher = self._make_dispatcher()
+        self.hosting = Hosting(self._hosting_parts())
+        admission = self._admission_parts()
+        self.admit = make_admit(admission)
+        self.retry_after_ms = make_retry_after(admission)
+        self.pipeline = Pipeline(self._pipeline_parts())
+        self.server = HttpServer(self._make_router(), read_server_limits(settings))
+        self._was_member = False
+        self._connect_parts()
+
+    # ---- who and whom ----
+
+    def identity(self) -> tuple[str, int]:
+        """Return name and incarnation of this process."""
+        return self.endpoint.identity.name, self.endpoint.identity.incarnation
+
+    def find_link(self, name: str, incarnation: int) -> Link | None:
+        """Return the link to an entry process, if it is that very incarnation."""
+        link = self.endpoint.links.get(name)
+        return link if link is not None and link.peer.incarnation == incarnation else None
+
+    def member_links(self) -> list[Link]:
+        """Return links to the other members of the view, those of the own zone first."""
+        own = self.identity()
+        members = [m for m in self.succession.view.members if (m.name, m.incarnation) != own]
+        members.sort(key=lambda member: (member.zone != self.endpoint.identity.zone, member.name))
+        links = [self.find_link(member.name, member.incarnation) for member in members]
+        return [link for link in links if link is not None]
+
+    def usable_targets(self, service: str) -> list[tuple[str, str]]:
+        """Return (target, zone) of a service's targets that are in service."""
+        configuration = self.relay.effective
+        usable = []
+        for target_id in configuration.targets_of(service):
+            zone = configuration.targets[target_id].zone
+            if configuration.is_zone_in_service(zone) and not configuration.is_target_leaving(
+                target_id
+            ):
+                usable.append((target_id, zone))
+        return usable
+
+    def service_of(self, target: str) -> str | None:
+        """Return the service of a target."""
+        known = self.relay.effective.targets.get(target)
+        return known.service if known is not None else None
+
+    def vouch(self) -> Vouching:
+        """Return what the ledgers of all targets cover."""
+        agents = [self.agents.by_target(target) for target in self.relay.effective.targets]
+        asked = [agent for agent in agents if agent is not None and agent.ledger_since_ms]
+        since_ms = max((agent.ledger_since_ms for agent in asked), default=0)
+        return Vouching(len(asked) == len(agents) and bool(agents), since_ms)
+
+    # ---- announcements ----
+
+    def announce(self, announcement: ttypes.Announcement) -> Result[str, Problem]:
+        """Take in a target's own announcement and share it with the other entries."""
+        taken = self._put_announcement(announcement)
+        if isinstance(taken, Success):
+            message = ttypes.ShareAnnouncements([announcement])
+            for link in self.endpoint.links.values():
+                if link.peer.role == "entry":
+                    link.send(message)
+        return taken
+
+    def leave(self, reference: str) -> Result[str, Problem]:
+        """Take in that a target leaves: it gets no new work."""
+        target = self._resolve_target(reference)
+        live = self.announcements.live().get(target)
+        if live is None:
+            message = f"No target {reference} is announced."
+            return Failure(Problem(ErrorKind.NOT_FOUND, message, "Check the name."))
+        live.leaving = True
+        return self.announce(live)
+
+    def _put_announcement(self, announcement: ttypes.Announcement) -> Result[str, Problem]:
+        target = self._resolve_target(announcement.target)
+        if not self.announcements.put(target, announcement):
+            message = "A newer incarnation of the target is announced, or too many targets are."
+            return Failure(Problem(ErrorKind.CONFLICT, message, "Announce a newer incarnation."))
+        return Success(target)
+
+    def _resolve_target(self, reference: str) -> str:
+        if reference in self.relay.effective.targets:
+            return reference
+        return self.relay.effective.resolve("target", reference).value_or(reference)
+
+    def _receive_announcements(self, link: Link, message: ttypes.ShareAnnouncements) -> None:
+        for announcement in message.announcements:
+            self._put_announcement(announcement)
+
+    # ---- links ----
+
+    def _state_heartbeat(self, link: Link) -> ttypes.Heartbeat:
+        age_ms = min(int(self.relay.freshness.age_ms()), NEVER_CONFIRMED_AGE_MS)
+        heartbeat = ttypes.Heartbeat(
+            config_version=self.relay.configuration.version, config_age_ms=age_ms
+        )
+        if link.peer.role == "control":
+            heartbeat.ready_epoch = self.table.ready_epoch
+            heartbeat.confirmed_version = self.relay.confirmed_version()
+            heartbeat.stopping = self.stopping and not self.dispatcher.jobs
+        return heartbeat
+
+    def _receive_heartbeat(
+        self, link: Link, heartbeat: ttypes.Heartbeat, asked_ms: float | None
+    ) -> None:
+        if link.peer.role != "agent":
+            self.relay.receive_heartbeat(link, heartbeat, asked_ms)
+            return
+        agent = self.agents.find(link.peer.name)
+        if agent is None:
+            return
+        agent.config_version = heartbeat.config_version or 0
+        for load in heartbeat.loads or ():
+            agent.report(load)
+        service = self.service_of(agent.target)
+        if service is not None:
+            self.dispatcher.mark(service)
+
+    def _link_up(self, link: Link) -> None:
+        if link.peer.role != "agent":
+            return
+        self.dispatcher.connect(link)
+        self.relay.push_to(link)
+        self.application.spawn(self._read_ledger(link))
+
+    def _link_down(self, link: Link) -> None:
+        if link.peer.role == "agent":
+            self.dispatcher.disconnect(link)
+
+    async def _read_ledger(self, link: Link) -> None:
+        agent = self.agents.find(link.peer.name)
+        if agent is None:
+            return
+        reply = await link.call(ttypes.LedgerRequest(agent.target), LEDGER_CALL_MS)
+        if not isinstance(reply, Success):
+            return
+        ledger = reply.unwrap()
+        if self.succession.lost_wall_ms:
+            for job in ledger.jobs or ():
+                self.table.store(ttypes.ClaimRecord(job.job, job.owner, 0, job.epoch, b"", 0))
+        agent.ledger_since_ms = wall_ms() - ledger.age_ms
+
+    # ---- view ----
+
+    def _configuration_applied(self) -> None:
+        view = self.relay.view
+        for member in view.members:
+            if member.name != self.endpoint.identity.name:
+                self.endpoint.dial(member.address)
+        if self._was_member and view.epoch and not view.has(*self.identity()):
+            self._begin_new_incarnation()
+        self._was_member = view.has(*self.identity())
+        self.application.spawn(self._follow_view())
+        self.dispatcher.mark_all()
+
+    async def _follow_view(self) -> None:
+        await self.succession.follow(self.relay.view)
+        if self.succession.lost_wall_ms:
+            for agent in self.agents.connected():
+                await self._read_ledger(agent.link)
+
+    def _begin_new_incarnation(self) -> None:
+        """Give up all jobs: other entries may have taken them over."""
+        if self.stopping:
+            return
+        emit(EXCLUDED, epoch=self.relay.view.epoch, jobs=len(self.dispatcher.jobs))
+        remedy = "Read the job from another entry, or check with the target."
+        problem = Problem(ErrorKind.MAY_HAVE_RUN, "This entry was cut off for too long.", remedy)
+        for job in list(self.dispatcher.jobs.values()):
+            self.dispatcher.abandon(job, problem)
+        self.table.clear()
+        self.endpoint.identity.incarnation = wall_ms()
+        for link in list(self.endpoint.links.values()):
+            link.close()
+
+    # ---- wiring ----
+
+    def _connect_parts(self) -> None:
+        endpoint = self.endpoint
+        endpoint.state_heartbeat = self._state_heartbeat
+        endpoint.receive_heartbeat = self._receive_heartbeat
+        endpoint.on_up(self._link_up)
+        endpoint.on_down(self._link_down)
+        endpoint.on(ttypes.ShareAnnouncements, self._receive_announcements)
+        endpoint.on(ttypes.TaskOutcomes, self.dispatcher.receive_outcomes)
+        endpoint.on(ttypes.SlotOffer, self.dispatcher.receive_offer)
+        endpoint.on(ttypes.Claim, self.pipeline.receive_claim)
+        endpoint.on(ttypes.ClaimsRequest, self.pipeline.receive_claims_request)
+        endpoint.on(ttypes.CopyAnswer, self.pipeline.receive_answer)
+        endpoint.on(ttypes.AttachJob, self.pipeline.receive_attach)
+        endpoint.on(ttypes.CancelJob, self.pipeline.receive_cancel)
+        self.relay.on_applied.append(self._configuration_applied)
+        self.application.on_start(self._start)
+        self.application.on_stop(self._stop)
+
+    def _make_dispatcher(self) -> Dispatcher:
+        placement = PLACEMENTS[self.settings.get(PLACEMENT)](self.random)
+        return Dispatcher(
+            lambda: self.endpoint.identity.name,
+            self.agents,
+            self.usable_targets,
+            self.service_of,
+            self.relay.freshness.is_fresh,
+            placement,
+            monotonic_ms,
+            self.random,
+            self.settings.get(AGENT_LOST_MS),
+            self.settings.get(STOP_GRACE_MS),
+        )
+
+    def _hosting_parts(self) -> HostingParts:
+        return HostingParts(
+            self.identity,
+            lambda: self.relay.effective,
+            lambda: self.relay.view,
+            self.announcements,
+            self.control.assign_host,
+            self._make_hosted_agent,
+            monotonic_ms,
+            self.stale_ms,
+        )
+
+    def _make_hosted_agent(
+        self, target: str, announcement: ttypes.Announcement, first_start_after_ms: float
+    ):
+        return make_hosted_agent(
+            self.settings,
+            target,
+            announcement,
+            self.endpoint.environment,
+            self.endpoint.identity.zone,
+            [self.endpoint.identity.address],
+            first_start_after_ms,
+        )
+
+    def _admission_parts(self) -> AdmissionParts:
+        return AdmissionParts(
+            lambda: self.relay.effective,
+            self.relay.freshness.is_fresh,
+            lambda: self.stopping,
+            self.dispatcher,
+            self.agents,
+            Admission(self.random, self.settings),
+            self.settings.get(MAX_JOBS_OF_CALLER),
+            monotonic_ms,
+        )
+
+    def _pipeline_parts(self) -> PipelineParts:
+        take_over = make_take_over(
+            TakeOverParts(
+                self.agents,
+                self.dispatcher,
+                lambda: list(self.relay.effective.targets),
+                self.identity,
+                monotonic_ms,
+            )
+        )
+        return PipelineParts(
+            self.identity,
+            self.table,
+            self.succession,
+            self.dispatcher,
+            self.admit,
+            take_over,
+            self.member_links,
+            self.find_link,
+            self.vouch,
+            monotonic_ms,
+            self.settings.get(RETENTION_S) * MS_PER_S,
+            self.stale_ms,
+            self.settings.get(CLAIM_CALL_MS),
+            self.settings.get(CLAIM_HEDGE_MS),
+        )
+
+    def _make_router(self) -> Router:
+        router = Router()
+        parts = CallerParts(
+            self.pipeline,
+            read_limits(self.settings),
+            self.announce,
+            self.leave,
+            lambda: self.ready and self.succession.is_ready() and self.relay.freshness.is_fresh(),
+            self.retry_after_ms,
+            self._render_metrics,
+            lambda submission, result, response_ms: None,
+            monotonic_ms,
+        )
+        add_caller_routes(router, parts)
+        return router
+
+    def _render_metrics(self) -> bytes:
+        counters = self.dispatcher.counters
+        lines = [f"apricotrail_{name}_total {counters[name]}" for name in sorted(counters)]
+        return ("\n".join(lines) + "\n").encode()
+
+    # ---- life cycle ----
+
+    async def _start(self) -> None:
+        await self.endpoint.listen(*parse_address(self.settings.get(LINK_LISTEN)))
+        self.endpoint.start()
+        for address in self.settings.get(CONTROL_ADDRESSES):
+            self.endpoint.dial(address)
+        self.application.spawn(self._tick_forever())
+        self.address = await self.server.listen(*parse_address(self.settings.get(LISTEN)))
+        self.ready = True
+
+    async def _tick_forever(self) -> None:
+        while True:
+            try:
+                await self.hosting.update()
+            except Exception as error:
+                emit(TICK_FAILED, error=repr(error))
+            await asyncio.sleep(TICK_MS / MS_PER_S)
+
+    async def _stop(self) -> None:
+        self.ready = False
+        self.server.begin_draining()
+        await asyncio.sleep(self.settings.get(DRAIN_MS) / MS_PER_S)
+        self.stopping = True
+        await _wait_until(lambda: not self.dispatcher.jobs, self.settings.get(FINISH_MS))
+        await self.hosting.stop()
+        await _wait_until(self._has_left_view, LEAVE_VIEW_MS)
+        await self.server.stop(LEAVE_VIEW_MS)
+        await self.dispatcher.stop()
+        await self.endpoint.stop()
+
+    def _has_left_view(self) -> bool:
+        return not self.relay.view.has(*self.identity()) or len(self.relay.view.members) == 1
+
+
+async def _wait_until(condition: Callable[[], bool], deadline_ms: float) -> None:
+    for _ in range(int(deadline_ms / POLL_MS)):
+        if condition():
+            return
+        await asyncio.sleep(POLL_MS / MS_PER_S)
+
+
+def _make_endpoint(settings: Settings) -> LinkEndpoint:
+    identity = ttypes.Identity(
+        settings.get(NAME), "entry", settings.get(ZONE), wall_ms(), settings.get(LINK_LISTEN)
+    )
+    key_file = settings.get(KEY_FILE)
+    keys = KeyRing(Path(key_file) if key_file else None)
+    return LinkEndpoint(identity, settings.get(ENVIRONMENT), keys, settings)
+
+
+def make_entry(settings: Settings) -> Application:
+    """Return the entry role, ready to start.
+
+    Parameters
+    ----------
+    settings : Settings
+        Values of ``entry.*``, ``control.addresses``, ``link.*`` and others.
+    """
+    return Entry(settings).application
--- a/apricotrail/entry/_claims.py
+++ b/apricotrail/entry/_claims.py
@@ -157,6 +157,13 @@
         if held is not None and held.epoch == epoch and held.answer is None:
             del self._held[job]
 
+    def clear(self) -> None:
+        """Forget everything: a new incarnation has been a member of no view."""
+        self._held.clear()
+        self._answered.clear()
+        self._answers_bytes = 0
+        self.ready_epoch = 0
+
     def copy_page(self, request: ClaimsRequest) -> CopyClaims:
         """Seal the asked epoch and return one page of claims in job order."""
         self.seal(request.sealed_epoch)
--- a/apricotrail/entry/_dispatch.py
+++ b/apricotrail/entry/_dispatch.py
@@ -396,6 +396,8 @@
         run_ms = outcome.run_ms or 0
         if outcome.reason != Reason.CANCELLED:
             self.health.observe(agent.target, job.service, failed, run_ms, now_ms, job.key)
+        attempt = job.open[outcome.task]
+        agent.note_latency(max(0.0, now_ms - attempt.started_ms - run_ms))
         job.settle(outcome.task, outcome.state, outcome.answer)
         if not failed:
             self.run_times.observe(job.service, run_ms, now_ms)
--- /dev/null
+++ b/apricotrail/entry/_hosting.py
@@ -0,0 +1,182 @@
+"""Agents hosted here for targets that have no process beside them.
+
+A host is assigned in the control log, so that one entry hosts a target at a time. An entry that
+follows another host starts nothing until the former host's configuration is certainly stale.
+"""
+
+from collections.abc import Awaitable, Callable
+from hashlib import sha256
+from typing import NamedTuple, Protocol
+
+from apricotrail.clocks import Clock
+from apricotrail.document import EffectiveConfiguration
+from apricotrail.entry._announcements import AnnouncementTable
+from apricotrail.events import Level, declare_event, emit
+from apricotrail.membership import View, ViewMember
+from apricotrail.wire.generated.ttypes import Announcement, AssignHost
+
+__all__ = ["HostedAgent", "Hosting", "HostingParts", "choose_host"]
+
+PROPOSAL_PAUSE_MS = 1_000
+
+HOST_STARTED = declare_event(
+    4301, "host_started", Level.INFO, "This entry now hosts the agent of a target."
+)
+HOST_STOPPED = declare_event(
+    4302, "host_stopped", Level.INFO, "This entry no longer hosts the agent of a target."
+)
+
+
+class HostedAgent(Protocol):
+    """An agent that runs inside this entry."""
+
+    async def start(self) -> None:
+        """Connect it."""
+
+    async def stop(self) -> None:
+        """Finish what runs, then close."""
+
+
+class HostingParts(NamedTuple):
+    """What hosting works with.
+
+    Attributes
+    ----------
+    identity : callable
+        Gives (name, incarnation) of this entry.
+    configuration : callable
+        Gives the configuration in force.
+    view : callable
+        Gives the entry view.
+    announcements : AnnouncementTable
+        Live announcements.
+    propose : callable
+        Proposes an assignment to control under a request id.
+    make_agent : callable
+        Makes the agent of a target; the float is the wait before its first start in milliseconds.
+    clock : callable
+        Monotonic time in milliseconds.
+    stale_ms : float
+        Age from which a former host starts nothing.
+    """
+
+    identity: Callable[[], tuple[str, int]]
+    configuration: Callable[[], EffectiveConfiguration]
+    view: Callable[[], View]
+    announcements: AnnouncementTable
+    propose: Callable[[str, AssignHost], Awaitable[bool]]
+    make_agent: Callable[[str, Announcement, float], HostedAgent]
+    clock: Clock
+    stale_ms: float
+
+
+class _Running(NamedTuple):
+    agent: HostedAgent
+    announcement: Announcement
+
+
+def choose_host(target: str, zone: str, members: tuple[ViewMember, ...]) -> ViewMember | None:
+    """Return the member that should host a target: one of its zone if there is any.
+
+    Rendezvous hashing (Thaler and Ravishankar, 1998) makes every entry choose the same one.
+    """
+    if not members:
+        return None
+    near = [member for member in members if member.zone == zone] or list(members)
+    return max(near, key=lambda member: sha256(f"{target} {member.name}".encode()).digest())
+
+
+class Hosting:
+    """Hosted agents of one entry.
+
+    Parameters
+    ----------
+    parts : HostingParts
+        Tables and functions.
+    """
+
+    def __init__(self, parts: HostingParts) -> None:
+        self.stopping = False
+        self._parts = parts
+        self._running: dict[str, _Running] = {}
+        self._proposed_ms: dict[str, float] = {}
+
+    def hosted(self) -> list[str]:
+        """Return the targets hosted here."""
+        return sorted(self._running)
+
+    async def update(self) -> None:
+        """Start, propose and stop what configuration and announcements ask for."""
+        if self.stopping:
+            return
+        live = self._parts.announcements.live()
+        for target in [target for target in self._running if not self._should_run(target, live)]:
+            await self._stop(target)
+        for target, announcement in live.items():
+            await self._update_target(target, announcement)
+
+    async def stop(self) -> None:
+        """Stop all hosted agents once what runs there has ended."""
+        self.stopping = True
+        for target in list(self._running):
+            await self._stop(target)
+
+    async def _update_target(self, target: str, announcement: Announcement) -> None:
+        configuration = self._parts.configuration()
+        known = configuration.targets.get(target)
+        if announcement.has_agent or announcement.leaving or known is None:
+            return
+        host = configuration.hosts.get(target)
+        if host is not None and (host.entry, host.incarnation) == self._parts.identity():
+            await self._ensure_running(target, announcement, host.epoch)
+            return
+        view = self._parts.view()
+        if host is not None and view.has(host.entry, host.incarnation):
+            return
+        chosen = choose_host(target, known.zone, view.members)
+        if chosen is None or (chosen.name, chosen.incarnation) != self._parts.identity():
+            return
+        await self._propose(target, host.epoch + 1 if host is not None else 1)
+
+    async def _propose(self, target: str, epoch: int) -> None:
+        now_ms = self._parts.clock()
+        if now_ms - self._proposed_ms.get(target, -PROPOSAL_PAUSE_MS) < PROPOSAL_PAUSE_MS:
+            return
+        self._proposed_ms[target] = now_ms
+        name, incarnation = self._parts.identity()
+        request_id = f"host/{target}/{epoch}/{name}/{incarnation}"
+        await self._parts.propose(request_id, AssignHost(target, name, incarnation, epoch))
+
+    async def _ensure_running(self, target: str, announcement: Announcement, epoch: int) -> None:
+        running = self._running.get(target)
+        if running is not None and _is_same_target(running.announcement, announcement):
+            return
+        if running is not None:
+            await self._stop(target)
+        wait_ms = self._parts.stale_ms if epoch > 1 else 0.0
+        agent = self._parts.make_agent(target, announcement, wait_ms)
+        self._running[target] = _Running(agent, announcement)
+        await agent.start()
+        emit(HOST_STARTED, target=target, epoch=epoch, first_start_after_ms=wait_ms)
+
+    async def _stop(self, target: str) -> None:
+        running = self._running.pop(target)
+        await running.agent.stop()
+        emit(HOST_STOPPED, target=target)
+
+    def _should_run(self, target: str, live: dict[str, Announcement]) -> bool:
+        configuration = self._parts.configuration()
+        host = configuration.hosts.get(target)
+        if host is None or (host.entry, host.incarnation) != self._parts.identity():
+            return False
+        announcement = live.get(target)
+        return announcement is not None and not announcement.leaving
+
+
+def _is_same_target(first: Announcement, second: Announcement) -> bool:
+    return (first.address, first.slots, first.connections, first.incarnation) == (
+        second.address,
+        second.slots,
+        second.connections,
+        second.incarnation,
+    )
--- a/apricotrail/entry/_relay.py
+++ b/apricotrail/entry/_relay.py
@@ -147,5 +147,3 @@
         target = read_target(link.peer.name)
         known = self.effective.targets.get(target)
         return filter_for_target(change, target, known.service if known else None)
-
-
--- a/apricotrail/entry/_succession.py
+++ b/apricotrail/entry/_succession.py
@@ -76,8 +76,8 @@
         Claims of this entry.
     find_link : callable
         Gives the link to an entry process by name and incarnation.
-    own : tuple of str and int
-        Name and incarnation of this entry.
+    own : callable
+        Gives name and incarnation of this entry.
     clock : Clock
         Monotonic time in milliseconds.
     sync_ms : float
@@ -95,7 +95,7 @@
         self,
         table: ClaimTable,
         find_link: FindLink,
-        own: Member,
+        own: Callable[[], Member],
         clock: Clock,
         sync_ms: float,
     ) -> None:
@@ -120,7 +120,7 @@
         self.view = view
         self.view_seen_ms = self._clock()
         self._table.seal(view.epoch - 1)
-        if not view.has(*self._own):
+        if not view.has(*self._own()):
             self._notify()
             return
         await self._copy_claims(view)
@@ -130,7 +130,7 @@
         self._notify()
 
     async def _copy_claims(self, view: View) -> None:
-        copied: dict[Member, int] = {self._own: self._table.ready_epoch}
+        copied: dict[Member, int] = {self._own(): self._table.ready_epoch}
         give_up_ms = self._clock() + self._sync_ms
         while self.view.epoch == view.epoch and not is_covered(view, copied):
             await self._copy_reachable(view, copied)
@@ -151,7 +151,9 @@
         members = [member for member in _former_members(view) if member not in copied]
         links = [(member, self._find_link(*member)) for member in members]
         copies = [
-            self._copy_member(member, link, view.epoch - 1, copied) for member, link in links if link
+            self._copy_member(member, link, view.epoch - 1, copied)
+            for member, link in links
+            if link
         ]
         await asyncio.gather(*copies)
 
--- a/apricotrail/entry/pipeline.py
+++ b/apricotrail/entry/pipeline.py
@@ -10,7 +10,7 @@
 from returns.result import Failure, Result, Success
 
 from apricotrail.clocks import Clock, wall_ms
-from apricotrail.entry._admission import Admitted, AdmitSubmission
+from apricotrail.entry._admission import AdmitSubmission, Admitted
 from apricotrail.entry._claiming import ClaimAttempt, ClaimOutcome, ClaimStatus
 from apricotrail.entry._claims import ClaimTable
 from apricotrail.entry._dispatch import Dispatcher
@@ -128,9 +128,7 @@
             return started
         return Success(await started.unwrap())
 
-    async def begin(
-        self, submission: Submission
-    ) -> Result["asyncio.Future[JobResult]", Problem]:
+    async def begin(self, submission: Submission) -> Result["asyncio.Future[JobResult]", Problem]:
         """Claim and queue a submission, or attach to its job; gives the future answer."""
         known = self._parts.dispatcher.jobs.get(submission.job)
         if known is not None:
@@ -224,9 +222,7 @@
             return JobAnswer(request.job, False)
         owned = (record.owner, record.owner_incarnation) == self._parts.identity()
         known = record.answer is not None
-        return JobAnswer(
-            request.job, known, record.answer, None if owned and not known else record
-        )
+        return JobAnswer(request.job, known, record.answer, None if owned and not known else record)
 
     def receive_cancel(self, link: Link, request: CancelJob) -> CancelReply:
         """Cancel a job for a caller of another entry."""
@@ -339,6 +335,8 @@
             if local is not None and submission is not None:
                 return self._attach_local(local, submission)
             return Success(local.result) if local is not None else _Free(record.epoch + 1)
+        if record.owner_incarnation == 0:
+            owner = self._find_present(record.owner)
         if not parts.succession.view.has(*owner):
             return await self._take_over(record, submission)
         link = parts.find_link(*owner)
@@ -357,8 +355,16 @@
         if answer.record is not None and answer.record.epoch > record.epoch:
             parts.table.store(answer.record)
             return None
+        if record.owner_incarnation == 0:
+            return await self._take_over(record, submission)
         return _Free(record.epoch + 1)
 
+    def _find_present(self, name: str) -> tuple[str, int]:
+        """Return the present incarnation of an owner known by name from an agent's ledger."""
+        members = self._parts.succession.view.members
+        found = [member.incarnation for member in members if member.name == name]
+        return name, found[0] if found else 0
+
     async def _take_over(
         self, record: ClaimRecord, submission: Submission | None
     ) -> "Result[asyncio.Future[JobResult], Problem] | None":
--- a/apricotrail/wire/__init__.py
+++ b/apricotrail/wire/__init__.py
@@ -10,11 +10,12 @@
     encode_message,
 )
 from apricotrail.wire._endpoint import LinkEndpoint, parse_address
-from apricotrail.wire._keys import KeyRing
+from apricotrail.wire._keys import KEY_FILE, KeyRing
 from apricotrail.wire._link import HEARTBEAT_MS, SILENT_MS, WIRE_VERSION, Link
 
 __all__ = [
     "HEARTBEAT_MS",
+    "KEY_FILE",
     "MAX_FRAME_BYTES",
     "SILENT_MS",
     "WIRE_VERSION",
--- a/apricotrail/wire/_keys.py
+++ b/apricotrail/wire/_keys.py
@@ -9,10 +9,15 @@
 from pathlib import Path
 
 from apricotrail.errors import ApricotrailError, ErrorKind, Problem
+from apricotrail.settings import declare_setting
 from apricotrail.wire._codec import encode_message
 from apricotrail.wire.generated.ttypes import Identity
 
-__all__ = ["KeyRing", "MIN_KEY_CHARACTERS", "NONCE_BYTES"]
+__all__ = ["KEY_FILE", "MIN_KEY_CHARACTERS", "NONCE_BYTES", "KeyRing"]
+
+KEY_FILE = declare_setting(
+    "link.key_file", "", "File with the shared keys of links, one a line; empty for no proof."
+)
 
 NONCE_BYTES = 16
 MIN_KEY_CHARACTERS = 16
