--- /dev/null
+++ b/apricotrail/metrics/_lag.py
@@ -0,0 +1,28 @@
+"""How late the event loop runs what is due."""
+
+import asyncio
+
+from apricotrail.clocks import Clock, monotonic_ms
+from apricotrail.metrics._instruments import Histogram
+
+__all__ = ["watch_loop_lag"]
+
+SAMPLE_MS = 100
+
+
+async def watch_loop_lag(lag_ms: Histogram, clock: Clock = monotonic_ms) -> None:
+    """Observe in `lag_ms`, ten times a second, by how much a timer fired late.
+
+    Runs until cancelled.
+
+    Parameters
+    ----------
+    lag_ms : Histogram
+        Where the delays go, in milliseconds.
+    clock : Clock
+        Monotonic time in milliseconds.
+    """
+    while True:
+        due_ms = clock() + SAMPLE_MS
+        await asyncio.sleep(SAMPLE_MS / 1000)
+        lag_ms.observe(max(0.0, clock() - due_ms))
