--- a/apricotrail/entry/_admission.py
+++ b/apricotrail/entry/_admission.py
@@ -3,10 +3,10 @@
 from collections.abc import Callable
 from typing import NamedTuple
 
-from returns.result import Failure, Result, Success
+from apricotrail.document import EffectiveConfiguration
+from returns.result import Failure, Result
 
 from apricotrail.clocks import Clock
-from apricotrail.document import EffectiveConfiguration
 from apricotrail.entry._agents import AgentTable
 from apricotrail.entry._dispatch import Dispatcher
 from apricotrail.entry._submission import Submission
--- a/apricotrail/entry/_claiming.py
+++ b/apricotrail/entry/_claiming.py
@@ -77,7 +77,12 @@
     """
 
     def __init__(
-        self, view: View, record: ClaimRecord, links: Sequence[Link], call_ms: float, hedge_ms: float
+        self,
+        view: View,
+        record: ClaimRecord,
+        links: Sequence[Link],
+        call_ms: float,
+        hedge_ms: float,
     ) -> None:
         self.abandoned = False
         self._claim = Claim(view.epoch, record)
--- a/apricotrail/entry/_relay.py
+++ b/apricotrail/entry/_relay.py
@@ -2,10 +2,10 @@
 
 from collections.abc import Callable
 
+from apricotrail.document import EffectiveConfiguration, read_items
 from returns.result import Success
 
 from apricotrail.clocks import Clock
-from apricotrail.document import EffectiveConfiguration, read_items
 from apricotrail.entry._agents import AgentTable, read_target
 from apricotrail.events import Level, declare_event, emit
 from apricotrail.membership import Configuration, Freshness, View, read_view
@@ -147,5 +147,3 @@
         target = read_target(link.peer.name)
         known = self.effective.targets.get(target)
         return filter_for_target(change, target, known.service if known else None)
-
-
--- a/apricotrail/entry/_succession.py
+++ b/apricotrail/entry/_succession.py
@@ -151,7 +151,9 @@
         members = [member for member in _former_members(view) if member not in copied]
         links = [(member, self._find_link(*member)) for member in members]
         copies = [
-            self._copy_member(member, link, view.epoch - 1, copied) for member, link in links if link
+            self._copy_member(member, link, view.epoch - 1, copied)
+            for member, link in links
+            if link
         ]
         await asyncio.gather(*copies)
 
--- a/apricotrail/entry/_takeover.py
+++ b/apricotrail/entry/_takeover.py
@@ -199,5 +199,3 @@
     message = f"Task {outcome.task} ran, but its answer is lost or its outcome unknown."
     remedy = "Check with the target before submitting again under a new id."
     return Problem(ErrorKind.MAY_HAVE_RUN, message, remedy)
-
-
--- a/apricotrail/entry/pipeline.py
+++ b/apricotrail/entry/pipeline.py
@@ -10,7 +10,7 @@
 from returns.result import Failure, Result, Success
 
 from apricotrail.clocks import Clock, wall_ms
-from apricotrail.entry._admission import Admitted, AdmitSubmission
+from apricotrail.entry._admission import AdmitSubmission, Admitted
 from apricotrail.entry._claiming import ClaimAttempt, ClaimOutcome, ClaimStatus
 from apricotrail.entry._claims import ClaimTable
 from apricotrail.entry._dispatch import Dispatcher
@@ -128,9 +128,7 @@
             return started
         return Success(await started.unwrap())
 
-    async def begin(
-        self, submission: Submission
-    ) -> Result["asyncio.Future[JobResult]", Problem]:
+    async def begin(self, submission: Submission) -> Result["asyncio.Future[JobResult]", Problem]:
         """Claim and queue a submission, or attach to its job; gives the future answer."""
         known = self._parts.dispatcher.jobs.get(submission.job)
         if known is not None:
@@ -224,9 +222,7 @@
             return JobAnswer(request.job, False)
         owned = (record.owner, record.owner_incarnation) == self._parts.identity()
         known = record.answer is not None
-        return JobAnswer(
-            request.job, known, record.answer, None if owned and not known else record
-        )
+        return JobAnswer(request.job, known, record.answer, None if owned and not known else record)
 
     def receive_cancel(self, link: Link, request: CancelJob) -> CancelReply:
         """Cancel a job for a caller of another entry."""
