--- a/apricotrail/entry/_admission.py
+++ b/apricotrail/entry/_admission.py
@@ -161,7 +161,7 @@
 
 def _list_slots(parts: AdmissionParts, service_id: str) -> list[int]:
     agents = (
-        parts.agents.by_target(target) for target in parts.configuration().targets_of(service_id)
+        parts.agents.by_target(target.id) for target in parts.configuration().targets_of(service_id)
     )
     return [agent.slots for agent in agents if agent is not None and agent.slots]
 
@@ -170,7 +170,7 @@
     parts: AdmissionParts, service_id: str, known_slots: list[int]
 ) -> ServiceState:
     agents = [
-        parts.agents.by_target(target) for target in parts.configuration().targets_of(service_id)
+        parts.agents.by_target(target.id) for target in parts.configuration().targets_of(service_id)
     ]
     return ServiceState(
         queued_tasks=parts.dispatcher.count_queued(service_id),
--- a/apricotrail/entry/_application.py
+++ b/apricotrail/entry/_application.py
@@ -148,14 +148,12 @@
     def usable_targets(self, service: str) -> list[tuple[str, str]]:
         """Return (target, zone) of a service's targets that are in service."""
         configuration = self.relay.effective
-        usable = []
-        for target_id in configuration.targets_of(service):
-            zone = configuration.targets[target_id].zone
-            if configuration.is_zone_in_service(zone) and not configuration.is_target_leaving(
-                target_id
-            ):
-                usable.append((target_id, zone))
-        return usable
+        return [
+            (target.id, target.zone)
+            for target in configuration.targets_of(service)
+            if configuration.is_zone_in_service(target.zone)
+            and not configuration.is_target_leaving(target.id)
+        ]
 
     def service_of(self, target: str) -> str | None:
         """Return the service of a target."""
