--- a/apricotrail/entry/_dispatch.py
+++ b/apricotrail/entry/_dispatch.py
@@ -60,6 +60,18 @@
 RESOLVE_CALL_MS = 2_000
 RESOLVE_TRIES = 5
 NO_SLOT_REASONS = frozenset({Reason.FULL})
+# Another start to the same agent would meet the same refusal.
+LASTING_REASONS = frozenset(
+    {
+        Reason.STALE_CONFIGURATION,
+        Reason.ZONE_OUT,
+        Reason.TARGET_LEAVING,
+        Reason.TARGET_UNREACHABLE,
+        Reason.UNKNOWN_TARGET,
+        Reason.LEDGER_FULL,
+        Reason.STOPPING,
+    }
+)
 
 OUTCOME_DROPPED = declare_event(
     4101, "outcome_dropped", Level.WARNING, "A crossed, late or truncated outcome was dropped."
@@ -416,7 +428,7 @@
             job.settle(outcome.task, TaskState.NOT_RUN)
             job.fail(_deadline_problem())
             return False
-        if outcome.reason in NO_SLOT_REASONS:
+        if outcome.reason not in LASTING_REASONS:
             return True
         now_ms = self._clock()
         agent.pause(now_ms + REFUSAL_PAUSE_MS)
