Add the agent: ledger, gate, slots, target client and links

A task may start at most once, so the decision is kept in one place in front of its target. The ledger remembers started and refused attempts, the gate checks configuration age, zone, leaving, incarnation, epoch, budget and slot, and outcomes go to the job's present owner in one message a loop tick.

--- /dev/null
+++ b/apricotrail/agent/_agent.py
@@ -0,0 +1,339 @@
+"""The agent's state: messages from entries in, task runs and messages to entries out."""
+
+import asyncio
+from collections import Counter
+from collections.abc import Awaitable, Callable
+from typing import Any, NamedTuple
+
+from apricotrail.agent._gate import GateState, decide_starts, find_closure
+from apricotrail.agent._ledger import AttemptId, Ledger, LedgerLimits, Outcome
+from apricotrail.agent._outbox import Batch, Outbox, make_task_outcome
+from apricotrail.agent._slots import Slots
+from apricotrail.clocks import Clock
+from apricotrail.events import Level, declare_event, emit
+from apricotrail.wire.generated.ttypes import (
+    AttemptStates,
+    FenceJob,
+    LedgerJob,
+    Load,
+    Reason,
+    ResolveAttempts,
+    SlotOffer,
+    SlotWant,
+    StartTasks,
+    StopTasks,
+    TaskOutcomes,
+    TaskStart,
+    TaskState,
+)
+from apricotrail.wire.generated.ttypes import (
+    Ledger as LedgerMessage,
+)
+
+__all__ = ["Agent", "AgentRim"]
+
+RUN_FAILED = declare_event(
+    5002, "task_run_failed", Level.ERROR, "Running a task raised an exception; it may have run."
+)
+OUTCOMES_NOT_SENT = declare_event(
+    5003,
+    "outcomes_not_sent",
+    Level.INFO,
+    "The owner's link takes no messages; the outcomes are kept until it asks for them.",
+)
+MESSAGE_INCOMPLETE = declare_event(
+    5004, "message_incomplete", Level.WARNING, "A message lacked a field and was ignored."
+)
+
+
+class AgentRim(NamedTuple):
+    """What connects the state to sockets, the loop and the configuration.
+
+    Attributes
+    ----------
+    send : callable
+        Sends a message to an entry by name; returns whether the link took it.
+    schedule : callable
+        Runs a function after the present loop tick.
+    run_task : callable
+        Coroutine function of job, `TaskStart` and budget in ms; returns an `Outcome`.
+    stop_task : callable
+        Coroutine function of job and task number that asks the target to stop it.
+    gate_state : callable
+        Returns the present `GateState`.
+    """
+
+    send: Callable[[str, Any], bool]
+    schedule: Callable[[Callable[[], None]], object]
+    run_task: Callable[[str, TaskStart, float], Awaitable[Outcome]]
+    stop_task: Callable[[str, int], Awaitable[None]]
+    gate_state: Callable[[], GateState]
+
+
+class _Run(NamedTuple):
+    attempt_id: AttemptId
+    started_ms: float
+    work: asyncio.Task
+
+
+class Agent:
+    """The one gate in front of a target.
+
+    Parameters
+    ----------
+    rim : AgentRim
+        Connections to the outside.
+    slots : int
+        Tasks that the target runs at a time.
+    grant_ms : float
+        How long a granted slot is reserved, in milliseconds.
+    limits : LedgerLimits
+        Bounds of the ledger.
+    clock : Clock
+        Monotonic time in milliseconds.
+
+    Attributes
+    ----------
+    starts : int
+        Tasks started.
+    refusals : Counter
+        Tasks not started, by `Reason`.
+    """
+
+    def __init__(
+        self, rim: AgentRim, slots: int, grant_ms: float, limits: LedgerLimits, clock: Clock
+    ) -> None:
+        self.ledger = Ledger(limits)
+        self.slots = Slots(slots, grant_ms)
+        self.outbox = Outbox(rim.schedule, self._deliver)
+        self.starts = 0
+        self.refusals: Counter[int] = Counter()
+        self._rim = rim
+        self._clock = clock
+        self._received: Counter[str] = Counter()
+        self._kept_since_ms = clock()
+        self._runs: dict[str, dict[int, _Run]] = {}
+        self._work: set[asyncio.Task] = set()
+
+    # ---- messages ----
+
+    def start_tasks(self, sender: str, message: StartTasks) -> None:
+        """Start what may start and answer for the rest."""
+        if not _is_whole(message):
+            emit(MESSAGE_INCOMPLETE, kind="StartTasks", sender=sender)
+            return
+        self._received[sender] += len(message.tasks)
+        state, now_ms = self._rim.gate_state(), self._clock()
+        decision = decide_starts(message, sender, state, self.ledger, self.slots, now_ms)
+        for start in decision.starts:
+            self._run(message.job, start, message.budget_ms, now_ms)
+        for attempt_id, outcome in decision.outcomes:
+            self.outbox.add(sender, message.job, attempt_id, outcome)
+            self.refusals[outcome.reason] += 1
+        self.starts += len(decision.starts)
+        self._want(sender, message.want or 0)
+
+    def resolve_attempts(self, sender: str, message: ResolveAttempts) -> AttemptStates:
+        """Say what became of attempts; one never seen will never start."""
+        state, now_ms = self._rim.gate_state(), self._clock()
+        ids = [AttemptId(key.task, key.attempt) for key in message.attempts]
+        if message.agent_incarnation != state.incarnation or message.target != state.target:
+            lost = Outcome(TaskState.MAY_HAVE_RUN, Reason.AGENT_LOST)
+            return self._state_attempts(message.job, [(attempt_id, lost) for attempt_id in ids])
+        self.ledger.claim(message.job, sender, message.epoch, now_ms, use_reserve=True)
+        states = []
+        for attempt_id in ids:
+            known = self.ledger.find(message.job, attempt_id)
+            if known is None:
+                known = self.ledger.refuse(message.job, attempt_id, Reason.NONE, now_ms)
+            states.append((attempt_id, known))
+        return self._state_attempts(message.job, states)
+
+    def fence_job(self, message: FenceJob) -> AttemptStates | None:
+        """Accept no lower epoch for the job and say all that is known of it.
+
+        Returns
+        -------
+        AttemptStates or None
+            None if the epoch itself is too low or can't be recorded: then nothing may be concluded.
+        """
+        state = self._rim.gate_state()
+        if message.target != state.target:
+            return None
+        now_ms = self._clock()
+        if not self.ledger.claim(
+            message.job, message.owner, message.epoch, now_ms, use_reserve=True
+        ):
+            return None
+        return self._state_attempts(message.job, self.ledger.attempts(message.job))
+
+    def stop_tasks(self, message: StopTasks) -> None:
+        """Stop started tasks; an empty list of tasks stops the job and its later starts."""
+        if message.epoch is None or self.ledger.is_fenced(message.job, message.epoch):
+            return
+        runs = self._runs.get(message.job, {})
+        if not message.tasks:
+            self.ledger.cancel_job(message.job)
+        for task in message.tasks or list(runs):
+            run = runs.get(task)
+            if run is not None:
+                self._cancel(message.job, run, Reason.CANCELLED)
+
+    def want_slots(self, sender: str, message: SlotWant) -> None:
+        """Register an entry's need of slots."""
+        if message.agent_incarnation == self._rim.gate_state().incarnation:
+            self._want(sender, message.want or 0)
+
+    def list_ledger(self) -> LedgerMessage:
+        """Return the jobs of the ledger for the rebuilding of claims."""
+        state = self._rim.gate_state()
+        jobs = [LedgerJob(job, owner, epoch) for job, owner, epoch in self.ledger.jobs()]
+        age_ms = int(self._clock() - self._kept_since_ms)
+        return LedgerMessage(state.target, state.incarnation, age_ms, jobs)
+
+    # ---- other events ----
+
+    def forget_entry(self, entry: str) -> None:
+        """Withdraw the slots of an entry whose link is lost or new; its tasks go on."""
+        self.slots.forget(entry)
+        self._received.pop(entry, None)
+        self.outbox.request_flush()
+
+    def tick(self) -> None:
+        """Drop what has expired and hand out free slots; to be called regularly."""
+        now_ms = self._clock()
+        self.ledger.expire(now_ms)
+        self.slots.expire(now_ms)
+        self.outbox.request_flush()
+
+    def load(self, entry: str) -> Load:
+        """Return the present load as told to `entry`."""
+        return self._make_load(entry, self._rim.gate_state())
+
+    async def wait_until_idle(self) -> None:
+        """Wait until no task runs."""
+        while self._work:
+            await asyncio.wait(list(self._work))
+
+    def stop_all(self) -> None:
+        """Stop every run; each is reported as ``MAY_HAVE_RUN``."""
+        for job, runs in list(self._runs.items()):
+            for run in list(runs.values()):
+                self._cancel(job, run, Reason.STOPPING)
+
+    # ---- runs ----
+
+    def _run(self, job: str, start: TaskStart, budget_ms: float, now_ms: float) -> None:
+        attempt_id = AttemptId(start.task, start.attempt)
+        work = self._spawn(self._run_to_end(job, start, attempt_id, budget_ms, now_ms))
+        self._runs.setdefault(job, {})[start.task] = _Run(attempt_id, now_ms, work)
+
+    async def _run_to_end(
+        self, job: str, start: TaskStart, attempt_id: AttemptId, budget_ms: float, started_ms: float
+    ) -> None:
+        left_ms = budget_ms - (self._clock() - started_ms)
+        try:
+            outcome = await self._rim.run_task(job, start, left_ms)
+        except Exception as error:
+            emit(RUN_FAILED, job=job, task=start.task, error=repr(error))
+            outcome = Outcome(TaskState.MAY_HAVE_RUN, Reason.TARGET_ERROR, detail=repr(error))
+        self._finish(job, attempt_id, outcome, started_ms)
+        if outcome.reason == Reason.TARGET_SILENT:
+            await self._stop_quietly(job, start.task)
+        self._release_slot()
+
+    def _finish(self, job: str, attempt_id: AttemptId, outcome: Outcome, started_ms: float) -> None:
+        now_ms = self._clock()
+        outcome = outcome._replace(run_ms=round(now_ms - started_ms))
+        runs = self._runs.get(job, {})
+        runs.pop(attempt_id.task, None)
+        if not runs:
+            self._runs.pop(job, None)
+        if not self.ledger.finish(job, attempt_id, outcome, now_ms):
+            return
+        owner = self.ledger.owner(job)
+        if owner is not None:
+            self.outbox.add(owner, job, attempt_id, outcome)
+
+    def _cancel(self, job: str, run: _Run, reason: int) -> None:
+        run.work.cancel()
+        outcome = Outcome(TaskState.MAY_HAVE_RUN, reason)
+        self._finish(job, run.attempt_id, outcome, run.started_ms)
+        self._spawn(self._stop_then_release(job, run.attempt_id.task))
+
+    async def _stop_then_release(self, job: str, task: int) -> None:
+        await self._stop_quietly(job, task)
+        self._release_slot()
+
+    async def _stop_quietly(self, job: str, task: int) -> None:
+        try:
+            await self._rim.stop_task(job, task)
+        except Exception as error:
+            emit(RUN_FAILED, job=job, task=task, error=repr(error))
+
+    def _release_slot(self) -> None:
+        self.slots.release()
+        self.outbox.request_flush()
+
+    def _spawn(self, work: Awaitable[None]) -> asyncio.Task:
+        task = asyncio.ensure_future(work)
+        self._work.add(task)
+        task.add_done_callback(self._work.discard)
+        return task
+
+    # ---- answers ----
+
+    def _want(self, entry: str, count: int) -> None:
+        self.slots.want(entry, count)
+        if count > 0:
+            self.outbox.request_flush()
+
+    def _state_attempts(self, job: str, states: list[tuple[AttemptId, Outcome]]) -> AttemptStates:
+        state = self._rim.gate_state()
+        outcomes = [make_task_outcome(attempt_id, outcome) for attempt_id, outcome in states]
+        return AttemptStates(job, state.target, state.incarnation, outcomes)
+
+    def _make_load(self, entry: str, state: GateState) -> Load:
+        slots = self.slots
+        return Load(
+            target=state.target,
+            slots=slots.count,
+            free_slots=slots.free(),
+            running=slots.running,
+            accepting=find_closure(state) == Reason.NONE,
+            received=self._received[entry],
+        )
+
+    def _deliver(self, batches: list[Batch]) -> None:
+        state = self._rim.gate_state()
+        is_open = find_closure(state) == Reason.NONE
+        grants = self.slots.grant(self._clock()) if is_open else {}
+        if not batches and not grants:
+            return
+        for batch in batches:
+            self._send_batch(batch, state, grants.pop(batch.receiver, 0))
+        for entry, granted in grants.items():
+            load = self._make_load(entry, state)
+            offer = SlotOffer(state.target, state.incarnation, granted, load)
+            if not self._rim.send(entry, offer):
+                self.slots.forget(entry)
+
+    def _send_batch(self, batch: Batch, state: GateState, granted: int) -> None:
+        load = self._make_load(batch.receiver, state)
+        message = TaskOutcomes(
+            batch.job, state.target, state.incarnation, batch.outcomes, load, granted
+        )
+        if self._rim.send(batch.receiver, message):
+            return
+        emit(OUTCOMES_NOT_SENT, entry=batch.receiver, job=batch.job)
+        self.slots.forget(batch.receiver)
+
+
+def _is_whole(message: StartTasks) -> bool:
+    fields = (message.job, message.owner, message.epoch, message.budget_ms, message.tasks)
+    if any(field is None for field in fields):
+        return False
+    return all(
+        start.task is not None and start.attempt is not None and start.body is not None
+        for start in message.tasks
+    )
--- /dev/null
+++ b/apricotrail/agent/_application.py
@@ -0,0 +1,192 @@
+"""Agents from settings, and agents that an entry hosts for a target without a process beside it."""
+
+from collections.abc import Sequence
+from pathlib import Path
+
+from apricotrail.agent._ledger import read_ledger_limits
+from apricotrail.agent._target_agent import AgentParameters, TargetAgent
+from apricotrail.application import Application
+from apricotrail.clocks import Clock, monotonic_ms, wall_ms
+from apricotrail.errors import ApricotrailError, ErrorKind, Problem
+from apricotrail.membership import CONFIG_STALE_MS
+from apricotrail.settings import Settings, declare_setting
+from apricotrail.wire import KEY_FILE, KeyRing, LinkEndpoint
+from apricotrail.wire.generated.ttypes import Announcement, Identity
+
+__all__ = ["GRANT_MS", "make_agent", "make_hosted_agent"]
+
+TARGET = declare_setting("agent.target", "", "Id of the target in the document.")
+TARGET_ADDRESS = declare_setting(
+    "agent.target_address", "127.0.0.1:8090", "Address of the target's HTTP server."
+)
+SLOTS = declare_setting(
+    "agent.slots", 8, "Tasks that the target runs at a time.", minimum=1, maximum=10_000
+)
+CONNECTIONS = declare_setting(
+    "agent.connections",
+    64,
+    "Connections to the target; slots above this number stay unused.",
+    minimum=1,
+    maximum=10_000,
+)
+ZONE = declare_setting("agent.zone", "", "Availability zone of this agent.")
+ENVIRONMENT = declare_setting("agent.environment", "production", "Environment of this agent.")
+ENTRIES = declare_setting("agent.entries", [], "Link addresses of the entries to dial first.")
+LEASE_MS = declare_setting(
+    "agent.lease_ms",
+    6_000,
+    "Lease of an agent's announcement; it is renewed three times in it.",
+    unit="ms",
+    minimum=500,
+    maximum=120_000,
+)
+GRANT_MS = declare_setting(
+    "agent.grant_ms", 50, "How long an agent reserves a granted slot.", unit="ms", minimum=1
+)
+TICK_MS = declare_setting(
+    "agent.tick_ms",
+    50,
+    "Time between two clean-ups of grants and ledger.",
+    unit="ms",
+    minimum=1,
+    maximum=1_000,
+)
+STOP_DEADLINE_MS = declare_setting(
+    "agent.stop_deadline_ms",
+    20_000,
+    "How long a stopping agent waits for the tasks that run.",
+    unit="ms",
+    minimum=0,
+)
+STOP_TASK_MS = declare_setting(
+    "agent.stop_task_ms",
+    1_000,
+    "Time for asking a target to stop a task; its slot is free afterwards.",
+    unit="ms",
+    minimum=1,
+)
+
+
+def make_agent(settings: Settings, clock: Clock = monotonic_ms) -> Application:
+    """Return the agent process of one target.
+
+    Parameters
+    ----------
+    settings : Settings
+        Values of ``agent.*`` and ``link.*``.
+    clock : Clock
+        Monotonic time in milliseconds.
+
+    Raises
+    ------
+    ApricotrailError
+        If no target is named.
+    """
+    target = settings.get(TARGET)
+    if not target:
+        remedy = "Set agent.target to the target's id in the document."
+        raise ApricotrailError(Problem(ErrorKind.SETTINGS, "agent.target is empty.", remedy))
+    parameters = _make_parameters(
+        settings,
+        target=target,
+        address=settings.get(TARGET_ADDRESS),
+        slots=settings.get(SLOTS),
+        connections=settings.get(CONNECTIONS),
+        entries=settings.get(ENTRIES),
+        announces=True,
+    )
+    environment, zone = settings.get(ENVIRONMENT), settings.get(ZONE)
+    endpoint = _make_endpoint(settings, target, environment, zone, wall_ms(), clock)
+    target_agent = TargetAgent(parameters, endpoint)
+    application = Application(f"agent:{target}")
+    application.on_start(target_agent.start)
+    application.on_stop(target_agent.stop)
+    return application
+
+
+def make_hosted_agent(
+    settings: Settings,
+    target: str,
+    announcement: Announcement,
+    environment: str,
+    zone: str,
+    entries: Sequence[str],
+    first_start_after_ms: float = 0.0,
+    incarnation: int | None = None,
+    clock: Clock = monotonic_ms,
+) -> TargetAgent:
+    """Return an agent for an entry to host; it has its own links, also one to its host.
+
+    Parameters
+    ----------
+    settings : Settings
+        Values of ``agent.*`` and ``link.*`` besides the ones below.
+    target : str
+        Id of the target.
+    announcement : Announcement
+        What the target announced: address, slots, connections.
+    environment, zone : str
+        Environment and availability zone of the host.
+    entries : sequence of str
+        Link addresses of entries to dial, the host's among them.
+    first_start_after_ms : float
+        Time after `TargetAgent.start` in which no task starts, so that an earlier host has
+        certainly stopped starting tasks.
+    incarnation : int, optional
+        Incarnation, by default the wall clock in milliseconds; must be above an earlier host's.
+    clock : Clock
+        Monotonic time in milliseconds.
+    """
+    parameters = _make_parameters(
+        settings,
+        target=target,
+        address=announcement.address,
+        slots=announcement.slots,
+        connections=announcement.connections,
+        entries=entries,
+        announces=False,
+        first_start_after_ms=first_start_after_ms,
+    )
+    start_ms = wall_ms() if incarnation is None else incarnation
+    endpoint = _make_endpoint(settings, target, environment, zone, start_ms, clock)
+    target_agent = TargetAgent(parameters, endpoint)
+    target_agent.set_leaving(bool(announcement.leaving))
+    return target_agent
+
+
+def _make_parameters(
+    settings: Settings,
+    *,
+    target: str,
+    address: str,
+    slots: int,
+    connections: int,
+    entries: Sequence[str],
+    announces: bool,
+    first_start_after_ms: float = 0.0,
+) -> AgentParameters:
+    return AgentParameters(
+        target=target,
+        address=address,
+        slots=slots,
+        connections=connections,
+        entries=tuple(entries),
+        announces=announces,
+        lease_ms=settings.get(LEASE_MS),
+        first_start_after_ms=first_start_after_ms,
+        stop_deadline_ms=settings.get(STOP_DEADLINE_MS),
+        stop_task_ms=settings.get(STOP_TASK_MS),
+        grant_ms=settings.get(GRANT_MS),
+        tick_ms=settings.get(TICK_MS),
+        stale_ms=settings.get(CONFIG_STALE_MS),
+        ledger=read_ledger_limits(settings),
+    )
+
+
+def _make_endpoint(
+    settings: Settings, target: str, environment: str, zone: str, incarnation: int, clock: Clock
+) -> LinkEndpoint:
+    key_file = settings.get(KEY_FILE)
+    keys = KeyRing(Path(key_file) if key_file else None)
+    identity = Identity(f"agent:{target}", "agent", zone, incarnation, "")
+    return LinkEndpoint(identity, environment, keys, settings, clock)
--- /dev/null
+++ b/apricotrail/agent/_standing.py
@@ -0,0 +1,69 @@
+"""What the configuration items say of one target."""
+
+from collections.abc import Mapping
+from typing import Any, NamedTuple
+
+import orjson
+
+__all__ = ["UNKNOWN", "Standing", "read_standing"]
+
+
+class Standing(NamedTuple):
+    """Standing of a target.
+
+    Attributes
+    ----------
+    known : bool
+        Whether the document has the target and its zone.
+    zone_in_service : bool
+        Whether its availability zone may be used.
+    leaving : bool
+        Whether operators take it out.
+    max_answer_bytes : int or None
+        Largest answer of its service.
+    references : frozenset of str
+        Ways to name the target: its id, its names, and its names with their schemes.
+    """
+
+    known: bool = False
+    zone_in_service: bool = False
+    leaving: bool = False
+    max_answer_bytes: int | None = None
+    references: frozenset[str] = frozenset()
+
+
+UNKNOWN = Standing()
+
+
+def read_standing(items: Mapping[str, bytes], target_id: str) -> Standing:
+    """Return the standing of a target.
+
+    Examples
+    --------
+    >>> items = {"target/t": b'{"service":"s","zone":"z"}', "zone/z": b"{}"}
+    >>> read_standing(items, "t").zone_in_service
+    True
+    """
+    target = _read(items, f"target/{target_id}")
+    if target is None or f"zone/{target.get('zone')}" not in items:
+        return UNKNOWN
+    zone_state = _read(items, f"zone-state/{target['zone']}") or {}
+    target_state = _read(items, f"target-state/{target_id}") or {}
+    service = _read(items, f"service/{target.get('service')}") or {}
+    return Standing(
+        known=True,
+        zone_in_service=zone_state.get("in_service", True),
+        leaving=target_state.get("leaving", False),
+        max_answer_bytes=service.get("max_answer_bytes"),
+        references=_list_references(target_id, target.get("names", {})),
+    )
+
+
+def _list_references(target_id: str, names: Mapping[str, str]) -> frozenset[str]:
+    qualified = (f"{scheme}:{name}" for scheme, name in names.items())
+    return frozenset({target_id, *names.values(), *qualified})
+
+
+def _read(items: Mapping[str, bytes], key: str) -> dict[str, Any] | None:
+    value = items.get(key)
+    return None if value is None else orjson.loads(value)
--- /dev/null
+++ b/apricotrail/agent/_target_agent.py
@@ -0,0 +1,321 @@
+"""One running agent: its links, configuration, announcements and its target's connections."""
+
+import asyncio
+import math
+from contextlib import suppress
+from typing import Any, NamedTuple
+
+from apricotrail.agent._agent import Agent, AgentRim
+from apricotrail.agent._client import run_task, stop_task
+from apricotrail.agent._follower import ConfigurationFollower
+from apricotrail.agent._gate import GateState
+from apricotrail.agent._ledger import LedgerLimits, Outcome
+from apricotrail.agent._standing import UNKNOWN, Standing, read_standing
+from apricotrail.clocks import Clock
+from apricotrail.events import Level, declare_event, emit
+from apricotrail.http import ClientLimits, HttpClient
+from apricotrail.membership import NEVER_CONFIRMED_AGE_MS, read_view
+from apricotrail.wire import Link, LinkEndpoint
+from apricotrail.wire.generated import ttypes
+from apricotrail.wire.generated.ttypes import Announcement, Heartbeat, ShareAnnouncements
+
+__all__ = ["AgentParameters", "TargetAgent"]
+
+STOP_CONNECTIONS = 8
+POLL_MS = 10
+ANNOUNCEMENTS_PER_LEASE = 3
+
+AGENT_STOPPED = declare_event(
+    5101, "agent_stopped", Level.INFO, "A planned stop ended; cut_off counts tasks stopped by it."
+)
+AGENT_LOOP_FAILED = declare_event(
+    5102, "agent_loop_failed", Level.ERROR, "A periodic step of an agent failed; the next follows."
+)
+
+
+class AgentParameters(NamedTuple):
+    """What one agent is started with.
+
+    Attributes
+    ----------
+    target : str
+        Id of its target.
+    address : str
+        Target's HTTP server as ``host:port``.
+    slots, connections : int
+        Tasks and connections that the target takes at a time.
+    entries : tuple of str
+        Link addresses of the first entries; those of the view are added.
+    announces : bool
+        Whether it announces its target.
+    lease_ms : int
+        Lease of the announcement.
+    first_start_after_ms : float
+        Time after the start in which no task starts.
+    stop_deadline_ms, stop_task_ms : float
+        Time for a planned stop, and for one request that stops a task.
+    grant_ms, tick_ms, stale_ms : float
+        Reservation of a granted slot, time between clean-ups, age from which no task starts.
+    ledger : LedgerLimits
+        Bounds of the ledger.
+    """
+
+    target: str
+    address: str
+    slots: int
+    connections: int
+    entries: tuple[str, ...]
+    announces: bool
+    lease_ms: int
+    first_start_after_ms: float
+    stop_deadline_ms: float
+    stop_task_ms: float
+    grant_ms: float
+    tick_ms: float
+    stale_ms: float
+    ledger: LedgerLimits
+
+
+class TargetAgent:
+    """An agent with its links.
+
+    Parameters
+    ----------
+    parameters : AgentParameters
+        Target and limits.
+    endpoint : LinkEndpoint
+        Own endpoint, named ``agent:<target id>``; started and stopped by this object.
+
+    Attributes
+    ----------
+    agent : Agent
+        State: ledger, slots and runs.
+    """
+
+    def __init__(self, parameters: AgentParameters, endpoint: LinkEndpoint) -> None:
+        clock = endpoint.clock
+        self._parameters = parameters
+        self._endpoint = endpoint
+        self._clock: Clock = clock
+        self._may_start_ms = clock() + parameters.first_start_after_ms
+        self._standing: Standing = UNKNOWN
+        self._leaving = False
+        self._stopping = False
+        self._echoed_ms: dict[str, float] = {}
+        self._follower = ConfigurationFollower(clock, parameters.stale_ms, self._apply_items)
+        connections = max(1, parameters.connections)
+        self._client = HttpClient(ClientLimits(connections=connections), clock)
+        self._stop_client = HttpClient(ClientLimits(connections=STOP_CONNECTIONS), clock)
+        rim = AgentRim(
+            self._send,
+            lambda flush: asyncio.get_running_loop().call_soon(flush),
+            self._run_task,
+            self._stop_task,
+            self._gate_state,
+        )
+        slots = min(parameters.slots, connections)
+        self.agent = Agent(rim, slots, parameters.grant_ms, parameters.ledger, clock)
+        self._connect_handlers()
+
+    async def start(self) -> None:
+        """Dial the entries and begin."""
+        self._may_start_ms = self._clock() + self._parameters.first_start_after_ms
+        self._endpoint.start()
+        for address in self._parameters.entries:
+            self._endpoint.dial(address)
+        self._endpoint.spawn(self._repeat(self._parameters.tick_ms, self.agent.tick))
+        if self._parameters.announces:
+            pause_ms = self._parameters.lease_ms / ANNOUNCEMENTS_PER_LEASE
+            self._endpoint.spawn(self._repeat(pause_ms, self._announce_to_all))
+
+    async def stop(self, deadline_ms: float | None = None) -> None:
+        """Take no more starts, finish what runs, see it received, then close.
+
+        Parameters
+        ----------
+        deadline_ms : float, optional
+            Time in milliseconds; by default that of the parameters.
+        """
+        limit_ms = self._parameters.stop_deadline_ms if deadline_ms is None else deadline_ms
+        until_ms = self._clock() + limit_ms
+        self._stopping = True
+        self._announce_to_all()
+        self._beat()
+        await self._wait_for_runs(limit_ms)
+        cut_off = self.agent.slots.running
+        self.agent.stop_all()
+        await self._wait_for_runs(self._parameters.stop_task_ms)
+        await self._wait_for_echoes(max(until_ms, self._clock() + self._endpoint.silent_ms))
+        await self._endpoint.stop()
+        await self._client.close()
+        await self._stop_client.close()
+        emit(AGENT_STOPPED, target=self._parameters.target, cut_off=cut_off)
+
+    def set_leaving(self, leaving: bool) -> None:
+        """Note whether the target announces that it leaves; a leaving one gets no starts."""
+        self._leaving = leaving
+        self._beat()
+
+    # ---- rim of the state ----
+
+    def _gate_state(self) -> GateState:
+        return GateState(
+            self._parameters.target,
+            self._endpoint.identity.incarnation,
+            self._follower.freshness.is_fresh(),
+            self._standing,
+            self._leaving,
+            self._stopping,
+            self._clock() < self._may_start_ms,
+        )
+
+    def _send(self, entry: str, message: Any) -> bool:
+        link = self._endpoint.links.get(entry)
+        if link is None:
+            return False
+        if link.send(message):
+            return True
+        link.close()
+        return False
+
+    async def _run_task(self, job: str, start: ttypes.TaskStart, budget_ms: float) -> Outcome:
+        return await run_task(
+            self._client,
+            self._parameters.address,
+            job,
+            start.task,
+            start.body,
+            budget_ms,
+            self._standing.max_answer_bytes,
+        )
+
+    async def _stop_task(self, job: str, task: int) -> None:
+        address, limit_ms = self._parameters.address, self._parameters.stop_task_ms
+        await stop_task(self._stop_client, address, job, task, limit_ms)
+
+    # ---- links ----
+
+    def _connect_handlers(self) -> None:
+        endpoint, agent = self._endpoint, self.agent
+        endpoint.state_heartbeat = self._state_heartbeat
+        endpoint.receive_heartbeat = self._receive_heartbeat
+        endpoint.on_up(self._link_up)
+        endpoint.on_down(lambda link: agent.forget_entry(link.peer.name))
+        endpoint.on(ttypes.StartTasks, lambda link, m: agent.start_tasks(link.peer.name, m))
+        endpoint.on(
+            ttypes.ResolveAttempts, lambda link, m: agent.resolve_attempts(link.peer.name, m)
+        )
+        endpoint.on(ttypes.FenceJob, lambda link, m: agent.fence_job(m))
+        endpoint.on(ttypes.StopTasks, lambda link, m: agent.stop_tasks(m))
+        endpoint.on(ttypes.SlotWant, lambda link, m: agent.want_slots(link.peer.name, m))
+        endpoint.on(ttypes.LedgerRequest, lambda link, m: agent.list_ledger())
+        endpoint.on(ttypes.ConfigurationChange, self._receive_change)
+        endpoint.on(ShareAnnouncements, self._receive_announcements)
+
+    def _link_up(self, link: Link) -> None:
+        self.agent.forget_entry(link.peer.name)
+        self._echoed_ms.pop(link.peer.name, None)
+        if self._parameters.announces:
+            link.send(self._announcement())
+        link.beat()
+
+    def _state_heartbeat(self, link: Link) -> Heartbeat:
+        version = self._follower.configuration.version
+        age_ms = math.ceil(min(self._follower.freshness.age_ms(), NEVER_CONFIRMED_AGE_MS))
+        load = self.agent.load(link.peer.name)
+        return Heartbeat(
+            config_version=version,
+            config_age_ms=age_ms,
+            loads=[load],
+            stopping=self._stopping,
+            confirmed_version=version,
+        )
+
+    def _receive_heartbeat(self, link: Link, heartbeat: Heartbeat, asked_ms: float | None) -> None:
+        if asked_ms is not None:
+            self._echoed_ms[link.peer.name] = asked_ms
+        if link.peer.role != "entry":
+            return
+        request = self._follower.receive_heartbeat(link, heartbeat, asked_ms)
+        if request is not None:
+            self._endpoint.spawn(self._follower.fetch(link, request))
+
+    def _receive_change(self, link: Link, change: ttypes.ConfigurationChange) -> None:
+        if link.peer.role == "entry":
+            self._follower.apply(change)
+
+    def _apply_items(self, items: dict[str, bytes]) -> None:
+        self._standing = read_standing(items, self._parameters.target)
+        members = {member.address for member in read_view(items.get("view")).members}
+        wanted = members | set(self._parameters.entries)
+        for address in wanted - set(self._endpoint.dialed()):
+            self._endpoint.dial(address)
+        for address in set(self._endpoint.dialed()) - wanted:
+            self._endpoint.undial(address)
+        self._beat()
+        self.agent.outbox.request_flush()
+
+    # ---- announcements ----
+
+    def _announcement(self) -> ShareAnnouncements:
+        parameters = self._parameters
+        announcement = Announcement(
+            target=parameters.target,
+            address=parameters.address,
+            slots=self.agent.slots.count,
+            connections=parameters.connections,
+            incarnation=self._endpoint.identity.incarnation,
+            lease_ms=parameters.lease_ms,
+            leaving=self._stopping,
+            has_agent=True,
+        )
+        return ShareAnnouncements([announcement])
+
+    def _announce_to_all(self) -> None:
+        if not self._parameters.announces:
+            return
+        message = self._announcement()
+        for link in self._entry_links():
+            link.send(message)
+
+    def _receive_announcements(self, link: Link, message: ShareAnnouncements) -> None:
+        for announcement in message.announcements or ():
+            if announcement.target in self._standing.references:
+                self.set_leaving(bool(announcement.leaving))
+
+    # ---- internals ----
+
+    def _entry_links(self) -> list[Link]:
+        return [link for link in self._endpoint.links.values() if link.peer.role == "entry"]
+
+    def _beat(self) -> None:
+        for link in self._entry_links():
+            link.beat()
+
+    async def _repeat(self, pause_ms: float, step) -> None:
+        while True:
+            await asyncio.sleep(pause_ms / 1000)
+            try:
+                step()
+            except Exception as error:
+                emit(AGENT_LOOP_FAILED, error=repr(error))
+
+    async def _wait_for_runs(self, limit_ms: float) -> None:
+        with suppress(TimeoutError):
+            async with asyncio.timeout(max(0.0, limit_ms) / 1000):
+                await self.agent.wait_until_idle()
+
+    async def _wait_for_echoes(self, until_ms: float) -> None:
+        """Wait until each entry has answered a heartbeat sent after the last outcome."""
+        await asyncio.sleep(0)
+        sent_ms = self._clock()
+        self._beat()
+        while self._clock() < until_ms:
+            waiting = [
+                link
+                for link in self._entry_links()
+                if self._echoed_ms.get(link.peer.name, -math.inf) < sent_ms
+            ]
+            if not waiting:
+                return
+            await asyncio.sleep(POLL_MS / 1000)
