--- a/apricotrail/entry/_application.py
+++ b/apricotrail/entry/_application.py
@@ -7,7 +7,7 @@
 
 from returns.result import Failure, Result, Success
 
-from apricotrail.agent import make_hosted_agent
+from apricotrail.agent import GRANT_MS, make_hosted_agent
 from apricotrail.application import Application
 from apricotrail.clocks import monotonic_ms, wall_ms
 from apricotrail.entry._admission import (
@@ -24,8 +24,9 @@
 from apricotrail.entry._control_client import CONTROL_CALL_MS, ControlClient
 from apricotrail.entry._dispatch import AGENT_LOST_MS, STOP_GRACE_MS, Dispatcher
 from apricotrail.entry._hosting import Hosting, HostingParts
+from apricotrail.entry._job import JobResult
 from apricotrail.entry._relay import ConfigurationRelay
-from apricotrail.entry._submission import read_limits
+from apricotrail.entry._submission import Submission, read_limits
 from apricotrail.entry._succession import SYNC_MS, ViewSuccession
 from apricotrail.entry._takeover import TakeOverParts, make_take_over
 from apricotrail.entry._uncertainty import Vouching
@@ -34,6 +35,7 @@
 from apricotrail.events import Level, declare_event, emit
 from apricotrail.http import HttpServer, Router, read_server_limits
 from apricotrail.membership import CONFIG_STALE_MS, NEVER_CONFIRMED_AGE_MS
+from apricotrail.metrics import make_metrics, watch_loop_lag
 from apricotrail.policy import PLACEMENTS, Admission
 from apricotrail.settings import Settings, declare_setting
 from apricotrail.wire import KEY_FILE, KeyRing, Link, LinkEndpoint, parse_address
@@ -60,9 +62,7 @@
 FINISH_MS = declare_setting(
     "entry.finish_ms", 20_000, "How long a stopping entry waits for its jobs.", unit="ms", minimum=0
 )
-GRANT_MS = declare_setting(
-    "agent.grant_ms", 50, "How long an agent reserves a granted slot.", unit="ms", minimum=1
-)
+HTTP_OK = 200
 TICK_MS = 250
 POLL_MS = 20
 MS_PER_S = 1_000
@@ -116,6 +116,7 @@
         self.succession = ViewSuccession(
             self.table, self.find_link, self.identity, monotonic_ms, settings.get(SYNC_MS)
         )
+        self.metrics = make_metrics("entry")
         self.dispatcher = self._make_dispatcher()
         self.hosting = Hosting(self._hosting_parts())
         admission = self._admission_parts()
@@ -307,6 +308,7 @@
         endpoint.on(ttypes.CopyAnswer, self.pipeline.receive_answer)
         endpoint.on(ttypes.AttachJob, self.pipeline.receive_attach)
         endpoint.on(ttypes.CancelJob, self.pipeline.receive_cancel)
+        self._watch_gauges()
         self.relay.on_applied.append(self._configuration_applied)
         self.application.on_start(self._start)
         self.application.on_stop(self._stop)
@@ -322,6 +324,7 @@
             placement,
             monotonic_ms,
             self.random,
+            self.metrics,
             self.settings.get(AGENT_LOST_MS),
             self.settings.get(STOP_GRACE_MS),
         )
@@ -399,17 +402,37 @@
             self.leave,
             lambda: self.ready and self.succession.is_ready() and self.relay.freshness.is_fresh(),
             self.retry_after_ms,
-            self._render_metrics,
-            lambda submission, result, response_ms: None,
+            self.metrics.render,
+            self._observe,
             monotonic_ms,
         )
         add_caller_routes(router, parts)
         return router
 
-    def _render_metrics(self) -> bytes:
-        counters = self.dispatcher.counters
-        lines = [f"apricotrail_{name}_total {counters[name]}" for name in sorted(counters)]
-        return ("\n".join(lines) + "\n").encode()
+    def _observe(
+        self, submission: Submission, result: Result[JobResult, Problem], response_ms: float
+    ) -> None:
+        if isinstance(result, Failure):
+            self.metrics.refusals.add(result.failure().kind.value)
+            return
+        complete = result.unwrap().status == HTTP_OK
+        self.metrics.jobs.add("complete" if complete else "failed")
+        self.metrics.response_ms.observe(response_ms)
+
+    def _watch_gauges(self) -> None:
+        metrics = self.metrics
+        metrics.links.watch(self.endpoint.links.__len__)
+        metrics.config_version.watch(lambda: self.relay.configuration.version)
+        metrics.config_age_ms.watch(self.relay.freshness.age_ms)
+        metrics.queued_tasks.watch(self.dispatcher.count_all_queued)
+        metrics.running_tasks.watch(self.dispatcher.count_running)
+        metrics.slots.watch(lambda: sum(agent.slots for agent in self.agents.connected()))
+        metrics.free_slots.watch(
+            lambda: sum(agent.count_free() for agent in self.agents.connected())
+        )
+        metrics.targets_ejected.watch(lambda: len(self.dispatcher.health.ejected()))
+        metrics.claims.watch(self.table.__len__)
+        metrics.view_epoch.watch(lambda: self.succession.view.epoch)
 
     # ---- life cycle ----
 
@@ -419,6 +442,7 @@
         for address in self.settings.get(CONTROL_ADDRESSES):
             self.endpoint.dial(address)
         self.application.spawn(self._tick_forever())
+        self.application.spawn(watch_loop_lag(self.metrics.loop_lag_ms))
         self.address = await self.server.listen(*parse_address(self.settings.get(LISTEN)))
         self.ready = True
 
--- a/apricotrail/entry/_dispatch.py
+++ b/apricotrail/entry/_dispatch.py
@@ -1,7 +1,7 @@
 """Places queued tasks on agents and takes in their outcomes."""
 
 import asyncio
-from collections import Counter, defaultdict
+from collections import defaultdict
 from collections.abc import Callable, Iterable
 from functools import partial
 from random import Random
@@ -10,9 +10,10 @@
 
 from apricotrail.clocks import Clock
 from apricotrail.entry._agents import AgentState, AgentTable
-from apricotrail.entry._job import Job, describe_reason
+from apricotrail.entry._job import STATE_NAMES, Job, describe_reason
 from apricotrail.errors import ErrorKind, Problem
 from apricotrail.events import Level, declare_event, emit
+from apricotrail.metrics import EntryMetrics
 from apricotrail.policy import (
     Candidate,
     FairQueue,
@@ -105,6 +106,8 @@
         Monotonic time in milliseconds.
     random : Random
         Source of jitter.
+    metrics : EntryMetrics
+        Instruments of the entry.
     agent_lost_ms, stop_grace_ms : float
         Deadlines in milliseconds, see the settings.
 
@@ -112,8 +115,8 @@
     ----------
     jobs : dict of str to Job
         Unfinished jobs of this entry.
-    counters : collections.Counter
-        Messages and outcomes by kind.
+    metrics : EntryMetrics
+        Counts messages and outcomes.
     """
 
     def __init__(
@@ -126,11 +129,12 @@
         placement: Placement,
         clock: Clock,
         random: Random,
+        metrics: EntryMetrics,
         agent_lost_ms: float,
         stop_grace_ms: float,
     ) -> None:
         self.jobs: dict[str, Job] = {}
-        self.counters: Counter[str] = Counter()
+        self.metrics = metrics
         self.run_times = RunTimes()
         self.health = TargetHealth()
         self.on_finish: Callable[[Job], None] = lambda job: None
@@ -197,6 +201,14 @@
         """Return how many tasks of a service wait for a slot."""
         return len(self._queues[service])
 
+    def count_all_queued(self) -> int:
+        """Return how many tasks wait for a slot, over all services."""
+        return sum(len(queue) for queue in self._queues.values())
+
+    def count_running(self) -> int:
+        """Return how many started tasks have no outcome."""
+        return sum(len(job.open) for job in self.jobs.values())
+
     def count_unfinished(self, caller: str) -> int:
         """Return how many jobs of a caller are unfinished here."""
         return sum(job.caller == caller for job in self.jobs.values())
@@ -220,7 +232,7 @@
 
     def receive_outcomes(self, link: Link, message: TaskOutcomes) -> None:
         """Take in outcomes of started tasks."""
-        self.counters["outcome_messages"] += 1
+        self.metrics.messages.add("outcome")
         agent = self._agents.find(link.peer.name)
         if agent is None:
             return
@@ -232,7 +244,7 @@
 
     def receive_offer(self, link: Link, offer: SlotOffer) -> None:
         """Take in slots reserved for this entry."""
-        self.counters["offer_messages"] += 1
+        self.metrics.messages.add("offer")
         agent = self._agents.find(link.peer.name)
         if agent is None or offer.agent_incarnation != agent.incarnation:
             return
@@ -339,8 +351,8 @@
             agent.note_start(job.key, tasks)
             self.health.note_start(agent.target, now_ms)
             self._retries.note_start(job.service, len(tasks), now_ms)
-            self.counters["start_messages"] += 1
-            self.counters["tasks_sent"] += len(tasks)
+            self.metrics.messages.add("start")
+            self.metrics.tasks_started.add(len(tasks))
             return
         for task in tasks:
             job.requeue(task)
@@ -354,7 +366,7 @@
             message = SlotWant(agent.target, agent.incarnation, want)
             if agent.link.send(message):
                 agent.want_stated = want
-                self.counters["want_messages"] += 1
+                self.metrics.messages.add("want")
 
     def _withdraw_wants(self, service: str) -> None:
         for target, _zone in self._usable_targets(service):
@@ -362,7 +374,8 @@
             if agent is None or agent.link is None or not agent.want_stated:
                 continue
             if agent.link.send(SlotWant(agent.target, agent.incarnation, 0)):
-                self.counters["want_messages"] += 1
+                self.metrics.messages.add("want")
+                self.metrics.wasted_messages.add("withdrawn_want")
             agent.want_stated = 0
 
     def _mark_target(self, target: str) -> None:
@@ -375,7 +388,7 @@
     def _take_outcomes(self, agent: AgentState, message: TaskOutcomes | AttemptStates) -> None:
         job = self.jobs.get(message.job)
         if job is None:
-            self.counters["outcomes_without_job"] += len(message.outcomes)
+            self.metrics.dropped_replies.add("no_job", len(message.outcomes))
             return
         at_once, later = [], []
         for outcome in message.outcomes:
@@ -415,15 +428,12 @@
             self.run_times.observe(job.service, run_ms, now_ms)
             job.busy_ms += run_ms
             job.longest_ms = max(job.longest_ms, run_ms)
-            self.counters["tasks_done"] += 1
             return False
-        self.counters["tasks_failed"] += 1
         job.fail(_describe_failure(agent.target, outcome))
         return False
 
     def _take_refusal(self, agent: AgentState, job: Job, outcome: TaskOutcome) -> bool:
-        self.counters["refused_starts"] += 1
-        self.counters[f"refused_{describe_reason(outcome.reason).replace(' ', '_')}"] += 1
+        self.metrics.wasted_messages.add(describe_reason(outcome.reason).replace(" ", "_"))
         if outcome.reason in (Reason.EXPIRED, Reason.CANCELLED) or job.problem is not None:
             job.settle(outcome.task, TaskState.NOT_RUN)
             job.fail(_deadline_problem())
@@ -455,7 +465,7 @@
         self.mark(job.service)
 
     def _drop_outcome(self, agent: AgentState, job: Job, outcome: TaskOutcome) -> None:
-        self.counters["outcomes_dropped"] += 1
+        self.metrics.dropped_replies.add("crossed_or_truncated")
         emit(OUTCOME_DROPPED, job=job.key, task=outcome.task, agent=agent.name)
         attempt = job.open.get(outcome.task)
         if attempt is not None and attempt.number == outcome.attempt:
@@ -472,7 +482,7 @@
                 if task in job.open
             ]
             request = ResolveAttempts(key, agent.target, job.epoch, agent.incarnation, attempts)
-            self.counters["resolve_messages"] += 1
+            self.metrics.messages.add("resolve")
             reply = await link.call(request, RESOLVE_CALL_MS)
             if isinstance(reply, Success):
                 self._take_outcomes(agent, reply.unwrap())
@@ -485,6 +495,8 @@
             return False
         if self.jobs.pop(job.key, None) is None:
             return True
+        for state in job.states:
+            self.metrics.tasks.add(STATE_NAMES[state])
         self._queues[job.service].cancel(job.key)
         timer = self._timers.pop(job.key, None)
         if timer is not None:
@@ -505,7 +517,7 @@
             agent = self._agents.find(name)
             if agent is not None and agent.link is not None:
                 agent.link.send(StopTasks(job.key, agent.target, job.epoch, sorted(tasks)))
-                self.counters["stop_messages"] += 1
+                self.metrics.messages.add("stop")
 
     def _set_timer(self, job: Job, when_ms: float, end: Callable[[Job], None]) -> None:
         timer = self._timers.pop(job.key, None)
--- a/apricotrail/entry/_job.py
+++ b/apricotrail/entry/_job.py
@@ -9,9 +9,17 @@
 from apricotrail.errors import ErrorKind, Problem, http_status
 from apricotrail.wire.generated.ttypes import Reason, TaskOutcome, TaskState
 
-__all__ = ["Attempt", "Job", "JobResult", "encode_result", "read_result_status"]
-
-_STATE_NAMES = {
+__all__ = [
+    "STATE_NAMES",
+    "Attempt",
+    "Job",
+    "JobResult",
+    "describe_reason",
+    "encode_result",
+    "read_result_status",
+]
+
+STATE_NAMES = {
     TaskState.DONE: "done",
     TaskState.FAILED: "failed",
     TaskState.NOT_RUN: "not_run",
@@ -176,7 +184,7 @@
             "message": problem.message,
             "remedy": problem.remedy,
         },
-        "tasks": [{"state": _STATE_NAMES[state]} for state in job.states],
+        "tasks": [{"state": STATE_NAMES[state]} for state in job.states],
     }
     return JobResult(http_status(problem.kind), orjson.dumps(value))
 
--- a/apricotrail/entry/tests/test_dispatch.py
+++ b/apricotrail/entry/tests/test_dispatch.py
@@ -14,6 +14,7 @@
 from apricotrail.entry._dispatch import Dispatcher
 from apricotrail.entry._job import Job, encode_result
 from apricotrail.errors import ErrorKind, Problem
+from apricotrail.metrics import make_metrics
 from apricotrail.policy import PLACEMENTS
 from apricotrail.wire.generated.ttypes import (
     AttemptStates,
@@ -71,6 +72,7 @@
             PLACEMENTS["late-binding"](Random(1)),
             self.clock,
             Random(1),
+            make_metrics("entry"),
             20,
             20,
         )
@@ -96,6 +98,9 @@
         message = TaskOutcomes(job.key, target, link.peer.incarnation, list(outcomes), load, 0)
         self.dispatcher.receive_outcomes(link, message)
 
+    def count_dropped(self) -> int:
+        return self.dispatcher.metrics.dropped_replies.values["crossed_or_truncated"]
+
     async def settle(self) -> None:
         for _ in range(5):
             await asyncio.sleep(0)
@@ -150,7 +155,7 @@
             await bench.settle()
             bench.answer(bench.links["r1"], job, outcome)
             self.assertFalse(job.result.done(), name)
-            self.assertEqual(bench.dispatcher.counters["outcomes_dropped"], 1)
+            self.assertEqual(bench.count_dropped(), 1)
             bench.links["r1"].known = [done(0, 1, b"whole")]
             if name in ("truncated", "no answer"):
                 await bench.settle()
@@ -165,7 +170,7 @@
         owners = {task: attempt.agent for task, attempt in job.open.items()}
         other = "r1" if owners[0] == "agent:r2" else "r2"
         bench.answer(bench.links[other], job, done(0))
-        self.assertEqual((job.remaining, bench.dispatcher.counters["outcomes_dropped"]), (2, 1))
+        self.assertEqual((job.remaining, bench.count_dropped()), (2, 1))
 
     @params(
         (Reason.FULL, "start again"),
--- a/apricotrail/metrics/_roles.py
+++ b/apricotrail/metrics/_roles.py
@@ -73,6 +73,7 @@
 
     def __init__(self) -> None:
         super().__init__("entry")
+        self.messages = self._label("messages", "Messages about tasks and claims, by kind.", "kind")
         self.jobs = self._label("jobs", "Jobs answered, by state.", "state")
         self.jobs_attached = self._count("jobs_attached", "Resubmissions joined to their job.")
         self.tasks_started = self._count("tasks_started", "Start messages' tasks sent to agents.")
