--- a/apricotrail/cli/_main.py
+++ b/apricotrail/cli/_main.py
@@ -72,6 +72,7 @@
         argv=words,
         show_types=False,
         version=False,
+        no_negated_flags=True,
         argparse_kwargs={"prog": "apricotrail", "description": "Dispatcher for sub-second tasks."},
     )
 
