--- a/apricotrail/control/_replica.py
+++ b/apricotrail/control/_replica.py
@@ -198,7 +198,7 @@
     """Return the age in milliseconds of the newest proof that nothing newer was accepted.
 
     A leader's proof is the send time of its newest round that a quorum confirmed: no other leader
-    can have been elected before that. A follower's proof is the send time of a reply of its own that
+    can have been elected before that. A follower's proof is the send time of its own reply that
     the leader echoed, less the age that the leader stated. Both times are the own clock's.
     """
     age_ms = state.freshness.age_ms()
--- a/apricotrail/membership/tests/test_configuration.py
+++ b/apricotrail/membership/tests/test_configuration.py
@@ -45,3 +45,13 @@
     assert freshness.age_ms() == 500.0
     clock.advance(2_500)
     assert not freshness.is_fresh()
+
+
+def test_relay_that_got_everything_passes_on_removals():
+    source, relay, behind = Configuration(), Configuration(), Configuration()
+    for step in (change(0, 1, a=b"1", b=b"1"), change(1, 2, a=None), change(2, 3, c=b"3")):
+        source.apply(step)
+    behind.apply(change(0, 1, a=b"1", b=b"1"))
+    relay.apply(source.changes_since(0))
+    behind.apply(relay.changes_since(behind.version))
+    assert behind.items() == source.items()
--- a/apricotrail/wire/_endpoint.py
+++ b/apricotrail/wire/_endpoint.py
@@ -102,6 +102,7 @@
         self._down_hooks: list[Callable[[Link], None]] = []
         self._open: set[Link] = set()
         self._dialers: dict[str, asyncio.Task] = {}
+        self._dialed_names: dict[str, str] = {}
         self._tasks: set[asyncio.Task] = set()
         self._server: asyncio.Server | None = None
 
@@ -151,6 +152,7 @@
     def undial(self, address: str) -> None:
         """Stop dialing `address`; an open link to it is closed."""
         task = self._dialers.pop(address, None)
+        self._dialed_names.pop(address, None)
         if task is not None:
             task.cancel()
 
@@ -186,7 +188,7 @@
     def admit(self, link: Link) -> None:
         """Take a link into use after its handshake."""
         older = self.links.get(link.peer.name)
-        if older is not None and older.peer.incarnation > link.peer.incarnation:
+        if older is not None and self._is_better(older, link):
             link.close()
             return
         self.links[link.peer.name] = link
@@ -197,6 +199,13 @@
         for hook in self._up_hooks:
             hook(link)
 
+    def _is_better(self, older: Link, newer: Link) -> bool:
+        if older.peer.incarnation != newer.peer.incarnation:
+            return older.peer.incarnation > newer.peer.incarnation
+        # When both ends dial, both keep the link that the smaller name dialed.
+        keeps_dialed = self.identity.name < older.peer.name
+        return older.dialing == keeps_dialed and newer.dialing != keeps_dialed
+
     def release(self, link: Link) -> None:
         """Forget a closed link."""
         self._open.discard(link)
@@ -226,9 +235,12 @@
         pause_ms = self._redial_ms
         host, port = parse_address(address)
         while True:
+            while self._dialed_names.get(address) in self.links:
+                await asyncio.sleep(self._redial_ms / 1000)
             link = await self._open_link(host, port)
             if link is not None:
                 pause_ms = self._redial_ms
+                self._dialed_names[address] = link.peer.name
                 try:
                     await asyncio.shield(link.closed)
                 except asyncio.CancelledError:
--- a/apricotrail/wire/_link.py
+++ b/apricotrail/wire/_link.py
@@ -92,6 +92,8 @@
     ----------
     peer : Identity or None
         Who the other end is; None before the handshake.
+    dialing : bool
+        Whether this side opened the connection.
     """
 
     def __init__(self, endpoint: Any, dialing: bool) -> None:
@@ -105,7 +107,7 @@
         self.received_bytes = 0
         self._endpoint = endpoint
         self._clock: Clock = endpoint.clock
-        self._dialing = dialing
+        self.dialing = dialing
         self._reader = FrameReader()
         self._transport: asyncio.Transport | None = None
         self._nonce = urandom(NONCE_BYTES)
@@ -125,7 +127,7 @@
         """Send Hello when this side dialed."""
         self._transport = transport  # type: ignore[assignment]
         self._endpoint.track(self)
-        if self._dialing:
+        if self.dialing:
             self._write(self._hello(), 0)
 
     def data_received(self, data: bytes) -> None:
@@ -244,7 +246,7 @@
             return
         self.peer = hello.identity
         self._peer_nonce = hello.nonce
-        if not self._dialing:
+        if not self.dialing:
             self._write(self._hello(), 0)
         self._write(self._prove(), 0)
 
--- a/apricotrail/wire/tests/test_links.py
+++ b/apricotrail/wire/tests/test_links.py
@@ -56,6 +56,16 @@
             pair.right.links["left"].close()
             await wait_until(lambda: pair.left.links.get("right") not in (None, first))
 
+    async def test_ends_that_dial_each_other_keep_one_link(self):
+        async with Pair() as pair:
+            pair.right.dial(await pair.left.listen("127.0.0.1", 0))
+            await asyncio.sleep(0.1)
+            kept = pair.left.links["right"]
+            await asyncio.sleep(0.1)
+            self.assertIs(pair.left.links["right"], kept)
+            pair.left.links["right"].close()
+            await wait_until(lambda: pair.left.links and pair.right.links)
+
     async def test_other_environment_is_refused(self):
         left, right = make_endpoint("left", "trial"), make_endpoint("right", "production")
         address = await right.listen("127.0.0.1", 0)
