Add the control role over real sockets and files

One or more replicas hold the environment's documents, zone and target states, entry view and hosts in a replicated log. A replica with a lost disk joins again as a learner; a stopping leader hands over. Tested over loopback with one and three replicas.

--- /dev/null
+++ b/apricotrail/control/_answers.py
@@ -0,0 +1,157 @@
+"""Answers questions about control: status, history, a document, whether a version is in force."""
+
+import asyncio
+from typing import Any
+
+from returns.result import Success
+
+from apricotrail.clocks import monotonic_ms
+from apricotrail.control._commands import encode_json
+from apricotrail.control._formation import FORMATION_QUESTION
+from apricotrail.control._members import replica_name
+from apricotrail.control._service import ControlService
+from apricotrail.membership import read_view
+from apricotrail.wire import Link
+from apricotrail.wire.generated.ttypes import StatusReply, StatusRequest
+
+__all__ = ["StatusRouter"]
+
+POLL_MS = 20
+FORWARD_MS = 4_000
+STATUS_ENTRIES_MS = 10_000
+_LED_QUESTIONS = frozenset({"history", "document", "forced"})
+
+
+class StatusRouter:
+    """Answers `StatusRequest`.
+
+    Parameters
+    ----------
+    service : ControlService
+        Replica and links.
+    """
+
+    def __init__(self, service: ControlService) -> None:
+        self._service = service
+
+    async def answer(self, link: Link, request: StatusRequest) -> StatusReply:
+        """Answer here, or by the leader where its newer state matters."""
+        leader = self._service.leader_link
+        if request.what in _LED_QUESTIONS and leader is not None and link.peer.role != "control":
+            reply = await leader.call(request, FORWARD_MS)
+            if isinstance(reply, Success):
+                return reply.unwrap()
+        return StatusReply(await self._answer_here(request))
+
+    async def _answer_here(self, request: StatusRequest) -> bytes:
+        if request.what == "status":
+            return encode_json(self.describe())
+        if request.what == FORMATION_QUESTION:
+            return encode_json({"formed": self._service.node.is_formed})
+        if request.what == "history":
+            history = self._service.node.machine.history
+            return encode_json([record._asdict() for record in history])
+        if request.what == "document":
+            return self._find_document(request.number or 0)
+        if request.what == "forced":
+            return encode_json(await self._wait_in_force(request.number or 0))
+        remedy = "Ask for status, history, document or forced."
+        problem = {"kind": "malformed", "message": "Unknown question.", "remedy": remedy}
+        return encode_json(problem)
+
+    def describe(self) -> dict[str, Any]:
+        """Return this replica's status as JSON values."""
+        node = self._service.node
+        replica, machine = node.replica, node.machine
+        now_ms = monotonic_ms()
+        return {
+            "replica": node.replica_id,
+            "role": replica.role.value,
+            "leader": replica.leader,
+            "term": replica.term,
+            "commit_index": replica.commit_index,
+            "applied_index": node.applied_index,
+            "snapshot_index": node.snapshot_index,
+            "log_bytes": node.storage.log_bytes,
+            "version": machine.version,
+            "config_age_ms": int(node.confirmation_age_ms()),
+            "document": machine.read_item("document"),
+            "view": machine.read_item("view"),
+            "zones_out": _list_states(machine.configuration.items(), "zone-state/"),
+            "targets_leaving": _list_states(machine.configuration.items(), "target-state/"),
+            "members": [self._describe_member(key) for key in sorted(replica.log.members)],
+            "entries": [
+                entry._replace(heard_ms=now_ms - entry.heard_ms)._asdict()
+                for entry in self._service.entries.heard_within(now_ms, STATUS_ENTRIES_MS)
+            ],
+        }
+
+    def _describe_member(self, replica_id: str) -> dict[str, Any]:
+        node = self._service.node
+        member = node.replica.log.members[replica_id]
+        progress = node.replica.progress.get(replica_id)
+        linked = replica_id == node.replica_id or replica_id in self._service.endpoint.links
+        return {
+            "id": replica_id,
+            "name": replica_name(replica_id),
+            "address": member.address,
+            "voter": member.voter,
+            "linked": linked,
+            "match_index": progress.match_index if progress is not None else None,
+        }
+
+    def _find_document(self, number: int) -> bytes:
+        machine = self._service.node.machine
+        wanted = number or (machine.history[-1].number if machine.history else 0)
+        return machine.texts.get(wanted, b"")
+
+    async def _wait_in_force(self, version: int) -> dict[str, Any]:
+        service = self._service
+        asked_ms = monotonic_ms()
+        stale_ms = service.parts.stale_ms
+        while True:
+            now_ms = monotonic_ms()
+            known = service.node.machine.version >= version
+            behind = self._list_behind(version, now_ms)
+            if known and not behind:
+                return _describe_force(version, True, "confirmed", now_ms - asked_ms, behind)
+            since_ms = service.committed_ms.get(version, asked_ms)
+            if now_ms - since_ms > stale_ms:
+                how = "stale_limit" if known else "unknown_version"
+                return _describe_force(version, known, how, now_ms - asked_ms, behind)
+            await asyncio.sleep(POLL_MS / 1000)
+
+    def _list_behind(self, version: int, now_ms: float) -> list[str]:
+        """Return the entries that may still use an older version.
+
+        These are the members of the view, entries linked now or heard within the stale limit.
+        """
+        service = self._service
+        view = read_view(service.node.machine.configuration.find("view"))
+        processes = {(member.name, member.incarnation) for member in view.members}
+        for entry in service.entries.heard_within(now_ms, service.parts.stale_ms):
+            processes.add((entry.name, entry.incarnation))
+        for link in service.entry_links():
+            processes.add((link.peer.name, link.peer.incarnation))
+        behind = []
+        for name, incarnation in sorted(processes):
+            entry = service.entries.find(name, incarnation)
+            if entry is None or entry.confirmed_version < version:
+                behind.append(name)
+        return behind
+
+
+def _list_states(items: dict[str, bytes], prefix: str) -> list[str]:
+    return sorted(key[len(prefix) :] for key in items if key.startswith(prefix))
+
+
+def _describe_force(
+    version: int, in_force: bool, how: str, waited_ms: float, behind: list[str]
+) -> dict[str, Any]:
+    return {
+        "version": version,
+        "in_force": in_force,
+        "how": how,
+        "waited_ms": round(waited_ms),
+        "behind": behind,
+    }
--- /dev/null
+++ b/apricotrail/control/_application.py
@@ -0,0 +1,221 @@
+"""The control role: one replica with real files, clocks and links."""
+
+import asyncio
+from pathlib import Path
+from random import Random
+
+from apricotrail.application import Application
+from apricotrail.clocks import monotonic_ms, wall_ms
+from apricotrail.control._acceptance import PROMOTION_KEY_FILE, TRIAL_ENVIRONMENT, Promotion
+from apricotrail.control._answers import StatusRouter
+from apricotrail.control._changes import DocumentFunctions
+from apricotrail.control._files import make_file_layer
+from apricotrail.control._formation import found_group
+from apricotrail.control._members import replica_name
+from apricotrail.control._node import Limits, Node, Setup
+from apricotrail.control._proposals import PROPOSE_MS, ProposalRouter
+from apricotrail.control._replica import Timing
+from apricotrail.control._service import ControlService, ServiceParts
+from apricotrail.document import check_succession, make_items, parse_document
+from apricotrail.errors import ApricotrailError, ErrorKind, Problem
+from apricotrail.membership import CONFIG_STALE_MS
+from apricotrail.settings import Settings, declare_constraint, declare_setting
+from apricotrail.wire import KEY_FILE, KeyRing, LinkEndpoint, parse_address
+from apricotrail.wire.generated.ttypes import Identity, Propose, StatusRequest
+
+__all__ = ["Control", "make_control"]
+
+NAME = declare_setting("control.name", "control-1", "Name of this replica.")
+ZONE = declare_setting("control.zone", "", "Availability zone of this replica.")
+ENVIRONMENT = declare_setting("control.environment", "production", "Environment of this replica.")
+LISTEN = declare_setting("control.listen", "127.0.0.1:7070", "Address for links.")
+DATA_FOLDER = declare_setting(
+    "control.data_folder", "data/control", "Folder on a disk; locked by the replica that uses it."
+)
+PEERS = declare_setting(
+    "control.peers",
+    [],
+    'All replicas as "name=host:port", this one included; empty or one entry for a single replica.',
+)
+ROUND_MS = declare_setting(
+    "control.round_ms", 150, "Time between two rounds of a leader.", unit="ms", minimum=10
+)
+ELECTION_MS = declare_setting(
+    "control.election_ms",
+    800,
+    "Silence of a leader before an election; a leader without a quorum for as long steps down.",
+    unit="ms",
+    minimum=50,
+    maximum=10_000,
+)
+ENTRY_SILENT_MS = declare_setting(
+    "control.entry_silent_ms",
+    1_500,
+    "Silence after which an entry leaves the view.",
+    unit="ms",
+    minimum=100,
+    maximum=60_000,
+)
+SNAPSHOT_ENTRIES = declare_setting(
+    "control.snapshot_entries", 10_000, "Log entries between two snapshots.", minimum=10
+)
+declare_constraint(
+    (ROUND_MS, ELECTION_MS),
+    lambda round_ms, election_ms: round_ms * 3 <= election_ms,
+    "control.round_ms must be at most a third of control.election_ms",
+    "Lower control.round_ms, or raise control.election_ms.",
+)
+TRANSFER_POLL_MS = 10
+
+
+class Control:
+    """One control process.
+
+    Parameters
+    ----------
+    settings : Settings
+        Values of ``control.*``, ``link.*`` and ``membership.config_stale_ms``.
+
+    Attributes
+    ----------
+    application : Application
+        Life cycle.
+    service : ControlService or None
+        The running replica, once started.
+    """
+
+    def __init__(self, settings: Settings) -> None:
+        self.settings = settings
+        self.application = Application("control")
+        self.service: ControlService | None = None
+        self._peers = _read_peers(settings.get(PEERS), settings.get(NAME))
+        self.application.on_start(self._start)
+        self.application.on_stop(self._stop)
+
+    @property
+    def address(self) -> str:
+        """Address of the links, once started."""
+        return self.service.endpoint.identity.address if self.service is not None else ""
+
+    async def _start(self) -> None:
+        node = self._open_node()
+        self.service = ControlService(self._make_parts(node))
+        self._connect(self.service)
+        endpoint = self.service.endpoint
+        try:
+            await endpoint.listen(*parse_address(self.settings.get(LISTEN)))
+        except OSError:
+            node.close()
+            self.service = None
+            raise
+        endpoint.start()
+        await self._form_if_single(self.service)
+        self.application.spawn(self.service.tick_forever())
+        self.application.spawn(self.service.oversee_forever())
+        self.application.spawn(found_group(self.service))
+
+    async def _form_if_single(self, service: ControlService) -> None:
+        if len(self._peers) == 1:
+            await found_group(service)
+            service.node.tick()
+            service.flush()
+
+    async def _stop(self) -> None:
+        if self.service is None:
+            return
+        await self._hand_over(self.service)
+        await self.service.endpoint.stop()
+        self.service.node.close()
+
+    async def _hand_over(self, service: ControlService) -> None:
+        replica = service.node.replica
+        if service.failed.is_set() or not replica.is_leader:
+            return
+        service.node.begin_transfer()
+        service.flush()
+        election_ms = self.settings.get(ELECTION_MS)
+        for _ in range(int(2 * election_ms / TRANSFER_POLL_MS)):
+            if not replica.is_leader or replica.transfer is None:
+                return
+            await asyncio.sleep(TRANSFER_POLL_MS / 1000)
+
+    def _open_node(self) -> Node:
+        settings = self.settings
+        return Node(
+            Setup(
+                name=settings.get(NAME),
+                files=make_file_layer(Path(settings.get(DATA_FOLDER))),
+                documents=DocumentFunctions(parse_document, check_succession, make_items),
+                clock=monotonic_ms,
+                random=Random(),
+                send=lambda replica_id, message: self.service.send(replica_id, message),
+                on_change=lambda: self.service.on_change(),
+                timing=Timing(settings.get(ROUND_MS), settings.get(ELECTION_MS)),
+                limits=Limits(snapshot_entries=settings.get(SNAPSHOT_ENTRIES)),
+            )
+        )
+
+    def _make_parts(self, node: Node) -> ServiceParts:
+        settings = self.settings
+        identity = Identity(
+            node.replica_id, "control", settings.get(ZONE), wall_ms(), settings.get(LISTEN)
+        )
+        key_file = settings.get(KEY_FILE)
+        keys = KeyRing(Path(key_file) if key_file else None)
+        endpoint = LinkEndpoint(identity, settings.get(ENVIRONMENT), keys, settings)
+        return ServiceParts(
+            endpoint,
+            node,
+            self._peers,
+            float(settings.get(ENTRY_SILENT_MS)),
+            float(settings.get(CONFIG_STALE_MS)),
+        )
+
+    def _connect(self, service: ControlService) -> None:
+        settings = self.settings
+        promotion = Promotion(
+            settings.get(ENVIRONMENT),
+            settings.get(TRIAL_ENVIRONMENT),
+            settings.get(PROMOTION_KEY_FILE),
+        )
+        router = ProposalRouter(service, promotion, float(settings.get(PROPOSE_MS)))
+        service.connect()
+        service.endpoint.on(Propose, router.answer)
+        service.endpoint.on(StatusRequest, StatusRouter(service).answer)
+
+
+def make_control(settings: Settings) -> Application:
+    """Return the control role, ready to start.
+
+    Parameters
+    ----------
+    settings : Settings
+        Values of ``control.*``, ``link.*`` and others.
+
+    Raises
+    ------
+    ApricotrailError
+        If ``control.peers`` can't be read or lacks this replica.
+    """
+    return Control(settings).application
+
+
+def _read_peers(lines: list, own_name: str) -> dict[str, str]:
+    peers: dict[str, str] = {}
+    for line in lines:
+        name, separator, address = str(line).partition("=")
+        if not separator or not name or replica_name(name) != name:
+            raise _settings_error(f"control.peers: {line!r} is not of the form name=host:port.")
+        try:
+            parse_address(address)
+        except ValueError as error:
+            raise _settings_error(f"control.peers: {error}.") from error
+        peers[name] = address
+    if peers and own_name not in peers:
+        raise _settings_error(f"control.peers lacks this replica, {own_name!r}.")
+    return peers or {own_name: ""}
+
+
+def _settings_error(message: str) -> ApricotrailError:
+    remedy = "List every replica once, as name=host:port, the same list for each of them."
+    return ApricotrailError(Problem(ErrorKind.SETTINGS, message, remedy))
--- a/apricotrail/control/_commands.py
+++ b/apricotrail/control/_commands.py
@@ -27,6 +27,7 @@
 MAX_DOCUMENT_BYTES = 8 * 1024 * 1024
 MAX_STATES = 65_536
 MAX_VIEW_MEMBERS = 256
+MAX_PREVIOUS_VIEWS = 8
 DOCUMENT_KEY = "document"
 _DOCUMENT_PREFIXES = ("service/", "zone/", "target/", "team/")
 _READ_AGAIN = "Read the present state and decide again."
@@ -120,7 +121,7 @@
 
 
 def _decide_view(state: "StateMachine", command: Command, view: InstallView) -> Decision:
-    present = state.read_item("view") or {"epoch": 0}
+    present = state.read_item("view") or {"epoch": 0, "members": []}
     if view.epoch != present["epoch"] + 1:
         message = f"The view has epoch {present['epoch']}; {view.epoch} does not follow it."
         return _refuse(ErrorKind.CONFLICT, message, _READ_AGAIN)
@@ -130,11 +131,19 @@
     value = {
         "epoch": view.epoch,
         "members": [_describe_member(member) for member in view.members or []],
-        "lost_wall_ms": view.lost_wall_ms or 0,
+        "lost_wall_ms": max(present.get("lost_wall_ms", 0), view.lost_wall_ms or 0),
+        "previous": _list_previous(present),
     }
     return Success(Change({"view": encode_json(value)}))
 
 
+def _list_previous(present: dict) -> list[dict]:
+    if not present["epoch"]:
+        return []
+    former = {key: value for key, value in present.items() if key != "previous"}
+    return [*present.get("previous", []), former][-MAX_PREVIOUS_VIEWS:]
+
+
 def _describe_member(member: ViewMember) -> dict:
     return {
         "name": member.name,
--- /dev/null
+++ b/apricotrail/control/_formation.py
@@ -0,0 +1,62 @@
+"""Founds a group once every listed replica is linked and has an empty folder.
+
+Only the first of the list founds. All must be present, so that a replica that lost its disk never
+founds a second group beside one that exists: it finds the others formed and joins as a learner.
+"""
+
+import asyncio
+import json
+
+from returns.result import Success
+
+from apricotrail.control._members import Member, replica_name
+from apricotrail.control._service import CONTROL_FORMED, ControlService
+from apricotrail.events import emit
+from apricotrail.wire import Link
+from apricotrail.wire.generated.ttypes import StatusRequest
+
+__all__ = ["FORMATION_QUESTION", "found_group"]
+
+FORMATION_QUESTION = "formation"
+ASK_MS = 1_000
+RETRY_MS = 100
+
+
+async def found_group(service: ControlService) -> None:
+    """Wait until this replica belongs to a group, founding it if that is its part."""
+    node = service.node
+    names = list(service.parts.peers)
+    if names and names[0] != replica_name(node.replica_id):
+        return
+    while not node.is_formed and not service.failed.is_set():
+        members = await _find_founders(service, names)
+        if members is not None and not node.is_formed:
+            node.form(members)
+            emit(CONTROL_FORMED, members=sorted(members))
+            service.flush()
+            return
+        await asyncio.sleep(RETRY_MS / 1000)
+
+
+async def _find_founders(service: ControlService, names: list[str]) -> dict[str, Member] | None:
+    own_id = service.node.replica_id
+    founders = {own_id: Member(service.endpoint.identity.address, True)}
+    links = {
+        replica_name(link.peer.name): link
+        for link in service.endpoint.links.values()
+        if link.peer.role == "control"
+    }
+    for name in names:
+        if name == replica_name(own_id):
+            continue
+        if name not in links or not await _is_empty(links[name]):
+            return None
+        founders[links[name].peer.name] = Member(links[name].peer.address, True)
+    return founders
+
+
+async def _is_empty(link: Link) -> bool:
+    reply = await link.call(StatusRequest(FORMATION_QUESTION, 0), ASK_MS)
+    if not isinstance(reply, Success):
+        return False
+    return json.loads(reply.unwrap().body or b"{}").get("formed") is False
--- a/apricotrail/control/_node.py
+++ b/apricotrail/control/_node.py
@@ -14,6 +14,7 @@
 
 from apricotrail.clocks import Clock
 from apricotrail.control._changes import DocumentFunctions
+from apricotrail.control._election import begin_transfer
 from apricotrail.control._files import FileLayer
 from apricotrail.control._log import ReplicatedLog
 from apricotrail.control._members import Members, make_replica_id
@@ -192,6 +193,11 @@
         index = append_command(replica, encode_message(command))
         self._wait(index, done)
 
+    def begin_transfer(self) -> bool:
+        """Begin to hand leadership to another replica; `flush` must follow."""
+        self.replica.now_ms = self.setup.clock()
+        return begin_transfer(self.replica)
+
     def flush(self) -> None:
         """Write, sync, send and apply everything that is due.
 
@@ -209,11 +215,15 @@
         self.replica.freshness.advance(self.applied_index)
         return confirmation_age_ms(self.replica)
 
-    def close(self) -> None:
-        """Close the files and fail what still waits."""
+    def abandon(self) -> None:
+        """Fail what still waits; its outcome is unknown."""
         for pending in self._pending.values():
             pending.done(Failure(_unknown_outcome()))
         self._pending.clear()
+
+    def close(self) -> None:
+        """Close the files and fail what still waits."""
+        self.abandon()
         self.storage.close()
 
     # ---- internals ----
--- /dev/null
+++ b/apricotrail/control/_proposals.py
@@ -0,0 +1,141 @@
+"""Takes commands from entries, on any replica, and passes them to the leader."""
+
+import asyncio
+import json
+from typing import Any
+
+from returns.result import Failure, Result, Success
+
+from apricotrail.clocks import monotonic_ms
+from apricotrail.control._acceptance import Promotion, check_acceptance, make_proof
+from apricotrail.control._commands import encode_json
+from apricotrail.control._requests import Outcome
+from apricotrail.control._service import ControlService
+from apricotrail.errors import ErrorKind, Problem
+from apricotrail.settings import declare_setting
+from apricotrail.wire import Link
+from apricotrail.wire.generated.ttypes import Command, Propose, ProposeReply
+
+__all__ = ["PROPOSE_MS", "ProposalRouter"]
+
+PROPOSE_MS = declare_setting(
+    "control.propose_ms",
+    5_000,
+    "Longest time to bring a change to the leader and commit it.",
+    unit="ms",
+    minimum=100,
+    maximum=60_000,
+)
+RETRY_MS = 50
+MAX_REQUEST_ID = 200
+_RETRIED_KINDS = frozenset({ErrorKind.NO_QUORUM.value})
+
+
+class ProposalRouter:
+    """Answers `Propose`.
+
+    Parameters
+    ----------
+    service : ControlService
+        Replica and links.
+    promotion : Promotion
+        How this environment takes documents.
+    propose_ms : float
+        Longest time for one command.
+    """
+
+    def __init__(self, service: ControlService, promotion: Promotion, propose_ms: float) -> None:
+        self._service = service
+        self._promotion = promotion
+        self._propose_ms = propose_ms
+
+    async def answer(self, link: Link, message: Propose) -> ProposeReply:
+        """Carry out a command here or on the leader; retried only while nothing was recorded."""
+        problem = _check_command(message.command)
+        if problem is not None:
+            return self._refuse(problem)
+        deadline_ms = monotonic_ms() + self._propose_ms
+        forwarded = link.peer.role == "control"
+        while True:
+            left_ms = deadline_ms - monotonic_ms()
+            reply = await self._try_once(message.command, forwarded, left_ms)
+            if forwarded or not self._should_retry(message.command, reply):
+                return reply
+            if deadline_ms - monotonic_ms() <= RETRY_MS:
+                return reply
+            await asyncio.sleep(RETRY_MS / 1000)
+
+    async def _try_once(self, command: Command, forwarded: bool, left_ms: float) -> ProposeReply:
+        if self._service.node.replica.is_leader:
+            return await self._propose_here(command, left_ms)
+        link = self._service.leader_link
+        if link is None or forwarded:
+            remedy = "Retry; check that a majority of the control replicas runs and is connected."
+            return self._refuse(Problem(ErrorKind.NO_QUORUM, "No leader is known here.", remedy))
+        reply = await link.call(Propose(command), max(1.0, left_ms))
+        if isinstance(reply, Success):
+            return reply.unwrap()
+        return self._refuse(reply.failure())
+
+    async def _propose_here(self, command: Command, left_ms: float) -> ProposeReply:
+        known = self._service.node.machine.find_answer(command)
+        if known is None and command.put_document is not None:
+            problem = check_acceptance(self._promotion, command.put_document)
+            if problem is not None:
+                return self._refuse(problem)
+        try:
+            async with asyncio.timeout(max(1.0, left_ms) / 1000):
+                result = await self._service.propose(command)
+        except TimeoutError:
+            remedy = "Send it again under the same request id: it may still be committed."
+            message = "The change was logged but not committed in time."
+            result = Failure(Problem(ErrorKind.UNKNOWN_OUTCOME, message, remedy))
+        return self._make_reply(command, result)
+
+    def _make_reply(self, command: Command, result: Result[Outcome, Problem]) -> ProposeReply:
+        if not isinstance(result, Success):
+            return self._refuse(result.failure())
+        outcome = result.unwrap()
+        answer = outcome.answer
+        if outcome.accepted and command.put_document is not None:
+            answer = _add_proof(answer, make_proof(self._promotion, command.put_document))
+        return ProposeReply(outcome.accepted, outcome.version, answer)
+
+    def _should_retry(self, command: Command, reply: ProposeReply) -> bool:
+        if reply.accepted:
+            return False
+        kind = _read_kind(reply)
+        if kind in _RETRIED_KINDS or kind == ErrorKind.UNREACHABLE.value:
+            return True
+        return kind == ErrorKind.UNKNOWN_OUTCOME.value and bool(command.request_id)
+
+    def _refuse(self, problem: Problem) -> ProposeReply:
+        version = self._service.node.machine.version
+        answer = {
+            "kind": problem.kind.value,
+            "message": problem.message,
+            "remedy": problem.remedy,
+            "version": version,
+        }
+        return ProposeReply(False, version, encode_json(answer))
+
+
+def _check_command(command: Command | None) -> Problem | None:
+    if command is None:
+        return Problem(ErrorKind.MALFORMED, "The proposal has no command.", "Send one.")
+    if len(command.request_id or "") > MAX_REQUEST_ID:
+        message = f"The request id is longer than {MAX_REQUEST_ID} characters."
+        return Problem(ErrorKind.MALFORMED, message, "Choose a shorter one, such as a UUID.")
+    return None
+
+
+def _read_kind(reply: ProposeReply) -> str:
+    return str(_read_json(reply.answer).get("kind", ""))
+
+
+def _add_proof(answer: bytes, proof: str) -> bytes:
+    return encode_json({**_read_json(answer), "acceptance": proof}) if proof else answer
+
+
+def _read_json(text: bytes | None) -> dict[str, Any]:
+    return json.loads(text or b"{}")
--- /dev/null
+++ b/apricotrail/control/_repair.py
@@ -0,0 +1,67 @@
+"""Decides how the leader brings a replica with an empty disk back into the group.
+
+The new identity joins as a learner. Once it has caught up, the lost identity of the same name is
+removed, then the new one is promoted: one change at a time, each committed before the next.
+"""
+
+from collections.abc import Mapping
+
+from apricotrail.control._members import Member, replica_name
+from apricotrail.control._replica import ReplicaState, is_leader_ready
+from apricotrail.wire.generated.ttypes import ChangeMember
+
+__all__ = ["CAUGHT_UP_ENTRIES", "decide_member_change"]
+
+CAUGHT_UP_ENTRIES = 100
+
+
+def decide_member_change(
+    replica: ReplicaState, linked: Mapping[str, Member], peers: Mapping[str, str]
+) -> ChangeMember | None:
+    """Return the next change, or None.
+
+    Parameters
+    ----------
+    replica : ReplicaState
+        State of the leader.
+    linked : dict
+        Replicas linked now, by id.
+    peers : dict
+        Addresses by name of the replicas that the settings list.
+    """
+    if not is_leader_ready(replica) or replica.commit_index < replica.log.change_index:
+        return None
+    members = replica.log.members
+    for replica_id in sorted(linked):
+        name = replica_name(replica_id)
+        if name not in peers:
+            continue
+        if replica_id not in members:
+            return _change(replica_id, linked[replica_id].address, "add_learner")
+        if members[replica_id].voter or not _is_caught_up(replica, replica_id):
+            continue
+        lost = _find_lost(members, linked, replica_id)
+        if lost is not None:
+            return _change(lost, members[lost].address, "remove")
+        return _change(replica_id, members[replica_id].address, "promote")
+    return None
+
+
+def _is_caught_up(replica: ReplicaState, replica_id: str) -> bool:
+    progress = replica.progress.get(replica_id)
+    if progress is None or progress.match_index == 0:
+        return False
+    return replica.log.last_index - progress.match_index <= CAUGHT_UP_ENTRIES
+
+
+def _find_lost(
+    members: Mapping[str, Member], linked: Mapping[str, Member], replica_id: str
+) -> str | None:
+    same_name = [key for key in members if replica_name(key) == replica_name(replica_id)]
+    lost = [key for key in same_name if key != replica_id and key not in linked]
+    return lost[0] if lost else None
+
+
+def _change(replica_id: str, address: str, action: str) -> ChangeMember:
+    name, _, identity = replica_id.partition("#")
+    return ChangeMember(name, address, identity, action)
--- /dev/null
+++ b/apricotrail/control/_service.py
@@ -0,0 +1,300 @@
+"""A control replica as a process: links, loops, pushes to entries and the view's upkeep."""
+
+import asyncio
+from collections.abc import Callable
+from typing import Any, NamedTuple
+
+from returns.result import Result
+
+from apricotrail.clocks import monotonic_ms, wall_ms
+from apricotrail.control._entries import EntryTable
+from apricotrail.control._files import StorageError
+from apricotrail.control._members import Member, replica_name
+from apricotrail.control._node import Node
+from apricotrail.control._overseer import Observation, decide_view
+from apricotrail.control._protocol import MESSAGE_TYPES
+from apricotrail.control._repair import decide_member_change
+from apricotrail.control._requests import Outcome
+from apricotrail.errors import Problem
+from apricotrail.events import Level, declare_event, emit
+from apricotrail.membership import read_view
+from apricotrail.wire import Link, LinkEndpoint
+from apricotrail.wire.generated.ttypes import (
+    Command,
+    ConfigurationChange,
+    ConfigurationRequest,
+    Heartbeat,
+)
+
+__all__ = ["ControlService", "ServiceParts"]
+
+TICK_MS = 50
+OVERSEE_MS = 200
+MAX_COMMIT_TIMES = 1_024
+
+CONTROL_STOPPED = declare_event(
+    3001, "control_storage_failed", Level.ERROR, "The disk failed; this replica has stopped."
+)
+VIEW_PROPOSED = declare_event(3002, "view_proposed", Level.INFO, "A new entry view was proposed.")
+MEMBER_PROPOSED = declare_event(
+    3003, "member_change_proposed", Level.WARNING, "A change of the control replicas was proposed."
+)
+LEADER_CHANGED = declare_event(
+    3004, "leader_changed", Level.INFO, "This replica follows another leader, or none, or leads."
+)
+CONTROL_LOOP_FAILED = declare_event(
+    3005, "control_loop_failed", Level.ERROR, "A periodic step of control failed."
+)
+CONTROL_FORMED = declare_event(
+    3006, "control_formed", Level.INFO, "A new control group was founded on empty folders."
+)
+
+
+class ServiceParts(NamedTuple):
+    """What a service is made of.
+
+    Attributes
+    ----------
+    endpoint : LinkEndpoint
+        Links of this process.
+    node : Node
+        Replica.
+    peers : dict of str to str
+        Addresses by replica name, from the settings.
+    entry_silent_ms : float
+        Silence after which an entry leaves the view.
+    stale_ms : float
+        Age from which a node starts no task.
+    """
+
+    endpoint: LinkEndpoint
+    node: Node
+    peers: dict[str, str]
+    entry_silent_ms: float
+    stale_ms: float
+
+
+class ControlService:
+    """Runs one replica on its links.
+
+    Parameters
+    ----------
+    parts : ServiceParts
+        Links, replica and limits.
+
+    Attributes
+    ----------
+    entries : EntryTable
+        Entries heard by this replica.
+    committed_ms : dict of int to float
+        Own monotonic time at which each recent version was seen committed here.
+    failed : asyncio.Event
+        Set once the disk has failed.
+    """
+
+    def __init__(self, parts: ServiceParts) -> None:
+        self.parts = parts
+        self.endpoint = parts.endpoint
+        self.node = parts.node
+        self.entries = EntryTable()
+        self.committed_ms: dict[int, float] = {}
+        self.failed = asyncio.Event()
+        self._pushed_version = parts.node.machine.version
+        self._flush_due = False
+        self._proposing = False
+        self._leader = ""
+        self._leading_since_ms: float | None = None
+
+    def connect(self) -> None:
+        """Register the handlers of the links."""
+        endpoint = self.endpoint
+        for type_ in MESSAGE_TYPES:
+            endpoint.on(type_, self._receive_protocol)
+        endpoint.on(ConfigurationRequest, self._answer_configuration)
+        endpoint.state_heartbeat = self._state_heartbeat
+        endpoint.receive_heartbeat = self._receive_heartbeat
+        endpoint.on_up(self._link_up)
+
+    # ---- replica ----
+
+    @property
+    def leader_link(self) -> Link | None:
+        """Link to the present leader, if it is another replica."""
+        leader = self.node.replica.leader
+        return self.endpoint.links.get(leader) if leader != self.node.replica_id else None
+
+    def send(self, replica_id: str, message: Any) -> None:
+        """Send a protocol message; it is lost if there is no link."""
+        link = self.endpoint.links.get(replica_id)
+        if link is not None:
+            link.send(message)
+
+    def flush_soon(self) -> None:
+        """Write, sync and send at the end of this pass of the loop."""
+        if not self._flush_due:
+            self._flush_due = True
+            asyncio.get_running_loop().call_soon(self.flush)
+
+    def flush(self) -> None:
+        """Write, sync and send now; a failed disk stops the replica."""
+        self._flush_due = False
+        if self.failed.is_set():
+            return
+        try:
+            self.node.flush()
+        except StorageError as error:
+            self.fail(error)
+        self._note_leader()
+
+    def fail(self, error: StorageError) -> None:
+        """Stop for good: what the disk holds is unknown."""
+        emit(CONTROL_STOPPED, problem=str(error.problem))
+        self.failed.set()
+        self.node.abandon()
+        for link in list(self.endpoint.links.values()):
+            link.close()
+
+    async def propose(self, command: Command) -> Result[Outcome, Problem]:
+        """Log a command on this replica, which must lead, and wait for its outcome."""
+        future: asyncio.Future = asyncio.get_running_loop().create_future()
+
+        def done(result: Result[Outcome, Problem]) -> None:
+            if not future.done():
+                future.set_result(result)
+
+        command.wall_ms = wall_ms()
+        self.node.propose(command, done)
+        self.flush_soon()
+        return await future
+
+    def on_change(self) -> None:
+        """Note the commit time and push what changed to every entry."""
+        machine = self.node.machine
+        now_ms = monotonic_ms()
+        for version in range(self._pushed_version + 1, machine.version + 1):
+            self.committed_ms[version] = now_ms
+        while len(self.committed_ms) > MAX_COMMIT_TIMES:
+            del self.committed_ms[min(self.committed_ms)]
+        change = machine.configuration.changes_since(self._pushed_version)
+        self._pushed_version = machine.version
+        for link in self.entry_links():
+            link.send(change)
+
+    def entry_links(self) -> list[Link]:
+        """Return the links to entries."""
+        return [link for link in self.endpoint.links.values() if link.peer.role == "entry"]
+
+    # ---- loops ----
+
+    async def tick_forever(self) -> None:
+        """Drive the protocol's times."""
+        while not self.failed.is_set():
+            self._run_step(self._tick)
+            await asyncio.sleep(TICK_MS / 1000)
+
+    async def oversee_forever(self) -> None:
+        """Keep the entry view and the replicas as they should be, on the leader."""
+        while not self.failed.is_set():
+            self._run_step(self._oversee)
+            await asyncio.sleep(OVERSEE_MS / 1000)
+
+    def _run_step(self, step: Callable[[], None]) -> None:
+        try:
+            step()
+        except Exception as error:
+            emit(CONTROL_LOOP_FAILED, step=step.__name__, error=repr(error))
+
+    def _tick(self) -> None:
+        self.node.tick()
+        self.flush()
+
+    def _note_leader(self) -> None:
+        replica = self.node.replica
+        if replica.is_leader and self._leading_since_ms is None:
+            self._leading_since_ms = monotonic_ms()
+        if not replica.is_leader:
+            self._leading_since_ms = None
+        if replica.leader != self._leader:
+            self._leader = replica.leader
+            emit(LEADER_CHANGED, leader=replica.leader, term=replica.term)
+
+    def _oversee(self) -> None:
+        self._dial_members()
+        if self.node.replica.is_leader and not self._proposing:
+            command = self._decide_command()
+            if command is not None:
+                self._proposing = True
+                self.endpoint.spawn(self._propose_own(command))
+
+    def _decide_command(self) -> Command | None:
+        change = decide_member_change(self.node.replica, self._linked_replicas(), self.parts.peers)
+        if change is not None:
+            emit(MEMBER_PROPOSED, name=change.name, action=change.action)
+            return Command("", self.node.replica_id, change_member=change)
+        view = decide_view(self._observe())
+        if view is not None:
+            emit(VIEW_PROPOSED, epoch=view.epoch, members=[it.name for it in view.members])
+            return Command("", self.node.replica_id, install_view=view)
+        return None
+
+    def _observe(self) -> Observation:
+        now_ms = monotonic_ms()
+        silent_ms = self.parts.entry_silent_ms
+        since_ms = self._leading_since_ms
+        settled = since_ms is not None and now_ms - since_ms >= silent_ms
+        view = read_view(self.node.machine.configuration.find("view"))
+        heard = self.entries.heard_within(now_ms, silent_ms)
+        return Observation(view, heard, settled, wall_ms())
+
+    async def _propose_own(self, command: Command) -> None:
+        try:
+            async with asyncio.timeout(self.parts.stale_ms / 1000):
+                await self.propose(command)
+        except TimeoutError:
+            pass
+        finally:
+            self._proposing = False
+
+    # ---- links ----
+
+    def _linked_replicas(self) -> dict[str, Member]:
+        links = self.endpoint.links.items()
+        return {
+            name: Member(link.peer.address, False)
+            for name, link in links
+            if link.peer.role == "control"
+        }
+
+    def _dial_members(self) -> None:
+        own = replica_name(self.node.replica_id)
+        addresses = dict(self.parts.peers)
+        for replica_id, member in self.node.replica.log.members.items():
+            addresses.setdefault(replica_name(replica_id), member.address)
+        for name, address in addresses.items():
+            if name != own:
+                self.endpoint.dial(address)
+
+    def _receive_protocol(self, link: Link, message: Any) -> None:
+        if link.peer.role != "control" or self.failed.is_set():
+            return
+        self.node.receive(link.peer.name, message)
+        self.flush_soon()
+
+    def _answer_configuration(
+        self, link: Link, request: ConfigurationRequest
+    ) -> ConfigurationChange:
+        return self.node.machine.configuration.changes_since(request.version or 0)
+
+    def _state_heartbeat(self, link: Link) -> Heartbeat:
+        age_ms = int(self.node.confirmation_age_ms()) + 1
+        return Heartbeat(
+            config_version=self.node.machine.version,
+            config_age_ms=min(age_ms, 2**31 - 1),
+        )
+
+    def _receive_heartbeat(self, link: Link, heartbeat: Heartbeat, asked_ms: float | None) -> None:
+        if link.peer.role == "entry":
+            self.entries.note(link.peer, heartbeat, monotonic_ms())
+
+    def _link_up(self, link: Link) -> None:
+        link.beat()
--- /dev/null
+++ b/apricotrail/control/tests/test_process.py
@@ -0,0 +1,204 @@
+"""Control replicas over loopback and real files."""
+
+import asyncio
+import json
+import socket
+import tempfile
+import unittest
+from hashlib import sha256
+from pathlib import Path
+
+from apricotrail.control import Control
+from apricotrail.settings import Settings
+from apricotrail.wire import KeyRing, LinkEndpoint
+from apricotrail.wire.generated.ttypes import (
+    Command,
+    ConfigurationChange,
+    ConfigurationRequest,
+    Heartbeat,
+    Identity,
+    Propose,
+    PutDocument,
+    SetZoneState,
+    StatusRequest,
+)
+
+DOCUMENT = (Path(__file__).parents[3] / "examples" / "areneros.toml").read_bytes()
+FAST = {
+    "control.environment": "trial",
+    "control.round_ms": 30,
+    "control.election_ms": 200,
+    "control.entry_silent_ms": 400,
+    "link.heartbeat_ms": 20,
+    "link.silent_ms": 500,
+    "link.redial_ms": 10,
+    "membership.config_stale_ms": 1_000,
+}
+
+
+async def wait_until(condition, timeout_s: float = 20.0) -> None:
+    async with asyncio.timeout(timeout_s):
+        while not condition():
+            await asyncio.sleep(0.005)
+
+
+class FakeEntry:
+    """An entry's links, with heartbeats that confirm what it received."""
+
+    def __init__(self, name: str, incarnation: int = 1) -> None:
+        identity = Identity(name, "entry", "barranca", incarnation, f"{name}:1")
+        self.endpoint = LinkEndpoint(identity, "trial", KeyRing(None), Settings(FAST))
+        self.version, self.ready_epoch, self.ages = 0, 0, {}
+        self.confirms = True
+        self.endpoint.state_heartbeat = lambda link: Heartbeat(
+            config_version=self.version,
+            config_age_ms=0,
+            ready_epoch=self.ready_epoch,
+            confirmed_version=self.version if self.confirms else 0,
+        )
+        self.endpoint.receive_heartbeat = self._note_age
+        self.endpoint.on(ConfigurationChange, self._note_change)
+
+    def _note_age(self, link, heartbeat, asked_ms):
+        self.ages[link.peer.name] = heartbeat.config_age_ms
+
+    def _note_change(self, link, change):
+        self.version = max(self.version, change.version)
+
+    async def call(self, message, peer: str = ""):
+        links = [it for name, it in self.endpoint.links.items() if name.startswith(peer)]
+        return (await links[0].call(message, 10_000)).unwrap()
+
+    async def ask(self, what: str, number: int = 0, peer: str = ""):
+        return json.loads((await self.call(StatusRequest(what, number), peer)).body)
+
+    async def fetch_view(self):
+        change = await self.call(ConfigurationRequest(0))
+        items = {item.key: item.value for item in change.items}
+        view = json.loads(items.get("view", b'{"epoch": 0, "members": []}'))
+        self.ready_epoch = view["epoch"]
+        return [member["name"] for member in view["members"]]
+
+
+def put_document(request_id: str, text: bytes = DOCUMENT) -> Propose:
+    put = PutDocument(text, sha256(text).digest(), True)
+    return Propose(Command(request_id, "ana", 0, put_document=put))
+
+
+def take_out(request_id: str, zone: str = "barranca", **more) -> Propose:
+    return Propose(Command(request_id, "ana", 0, set_zone_state=SetZoneState(zone, False), **more))
+
+
+class ControlCase(unittest.IsolatedAsyncioTestCase):
+    async def asyncSetUp(self):
+        self.folder = Path(self.enterContext(tempfile.TemporaryDirectory()))
+        self.running = []
+
+    async def asyncTearDown(self):
+        for stop in reversed(self.running):
+            await stop()
+
+    async def start_control(self, name: str, port: int = 0, peers=()) -> Control:
+        control = Control(
+            Settings(
+                {
+                    **FAST,
+                    "control.name": name,
+                    "control.listen": f"127.0.0.1:{port}",
+                    "control.data_folder": str(self.folder / name),
+                    "control.peers": list(peers),
+                }
+            )
+        )
+        await control.application.start()
+        self.running.append(control.application.stop)
+        return control
+
+    async def start_entry(self, *addresses: str, name="entry-1", incarnation=1) -> FakeEntry:
+        entry = FakeEntry(name, incarnation)
+        entry.endpoint.start()
+        for address in addresses:
+            entry.endpoint.dial(address)
+        self.running.append(entry.endpoint.stop)
+        await wait_until(lambda: len(entry.endpoint.links) == len(addresses))
+        return entry
+
+
+class TestSingleReplica(ControlCase):
+    async def test_changes_are_kept_over_a_restart_and_answered_again(self):
+        control = await self.start_control("a")
+        entry = await self.start_entry(control.address)
+        first = await entry.call(put_document("one"))
+        self.assertTrue(first.accepted, first.answer)
+        refused = await entry.call(put_document("two", b"nonsense = 1"))
+        self.assertIn("remedy", json.loads(refused.answer))
+        out = await entry.call(take_out("three"))
+        await wait_until(lambda: entry.version == out.version)
+        await entry.endpoint.stop()
+        await self.running.pop(0)()
+        again = await self.start_control("a")
+        entry = await self.start_entry(again.address)
+        resent = await entry.call(put_document("one"))
+        self.assertEqual((resent.version, resent.answer), (first.version, first.answer))
+        status = await entry.ask("status")
+        self.assertEqual((status["zones_out"], status["document"]["number"]), (["barranca"], 1))
+        text = await entry.call(StatusRequest("document", 1))
+        self.assertEqual(text.body, DOCUMENT)
+
+    async def test_views_follow_entries_and_ages_are_stated(self):
+        control = await self.start_control("a")
+        entry = await self.start_entry(control.address)
+        while await entry.fetch_view() != ["entry-1"]:
+            await asyncio.sleep(0.02)
+        other = await self.start_entry(control.address, name="entry-2")
+        while await entry.fetch_view() != ["entry-1", "entry-2"]:
+            await asyncio.sleep(0.02)
+        await wait_until(lambda: max(entry.ages.values()) < 1_000)
+        await other.endpoint.stop()
+        while await entry.fetch_view() != ["entry-1"]:
+            await asyncio.sleep(0.02)
+
+    async def test_forced_says_how_a_version_came_in_force(self):
+        control = await self.start_control("a")
+        entry = await self.start_entry(control.address)
+        version = (await entry.call(put_document("one"))).version
+        self.assertEqual((await entry.ask("forced", version))["how"], "confirmed")
+        entry.confirms = False
+        version = (await entry.call(take_out("two"))).version
+        answer = await entry.ask("forced", version)
+        self.assertEqual((answer["how"], answer["behind"]), ("stale_limit", ["entry-1"]))
+
+
+class TestThreeReplicas(ControlCase):
+    async def test_leader_stops_disk_is_lost_and_the_group_goes_on(self):
+        ports = _find_ports(3)
+        peers = [f"{name}=127.0.0.1:{port}" for name, port in zip("abc", ports, strict=True)]
+        controls = {
+            name: await self.start_control(name, port, peers)
+            for name, port in zip("abc", ports, strict=True)
+        }
+        entry = await self.start_entry(*(control.address for control in controls.values()))
+        accepted = await entry.call(put_document("one"), "c#")
+        self.assertTrue(accepted.accepted, accepted.answer)
+        leader = next(n for n, it in controls.items() if it.service.node.replica.is_leader)
+        index = list(controls).index(leader)
+        await self.running.pop(index)()
+        other = next(name for name in "abc" if name != leader)
+        reply = await entry.call(take_out("two"), f"{other}#")
+        self.assertTrue(reply.accepted, reply.answer)
+        (self.folder / leader).rename(self.folder / "lost")
+        returned = await self.start_control(leader, ports[index], peers)
+        node = returned.service.node
+        await wait_until(lambda: node.replica.is_voter and len(node.replica.log.members) == 3)
+        self.assertEqual(node.machine.read_item("zone-state/barranca"), {"in_service": False})
+        self.assertEqual(node.machine.texts[1], DOCUMENT)
+
+
+def _find_ports(count: int) -> list[int]:
+    sockets = [socket.socket() for _ in range(count)]
+    for held in sockets:
+        held.bind(("127.0.0.1", 0))
+    ports = [held.getsockname()[1] for held in sockets]
+    for held in sockets:
+        held.close()
+    return ports
--- a/apricotrail/wire/_endpoint.py
+++ b/apricotrail/wire/_endpoint.py
@@ -235,8 +235,9 @@
         pause_ms = self._redial_ms
         host, port = parse_address(address)
         while True:
-            while self._dialed_names.get(address) in self.links:
+            if self._dialed_names.get(address) in self.links:
                 await asyncio.sleep(self._redial_ms / 1000)
+                continue
             link = await self._open_link(host, port)
             if link is not None:
                 pause_ms = self._redial_ms
