--- a/apricotrail/document/__init__.py
+++ b/apricotrail/document/__init__.py
@@ -14,8 +14,6 @@
     DocumentRecord,
     EffectiveConfiguration,
     Host,
-    View,
-    ViewMember,
     read_items,
 )
 from apricotrail.document._diff import Difference, DocumentDiff, diff_documents
@@ -45,8 +43,6 @@
     "Service",
     "Target",
     "Team",
-    "View",
-    "ViewMember",
     "Zone",
     "check_succession",
     "diff_documents",
--- a/apricotrail/document/_configuration.py
+++ b/apricotrail/document/_configuration.py
@@ -1,4 +1,7 @@
-"""The configuration in force on one node: document, short-notice states, view and hosts."""
+"""The configuration in force on one node: document, short-notice states and hosts.
+
+The entry view is read by `apricotrail.membership`.
+"""
 
 import json
 from collections.abc import Callable, Iterable, Mapping
@@ -21,39 +24,10 @@
     "DocumentRecord",
     "EffectiveConfiguration",
     "Host",
-    "View",
-    "ViewMember",
     "read_items",
 ]
 
 
-class ViewMember(NamedTuple):
-    """An entry of the view."""
-
-    name: str
-    incarnation: int
-    zone: str
-    address: str
-
-
-class View(NamedTuple):
-    """The entries that hold claims.
-
-    Attributes
-    ----------
-    epoch : int
-        Grows with each view, 0 before the first.
-    members : tuple of ViewMember
-        The entries.
-    lost_wall_ms : int
-        When a majority of the previous view was lost, 0 if it was not.
-    """
-
-    epoch: int = 0
-    members: tuple[ViewMember, ...] = ()
-    lost_wall_ms: int = 0
-
-
 class Host(NamedTuple):
     """The entry that hosts the agent of a target."""
 
@@ -106,11 +80,6 @@
     return _read_fields(Host, value)
 
 
-def _read_view(item_id: str, value: dict) -> View:
-    members = tuple(_read_fields(ViewMember, member) for member in value.get("members", ()))
-    return _read_fields(View, value, members=members)
-
-
 def _read_document(item_id: str, value: dict) -> DocumentRecord:
     return _read_fields(DocumentRecord, value)
 
@@ -127,7 +96,6 @@
     "team": _read_team,
     "zone-state": _read_zone_state,
     "target-state": _read_target_state,
-    "view": _read_view,
     "host": _read_host,
     "document": _read_document,
 }
@@ -150,8 +118,6 @@
         Names of the naming schemes.
     services, zones, targets, teams : dict
         Things of the document by id.
-    view : View
-        The entries that hold claims.
     hosts : dict
         Host of a target's agent by target id.
     document : DocumentRecord
@@ -174,13 +140,12 @@
         self.zones: Mapping[str, Zone] = self._section("zone")
         self.targets: Mapping[str, Target] = self._section("target")
         self.teams: Mapping[str, Team] = self._section("team")
-        self.view: View = self._section("view").get("", View())
         self.hosts: Mapping[str, Host] = self._section("host")
         self.document: DocumentRecord = self._section("document").get("", DocumentRecord())
         self._zone_states: Mapping[str, bool] = self._section("zone-state")
         self._target_states: Mapping[str, bool] = self._section("target-state")
         self._tables: dict[str, NameTable] = {}
-        self._targets_by_service: dict[str, tuple[Target, ...]] | None = None
+        self._targets_by_service: dict[str, tuple[str, ...]] | None = None
         self._teams_by_caller: dict[str, Team] | None = None
 
     def apply(self, changes: Mapping[str, bytes | None]) -> "EffectiveConfiguration":
@@ -210,8 +175,8 @@
         """Return whether operators told the target to leave."""
         return self._target_states.get(target_id, False)
 
-    def targets_of(self, service_id: str) -> tuple[Target, ...]:
-        """Return the targets of a service."""
+    def targets_of(self, service_id: str) -> tuple[str, ...]:
+        """Return the ids of a service's targets."""
         if self._targets_by_service is None:
             self._targets_by_service = _index_targets(self.targets.values())
         return self._targets_by_service.get(service_id, ())
@@ -276,8 +241,8 @@
     return grouped
 
 
-def _index_targets(targets: Iterable[Target]) -> dict[str, tuple[Target, ...]]:
-    index: dict[str, list[Target]] = {}
+def _index_targets(targets: Iterable[Target]) -> dict[str, tuple[str, ...]]:
+    index: dict[str, list[str]] = {}
     for target in targets:
-        index.setdefault(target.service, []).append(target)
+        index.setdefault(target.service, []).append(target.id)
     return {service: tuple(members) for service, members in index.items()}
--- a/apricotrail/document/_diff.py
+++ b/apricotrail/document/_diff.py
@@ -40,11 +40,14 @@
         Ids of the targets that change, or whose service or zone does.
     teams : tuple of str
         Ids of the teams that change.
+    callers : tuple of str
+        Callers of those teams, before or after.
     """
 
     differences: tuple[Difference, ...]
     targets: tuple[str, ...]
     teams: tuple[str, ...]
+    callers: tuple[str, ...]
 
 
 _EMPTY = Document((), {}, {}, {}, {})
@@ -68,7 +71,7 @@
         differences += _diff_section(kind, getattr(old, section), getattr(new, section))
     targets = _list_touched_targets(old, new, differences)
     teams = tuple(difference.id for difference in differences if difference.kind == "team")
-    return DocumentDiff(tuple(differences), targets, teams)
+    return DocumentDiff(tuple(differences), targets, teams, _list_callers(old, new, teams))
 
 
 _SECTIONS = {"service": "services", "zone": "zones", "target": "targets", "team": "teams"}
@@ -127,3 +130,12 @@
         if ("service", target.service) in changed or ("zone", target.zone) in changed:
             touched.add(target.id)
     return tuple(sorted(touched))
+
+
+def _list_callers(old: Document, new: Document, teams: tuple[str, ...]) -> tuple[str, ...]:
+    touched: set[str] = set()
+    for document in (old, new):
+        for team_id in teams:
+            if team_id in document.teams:
+                touched.update(document.teams[team_id].callers)
+    return tuple(sorted(touched))
--- a/apricotrail/settings/_files.py
+++ b/apricotrail/settings/_files.py
@@ -40,6 +40,7 @@
     "membership",
     "metrics",
     "node",
+    "operators",
     "policy",
     "process",
     "report",
