--- a/apricotrail/agent/_ledger.py
+++ b/apricotrail/agent/_ledger.py
@@ -154,7 +154,10 @@
         return None if record is None else record.attempts.get(attempt_id)
 
     def find_refusal(self, job: str, attempt_id: AttemptId, epoch: int, now_ms: float) -> int:
-        """Return the `Reason` against starting an unseen attempt, or `Reason.NONE`."""
+        """Return the `Reason` against starting an unseen attempt of a claimed job.
+
+        `Reason.NONE` if there is none; `Reason.LEDGER_FULL` for a job that was not claimed.
+        """
         record = self._jobs.get(job)
         if record is not None:
             if epoch < record.epoch:
@@ -165,17 +168,15 @@
                 return Reason.CANCELLED
         if self._overflow.contains((job, attempt_id), now_ms):
             return Reason.SEEN
-        return Reason.LEDGER_FULL if self.is_full() else Reason.NONE
+        if record is None or not self._has_room(1):
+            return Reason.LEDGER_FULL
+        return Reason.NONE
 
     def is_fenced(self, job: str, epoch: int) -> bool:
         """Return whether `epoch` is below the lowest accepted one of the job."""
         record = self._jobs.get(job)
         return record is not None and epoch < record.epoch
 
-    def is_full(self) -> bool:
-        """Return whether new starts are refused; two records are left for a start in a new job."""
-        return len(self) + 2 > self._limits.records
-
     def owner(self, job: str) -> str | None:
         """Return the name of the entry with the highest epoch seen for the job."""
         record = self._jobs.get(job)
@@ -218,7 +219,7 @@
         """
         record = self._jobs.get(job)
         if record is None:
-            if self._is_reserve_full() if use_reserve else self.is_full():
+            if not self._has_room(2, use_reserve):
                 return False
             record = self._jobs[job] = _JobRecord(owner, epoch)
         if epoch < record.epoch:
@@ -241,7 +242,7 @@
         """Record that an unseen attempt will never start and return its outcome."""
         outcome = _TOMBSTONES[reason]
         record = self._jobs.get(job)
-        if record is None or self._is_reserve_full():
+        if record is None or not self._has_room(1, use_reserve=True):
             self._overflow.add((job, attempt_id), now_ms)
             return outcome
         record.attempts[attempt_id] = outcome
@@ -286,8 +287,9 @@
 
     # ---- internals ----
 
-    def _is_reserve_full(self) -> bool:
-        return len(self) >= self._limits.records * (1 + RESERVE_SHARE)
+    def _has_room(self, count: int, use_reserve: bool = False) -> bool:
+        share = 1 + RESERVE_SHARE if use_reserve else 1
+        return len(self) + count <= self._limits.records * share
 
     def _touch(self, job: str, record: _JobRecord, now_ms: float) -> None:
         record.touched_ms = now_ms
--- /dev/null
+++ b/apricotrail/agent/tests/test_slots.py
@@ -0,0 +1,43 @@
+"""Slots, grants and turns."""
+
+from apricotrail.agent._slots import Slots
+
+
+def test_wanting_entries_get_slots_in_turn():
+    slots = Slots(5, grant_ms=50)
+    slots.want("a", 4)
+    slots.want("b", 2)
+    assert slots.grant(0) == {"a": 3, "b": 2}
+    assert slots.free() == 0
+    assert not slots.take("c", 1)
+    assert slots.take("b", 1)
+    assert (slots.granted_to("b"), slots.running) == (1, 1)
+
+
+def test_unused_grants_expire_and_go_to_the_next():
+    slots = Slots(1, grant_ms=50)
+    slots.want("a", 1)
+    assert slots.grant(0) == {"a": 1}
+    slots.want("b", 1)
+    assert slots.grant(49) == {}
+    assert slots.grant(50) == {"b": 1}
+    assert not slots.take("a", 60), "its grant is gone"
+    assert slots.take("b", 60)
+
+
+def test_withdrawn_and_lost_entries_hold_nothing():
+    slots = Slots(2, grant_ms=50)
+    slots.want("a", 2)
+    slots.want("b", 2)
+    slots.want("b", 0)
+    assert slots.grant(0) == {"a": 2}
+    slots.forget("a")
+    assert (slots.free(), slots.granted_to("a")) == (2, 0)
+    assert slots.grant(0) == {}
+
+
+def test_fewer_slots_than_running_tasks_are_never_negative():
+    slots = Slots(1, grant_ms=50)
+    assert slots.take("a", 0)
+    slots.count = 0
+    assert (slots.free(), slots.take("a", 0)) == (0, False)
