Build one binary that runs every role in a single process

A plain shiv file keeps its bootstrap loaded and ships no compiled modules: 37.6 MB resident for what a control replica imports, over its 32 MB.

--- a/Makefile
+++ b/Makefile
@@ -27,6 +27,10 @@
 demo: setup
 	$(BIN)/apricotrail demo
 
+# One executable file, dist/apricotrail; docs/packaging.md.
+binary: setup
+	$(BIN)/python tools/build-binary
+
 # Needs Debian's thrift-compiler; the result is committed.
 generate:
 	sh tools/generate-messages
