--- a/apricotrail/entry/_application.py
+++ b/apricotrail/entry/_application.py
@@ -18,13 +18,15 @@
 )
 from apricotrail.entry._agents import AgentTable
 from apricotrail.entry._announcements import MAX_ANNOUNCEMENTS, AnnouncementTable
+from apricotrail.entry._burn import EXCHANGE_S, BurnCounts
 from apricotrail.entry._callers import CallerParts, add_caller_routes
 from apricotrail.entry._claiming import CLAIM_CALL_MS, CLAIM_HEDGE_MS
 from apricotrail.entry._claims import MAX_ANSWERS_BYTES, MAX_CLAIMS, RETENTION_S, ClaimTable
 from apricotrail.entry._control_client import CONTROL_CALL_MS, ControlClient
 from apricotrail.entry._dispatch import AGENT_LOST_MS, STOP_GRACE_MS, Dispatcher
 from apricotrail.entry._hosting import Hosting, HostingParts
-from apricotrail.entry._job import JobResult
+from apricotrail.entry._job import Job, JobResult
+from apricotrail.entry._operating import OperatingParts, make_operator_router
 from apricotrail.entry._relay import ConfigurationRelay
 from apricotrail.entry._submission import Submission, read_limits
 from apricotrail.entry._succession import SYNC_MS, ViewSuccession
@@ -47,6 +49,9 @@
 ZONE = declare_setting("entry.zone", "", "Availability zone of this entry.")
 ENVIRONMENT = declare_setting("entry.environment", "production", "Environment of this entry.")
 LISTEN = declare_setting("entry.listen", "127.0.0.1:8080", "Address for callers and targets.")
+OPERATORS_LISTEN = declare_setting(
+    "entry.operators_listen", "127.0.0.1:8081", "Address for operators, apart from the callers'."
+)
 LINK_LISTEN = declare_setting("entry.link_listen", "127.0.0.1:7080", "Address for links.")
 CONTROL_ADDRESSES = declare_setting(
     "control.addresses", [], "Link addresses of the control replicas."
@@ -90,8 +95,8 @@
     ----------
     application : Application
         Life cycle.
-    address : str
-        Address for callers, once started.
+    address, operators_address : str
+        Addresses for callers and for operators, once started.
     """
 
     def __init__(self, settings: Settings) -> None:
@@ -122,8 +127,17 @@
         admission = self._admission_parts()
         self.admit = make_admit(admission)
         self.retry_after_ms = make_retry_after(admission)
+        self.burn = BurnCounts(
+            *self.identity(),
+            lambda: self.relay.effective,
+            self.member_links,
+            lambda: {member.name for member in self.succession.view.members},
+        )
         self.pipeline = Pipeline(self._pipeline_parts())
-        self.server = HttpServer(self._make_router(), read_server_limits(settings))
+        limits = read_server_limits(settings)
+        self.server = HttpServer(self._make_router(), limits)
+        self.operators = HttpServer(make_operator_router(self._operating_parts()), limits)
+        self.operators_address = ""
         self._was_member = False
         self._connect_parts()
 
@@ -308,6 +322,7 @@
         endpoint.on(ttypes.CopyAnswer, self.pipeline.receive_answer)
         endpoint.on(ttypes.AttachJob, self.pipeline.receive_attach)
         endpoint.on(ttypes.CancelJob, self.pipeline.receive_cancel)
+        endpoint.on(ttypes.ReportRequest, self.burn.answer_request)
         self._watch_gauges()
         self.relay.on_applied.append(self._configuration_applied)
         self.application.on_start(self._start)
@@ -391,6 +406,19 @@
             self.stale_ms,
             self.settings.get(CLAIM_CALL_MS),
             self.settings.get(CLAIM_HEDGE_MS),
+            self._observe_job,
+        )
+
+    def _operating_parts(self) -> OperatingParts:
+        return OperatingParts(
+            self.settings,
+            self.control,
+            lambda: self.relay.effective,
+            self.announcements,
+            self.agents,
+            self.burn,
+            self.metrics.render,
+            self.stale_ms,
         )
 
     def _make_router(self) -> Router:
@@ -403,21 +431,21 @@
             lambda: self.ready and self.succession.is_ready() and self.relay.freshness.is_fresh(),
             self.retry_after_ms,
             self.metrics.render,
-            self._observe,
-            monotonic_ms,
+            self._observe_refusal,
         )
         add_caller_routes(router, parts)
         return router
 
-    def _observe(
-        self, submission: Submission, result: Result[JobResult, Problem], response_ms: float
-    ) -> None:
-        if isinstance(result, Failure):
-            self.metrics.refusals.add(result.failure().kind.value)
-            return
-        complete = result.unwrap().status == HTTP_OK
-        self.metrics.jobs.add("complete" if complete else "failed")
+    def _observe_job(self, job: Job, result: JobResult, response_ms: float) -> None:
+        self.metrics.jobs.add("complete" if result.status == HTTP_OK else "failed")
         self.metrics.response_ms.observe(response_ms)
+        if job.longest_ms:
+            self.metrics.response_over_ideal.observe(response_ms / job.longest_ms)
+        self.burn.observe_job(job, result, response_ms)
+
+    def _observe_refusal(self, submission: Submission, problem: Problem) -> None:
+        self.metrics.refusals.add(problem.kind.value)
+        self.burn.observe_refusal(submission.service, problem)
 
     def _watch_gauges(self) -> None:
         metrics = self.metrics
@@ -442,10 +470,21 @@
         for address in self.settings.get(CONTROL_ADDRESSES):
             self.endpoint.dial(address)
         self.application.spawn(self._tick_forever())
+        self.application.spawn(self._exchange_forever())
         self.application.spawn(watch_loop_lag(self.metrics.loop_lag_ms))
         self.address = await self.server.listen(*parse_address(self.settings.get(LISTEN)))
+        operators = parse_address(self.settings.get(OPERATORS_LISTEN))
+        self.operators_address = await self.operators.listen(*operators)
         self.ready = True
 
+    async def _exchange_forever(self) -> None:
+        while True:
+            await asyncio.sleep(self.settings.get(EXCHANGE_S))
+            try:
+                await self.burn.exchange()
+            except Exception as error:
+                emit(TICK_FAILED, error=repr(error))
+
     async def _tick_forever(self) -> None:
         while True:
             try:
@@ -463,6 +502,7 @@
         await self.hosting.stop()
         await _wait_until(self._has_left_view, LEAVE_VIEW_MS)
         await self.server.stop(LEAVE_VIEW_MS)
+        await self.operators.stop(LEAVE_VIEW_MS)
         await self.dispatcher.stop()
         await self.endpoint.stop()
 
--- a/apricotrail/entry/_callers.py
+++ b/apricotrail/entry/_callers.py
@@ -6,11 +6,9 @@
 from typing import NamedTuple
 
 import orjson
-from returns.result import Failure, Result, Success
+from returns.result import Failure, Result
 
-from apricotrail.clocks import Clock
 from apricotrail.entry._announcements import check_announcement
-from apricotrail.entry._job import JobResult
 from apricotrail.entry._submission import Submission, SubmissionLimits, parse_submission
 from apricotrail.entry.pipeline import Pipeline
 from apricotrail.errors import ErrorKind, Problem
@@ -53,10 +51,8 @@
         When a refused submission may be sent again.
     render_metrics : callable
         Gives the metrics in the text format.
-    observe : callable
-        Takes in a response: submission, result and response time in milliseconds.
-    clock : callable
-        Monotonic time in milliseconds.
+    observe_refusal : callable
+        Takes in a submission that was refused before anything started.
     """
 
     pipeline: Pipeline
@@ -66,8 +62,7 @@
     is_ready: Callable[[], bool]
     retry_after_ms: Callable[[Submission], float]
     render_metrics: Callable[[], bytes]
-    observe: Callable[[Submission, Result[JobResult, Problem], float], None]
-    clock: Clock
+    observe_refusal: Callable[[Submission, Problem], None]
 
 
 def add_caller_routes(router: Router, parts: CallerParts) -> None:
@@ -121,14 +116,13 @@
 
 
 async def _submit(parts: CallerParts, request: Request) -> Response:
-    started_ms = parts.clock()
     parsed = parse_submission(request.body, parts.limits)
     if isinstance(parsed, Failure):
         return problem_response(parsed.failure())
     submission = parsed.unwrap()
     begun = await parts.pipeline.begin(submission)
     if isinstance(begun, Failure):
-        parts.observe(submission, begun, parts.clock() - started_ms)
+        parts.observe_refusal(submission, begun.failure())
         return _refuse(parts, submission, begun.failure())
     future = begun.unwrap()
     if "respond-async" in request.headers.get("prefer", ""):
@@ -137,7 +131,6 @@
     if submission.cancel_on_disconnect and request.disconnected is not None:
         await _wait_or_cancel(parts.pipeline, submission.job, future, request.disconnected)
     result = await asyncio.shield(future)
-    parts.observe(submission, Success(result), parts.clock() - started_ms)
     return Response(result.status, result.body)
 
 
--- a/apricotrail/entry/_dispatch.py
+++ b/apricotrail/entry/_dispatch.py
@@ -138,7 +138,6 @@
         self.run_times = RunTimes()
         self.health = TargetHealth()
         self.on_finish: Callable[[Job], None] = lambda job: None
-        self.on_outcome: Callable[[Job, str, TaskOutcome], None] = lambda job, target, outcome: None
         self._owner = owner
         self._agents = agents
         self._usable_targets = usable_targets
@@ -413,11 +412,12 @@
 
     def _take_outcome(self, agent: AgentState, job: Job, outcome: TaskOutcome) -> bool:
         """Settle a task; returns whether it goes back to the queue."""
-        self.on_outcome(job, agent.target, outcome)
         now_ms = self._clock()
         if outcome.state == TaskState.NOT_RUN:
             return self._take_refusal(agent, job, outcome)
         failed = outcome.state != TaskState.DONE
+        if job.problem is None:
+            job.blamed_target = agent.target
         run_ms = outcome.run_ms or 0
         if outcome.reason != Reason.CANCELLED:
             self.health.observe(agent.target, job.service, failed, run_ms, now_ms, job.key)
--- a/apricotrail/entry/_job.py
+++ b/apricotrail/entry/_job.py
@@ -85,6 +85,8 @@
         Started tasks without outcome.
     queued : set of int
         Tasks that wait for a slot.
+    blamed_target : str
+        Where a task failed first, else where the last task ended.
     """
 
     def __init__(
@@ -117,6 +119,7 @@
         self.problem: Problem | None = None
         self.busy_ms = 0
         self.longest_ms = 0
+        self.blamed_target = ""
         self.result: asyncio.Future[JobResult] = asyncio.get_running_loop().create_future()
 
     @property
--- /dev/null
+++ b/apricotrail/entry/_operating.py
@@ -0,0 +1,109 @@
+"""The operators' listener of an entry."""
+
+from collections.abc import Callable
+from pathlib import Path
+from typing import NamedTuple
+
+from returns.result import Failure
+
+from apricotrail.clocks import monotonic_ms
+from apricotrail.document import EffectiveConfiguration
+from apricotrail.entry._agents import AgentTable
+from apricotrail.entry._announcements import AnnouncementTable
+from apricotrail.entry._burn import BurnCounts
+from apricotrail.entry._control_client import ControlClient
+from apricotrail.http import Request, Response, Router, problem_response
+from apricotrail.operators import (
+    TOKEN_FILE,
+    LiveTarget,
+    OperatorParts,
+    TokenFile,
+    make_operator_routes,
+)
+from apricotrail.settings import Settings
+
+__all__ = ["OperatingParts", "make_operator_router"]
+
+BURN_PATH = "/v1/admin/reports/burn"
+
+
+class OperatingParts(NamedTuple):
+    """What the operators' listener stands on.
+
+    Attributes
+    ----------
+    settings : Settings
+        Values of ``operators.*``.
+    control : ControlClient
+        Calls to control.
+    configuration : callable
+        Gives the configuration in force.
+    announcements : AnnouncementTable
+        Live announcements.
+    agents : AgentTable
+        Agents and their loads.
+    burn : BurnCounts
+        Service-level counts.
+    render_metrics : callable
+        Gives the metrics in the text format.
+    stale_ms : float
+        Age from which no node starts a task on old configuration.
+    """
+
+    settings: Settings
+    control: ControlClient
+    configuration: Callable[[], EffectiveConfiguration]
+    announcements: AnnouncementTable
+    agents: AgentTable
+    burn: BurnCounts
+    render_metrics: Callable[[], bytes]
+    stale_ms: float
+
+
+def make_operator_router(parts: OperatingParts) -> Router:
+    """Return the handler of the operators' listener."""
+    token_file = parts.settings.get(TOKEN_FILE)
+    tokens = TokenFile(Path(token_file) if token_file else None)
+
+    async def show_burn(request: Request) -> Response:
+        checked = tokens.check(request.headers.get("authorization", ""))
+        if isinstance(checked, Failure):
+            return problem_response(checked.failure())
+        return await parts.burn.show_report(request)
+
+    def show_metrics(request: Request) -> Response:
+        return Response(200, parts.render_metrics(), "text/plain; version=0.0.4")
+
+    operator_parts = OperatorParts(
+        parts.control.propose,
+        parts.control.ask_status,
+        parts.configuration,
+        lambda: _list_live(parts),
+        tokens,
+        parts.stale_ms,
+        monotonic_ms,
+    )
+    router = Router()
+    for route in make_operator_routes(operator_parts):
+        router.add(route.method, route.pattern, route.handler)
+    router.add("GET", BURN_PATH, show_burn)
+    router.add("GET", "/metrics", show_metrics)
+    return router
+
+
+def _list_live(parts: OperatingParts) -> list[LiveTarget]:
+    live = []
+    for target, announcement in parts.announcements.live().items():
+        agent = parts.agents.by_target(target)
+        live.append(
+            LiveTarget(
+                target,
+                announcement.address,
+                announcement.slots,
+                announcement.connections,
+                announcement.incarnation,
+                bool(announcement.leaving),
+                agent.count_free() if agent is not None and agent.link is not None else None,
+            )
+        )
+    return live
--- a/apricotrail/entry/pipeline.py
+++ b/apricotrail/entry/pipeline.py
@@ -70,6 +70,8 @@
         Monotonic time.
     retention_ms, stale_ms, claim_call_ms, claim_hedge_ms : float
         See the settings of claims and freshness.
+    observe : callable
+        Takes in a finished job, its result and its response time in milliseconds.
     """
 
     identity: Callable[[], tuple[str, int]]
@@ -86,6 +88,7 @@
     stale_ms: float
     claim_call_ms: float
     claim_hedge_ms: float
+    observe: Callable[[Job, JobResult, float], None]
 
 
 class _Free(NamedTuple):
@@ -429,6 +432,7 @@
             link.send(CopyAnswer(self._parts.succession.view.epoch, record))
         if not job.result.done():
             job.result.set_result(result)
+        self._parts.observe(job, result, self._parts.clock() - job.submitted_ms)
 
     async def _ask_members(self, job: str) -> "ClaimRecord | Result[JobResult | None, Problem]":
         links = self._parts.member_links()
--- /dev/null
+++ b/apricotrail/entry/tests/test_system.py
@@ -0,0 +1,134 @@
+"""The promises under failure, with the real roles over loopback sockets."""
+
+import asyncio
+import unittest
+
+from apricotrail.entry.tests.system import System
+
+
+class TestWholePath(unittest.IsolatedAsyncioTestCase):
+    async def test_job_of_many_tasks_comes_back_whole(self):
+        async with System() as system:
+            bodies = [{"run_ms": 1, "n": n} for n in range(300)]
+            status, answer = await system.submit(system.entries[0], "1", bodies)
+            self.assertEqual((status, answer["state"]), (200, "complete"), answer)
+            for number, text in enumerate(answer["answers"]):
+                self.assertIn(f'"n":{number}}}', text)
+            self.assertEqual(set(system.starts().values()), {1})
+
+    async def test_long_answers_come_back_whole(self):
+        async with System() as system:
+            body = {"answer_bytes": 700_000}
+            status, answer = await system.submit(system.entries[1], "1", [body] * 8)
+            self.assertEqual(status, 200)
+            self.assertTrue(all(len(text) > 700_000 for text in answer["answers"]))
+
+    async def test_resubmission_to_any_entry_attaches(self):
+        async with System() as system:
+            calls = [system.submit(entry, "7", [{"run_ms": 30}] * 5) for entry in system.entries]
+            replies = await asyncio.gather(*calls, *calls_again(system))
+            self.assertEqual({status for status, _ in replies}, {200})
+            self.assertEqual({str(answer) for _, answer in replies}.__len__(), 1)
+            self.assertEqual(sum(system.starts().values()), 5)
+
+    async def test_other_body_under_an_old_id_is_refused(self):
+        async with System() as system:
+            await system.submit(system.entries[0], "7", [{"n": 1}])
+            for entry in system.entries:
+                status, answer = await system.submit(entry, "7", [{"n": 2}])
+                self.assertEqual((status, answer["error"]["kind"]), (409, "body_mismatch"))
+
+    async def test_one_entry_alone(self):
+        async with System(entries=1) as system:
+            status, _ = await system.submit(system.entries[0], "1", [{}])
+            self.assertEqual(status, 200)
+
+    async def test_hosted_agents_serve_targets_without_a_process(self):
+        async with System(entries=2, beside=False) as system:
+            status, _ = await system.submit(system.entries[0], "1", [{"run_ms": 1}] * 20)
+            self.assertEqual(status, 200)
+            self.assertEqual(set(system.starts().values()), {1})
+
+
+def calls_again(system):
+    return [system.submit(entry, "7", [{"run_ms": 30}] * 5) for entry in system.entries]
+
+
+class TestFailures(unittest.IsolatedAsyncioTestCase):
+    async def test_finished_answer_survives_its_owner(self):
+        async with System() as system:
+            owner, *others = system.entries
+            first = await system.submit(owner, "1", [{"n": 1}])
+            await system.kill(owner.application)
+            for entry in others:
+                self.assertEqual(await system.submit(entry, "1", [{"n": 1}]), first)
+            self.assertEqual(set(system.starts().values()), {1})
+
+    async def test_job_goes_on_after_its_owner_died(self):
+        async with System(settings={"entry.claims_sync_ms": 500}) as system:
+            await asyncio.sleep(0)
+            owner, *others = system.entries
+            for target in system.targets:
+                target.gate.clear()
+            bodies = [{"n": n} for n in range(30)]
+            lost = asyncio.ensure_future(system.submit(owner, "1", bodies))
+            await system.wait_until(lambda: len(system.starts()) == 16)
+            await system.kill(owner.application)
+            await lost
+            for target in system.targets:
+                target.gate.set()
+            status, answer = await system.submit(others[0], "1", bodies)
+            self.assertEqual(set(system.starts().values()), {1})
+            if status == 200:
+                self.assertEqual(len(answer["answers"]), 30)
+            else:
+                states = [task["state"] for task in answer["tasks"]]
+                started = {path.rpartition("/")[2] for path in system.starts()}
+                for task, state in enumerate(states):
+                    self.assertFalse(state == "not_run" and str(task) in started)
+
+    async def test_zone_taken_out_starts_nothing_and_is_used_again(self):
+        async with System(targets=4) as system:
+            version = await system.set_zone("pipa", False, "out")
+            await system.wait_until(
+                lambda: all(entry.relay.confirmed_version() >= version for entry in system.entries)
+            )
+            before = sum(sum(t.starts.values()) for t in system.targets if t.zone == "pipa")
+            status, _ = await system.submit(system.entries[0], "1", [{"run_ms": 1}] * 50)
+            after = sum(sum(t.starts.values()) for t in system.targets if t.zone == "pipa")
+            self.assertEqual((status, after - before), (200, 0))
+            await system.set_zone("pipa", True, "in")
+            await system.wait_until(
+                lambda: all(system.has_agents(entry) for entry in system.entries)
+            )
+            await system.submit(system.entries[0], "2", [{"run_ms": 1}] * 50)
+            used = sum(sum(t.starts.values()) for t in system.targets if t.zone == "pipa")
+            self.assertGreater(used, after)
+
+    async def test_cancelled_job_says_what_ran(self):
+        async with System(targets=1) as system:
+            system.targets[0].gate.clear()
+            entry = system.entries[0]
+            running = asyncio.ensure_future(system.submit(entry, "1", [{}] * 10))
+            await system.wait_until(lambda: len(system.starts()) == 8)
+            await system.call(system.entries[1], "DELETE", "/v1/jobs/natal/1")
+            status, answer = await running
+            states = [task["state"] for task in answer["tasks"]]
+            self.assertEqual((status, answer["error"]["kind"]), (409, "cancelled"))
+            self.assertEqual(states[8:], ["not_run"] * 2)
+            self.assertNotIn("not_run", states[:8])
+
+    async def test_host_that_died_is_replaced_without_a_second_start(self):
+        async with System(entries=3, beside=False) as system:
+            owner = next(e for e in system.entries if e.hosting.hosted())
+            hosted = owner.hosting.hosted()
+            await system.kill(owner.application)
+            system.entries.remove(owner)
+            others = system.entries
+            await system.wait_until(
+                lambda: set(hosted) <= {t for e in others for t in e.hosting.hosted()}
+            )
+            await system.wait_until(lambda: all(system.has_agents(entry) for entry in others))
+            status, answer = await system.submit(others[0], "1", [{"run_ms": 1}] * 40)
+            self.assertEqual(status, 200, answer)
+            self.assertEqual(set(system.starts().values()), {1})
