--- a/apricotrail/agent/tests/stand_ins.py
+++ b/apricotrail/agent/tests/stand_ins.py
@@ -149,10 +149,57 @@
         self.outcomes.extend(message.outcomes)
 
 
+class LossyProxy:
+    """Passes bytes on; the connections open at `swallow` stay open but lose one direction."""
+
+    def __init__(self, address: str) -> None:
+        self._address = address
+        self._pipes: list[dict] = []
+        self._tasks: list[asyncio.Task] = []
+        self._server: asyncio.Server | None = None
+
+    async def start(self) -> str:
+        self._server = await asyncio.start_server(self._accept, "127.0.0.1", 0)
+        return f"127.0.0.1:{self._server.sockets[0].getsockname()[1]}"
+
+    async def stop(self) -> None:
+        self._server.close()
+        for task in self._tasks:
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+
+    def swallow(self, direction: str) -> None:
+        for pipe in self._pipes:
+            pipe["lost"].add(direction)
+
+    async def _accept(self, reader, writer) -> None:
+        host, port = self._address.split(":")
+        far_reader, far_writer = await asyncio.open_connection(host, int(port))
+        pipe = {"lost": set()}
+        self._pipes.append(pipe)
+        for direction, source, sink in (
+            ("to_entry", reader, far_writer),
+            ("to_agent", far_reader, writer),
+        ):
+            self._tasks.append(asyncio.create_task(self._pass(pipe, direction, source, sink)))
+
+    async def _pass(self, pipe, direction, source, sink) -> None:
+        try:
+            while data := await source.read(65_536):
+                if direction not in pipe["lost"]:
+                    sink.write(data)
+        except ConnectionError:
+            pass
+        finally:
+            sink.close()
+
+
 class Scene:
     """A target, its agent and entries, all over loopback."""
 
-    def __init__(self, slots: int = 2, entries: int = 1, **settings) -> None:
+    def __init__(self, slots: int = 2, entries: int = 1, proxied: bool = False, **settings) -> None:
+        self.proxy: LossyProxy | None = None
+        self._proxied = proxied
         self.target = StandInTarget()
         self.entries = [StandInEntry(f"entry-{name}") for name in "abc"[:entries]]
         self.entry = self.entries[0]
@@ -165,6 +212,10 @@
         await self.target.start()
         for entry in self.entries:
             await entry.start()
+        addresses = [entry.address for entry in self.entries]
+        if self._proxied:
+            self.proxy = LossyProxy(self.entry.address)
+            addresses = [await self.proxy.start()]
         announcement = ttypes.Announcement(
             "runner", self.target.address, self.slots, 16, 1, 6_000, False
         )
@@ -174,7 +225,7 @@
             announcement,
             "trial",
             "pipa",
-            [entry.address for entry in self.entries],
+            addresses,
             self.first_start_after_ms,
         )
         await self.agent.start()
@@ -185,6 +236,8 @@
         await self.agent.stop(0)
         for entry in self.entries:
             await entry.stop()
+        if self.proxy is not None:
+            await self.proxy.stop()
         await self.target.stop()
 
     def _is_ready(self) -> bool:
--- a/apricotrail/agent/tests/test_agent.py
+++ b/apricotrail/agent/tests/test_agent.py
@@ -1,8 +1,13 @@
 """The whole agent over loopback: starts, refusals, stops, lost links, planned stop."""
 
+import asyncio
 import unittest
 
-from apricotrail.agent.tests.stand_ins import Scene, wait_until
+from apricotrail.agent import make_agent
+from apricotrail.agent.tests.stand_ins import FAST, Scene, StandInEntry, wait_until
+from apricotrail.errors import ApricotrailError
+from apricotrail.settings import Settings
+from apricotrail.wire.generated import ttypes
 from apricotrail.wire.generated.ttypes import Reason, TaskState
 
 HOLD = {"hold": True}
@@ -50,3 +55,144 @@
             scene.entry.start_tasks("school/2", {})
             await wait_until(lambda: len(scene.entry.outcomes) == 2)
             self.assertEqual(scene.entry.outcomes[-1].state, TaskState.DONE)
+
+    async def test_outcomes_of_one_tick_share_a_message(self):
+        async with Scene(slots=1) as scene:
+            scene.entry.start_tasks("school/1", *[{}] * 40)
+            await wait_until(lambda: len(scene.entry.outcomes) == 40)
+            self.assertEqual(len(scene.entry.messages[0].outcomes), 39)
+            self.assertEqual({o.reason for o in scene.entry.messages[0].outcomes}, {Reason.FULL})
+
+    async def test_duplicate_start_messages_start_once(self):
+        async with Scene(slots=4) as scene:
+            message = scene.entry.start_tasks("school/1", HOLD)
+            for _ in range(3):
+                scene.entry.link.send(message)
+            await wait_until(lambda: len(scene.entry.outcomes) == 3)
+            seen = (0, TaskState.RUNNING, Reason.SEEN)
+            self.assertEqual(scene.entry.states(), [seen] * 3)
+            scene.target.release("school/1", 0)
+            await wait_until(lambda: len(scene.entry.outcomes) == 4)
+            self.assertEqual(len(scene.target.started), 1)
+
+    async def test_incomplete_message_starts_nothing(self):
+        async with Scene() as scene:
+            task = ttypes.TaskStart(1, None, b"{}")
+            message = ttypes.StartTasks("j", "runner", "entry-a", 1, 1, 1, [task], 0)
+            scene.entry.link.send(message)
+            scene.entry.start_tasks("school/1", {})
+            await wait_until(lambda: scene.entry.outcomes)
+            self.assertEqual(len(scene.agent.agent.ledger), 2)
+
+    async def test_wanting_entry_gets_the_freed_slot(self):
+        async with Scene(slots=1, entries=2) as scene:
+            busy, waiting = scene.entries
+            busy.start_tasks("school/1", HOLD, {}, want=1)
+            await wait_until(lambda: busy.outcomes)
+            waiting.link.send(ttypes.SlotWant("runner", waiting.link.peer.incarnation, 1))
+            await wait_until(lambda: len(scene.agent.agent.slots._wanting) == 2)
+            scene.target.release("school/1", 0)
+            await wait_until(lambda: len(busy.outcomes) == 2)
+            self.assertEqual(busy.messages[-1].granted, 1)
+            await wait_until(lambda: waiting.offers)
+            self.assertEqual(waiting.offers[0].granted, 1)
+
+    async def test_stop_reaches_started_tasks(self):
+        async with Scene(slots=3) as scene:
+            scene.entry.start_tasks("school/1", HOLD, HOLD, HOLD)
+            await wait_until(lambda: len(scene.target.started) == 3)
+            scene.entry.link.send(ttypes.StopTasks("school/1", "runner", 0, [0]))
+            scene.entry.link.send(ttypes.StopTasks("school/1", "runner", 1, [1, 99]))
+            await wait_until(lambda: scene.entry.outcomes)
+            cancelled = (TaskState.MAY_HAVE_RUN, Reason.CANCELLED)
+            self.assertEqual(scene.entry.states(), [(1, *cancelled)])
+            scene.entry.link.send(ttypes.StopTasks("school/1", "runner", 1, []))
+            await wait_until(lambda: scene.agent.agent.slots.running == 0)
+            self.assertEqual(sorted(scene.target.stopped), [("school/1", n) for n in range(3)])
+            scene.entry.start_tasks("school/1", {}, attempt=2)
+            await wait_until(lambda: len(scene.entry.outcomes) == 4)
+            self.assertEqual(scene.entry.states()[-1][1], TaskState.NOT_RUN)
+
+    async def test_configuration_closes_and_opens_the_gate(self):
+        table = (
+            ("zone-state/pipa", {"in_service": False}, Reason.ZONE_OUT),
+            ("zone-state/pipa", {"in_service": True}, Reason.NONE),
+            ("target-state/runner", {"leaving": True}, Reason.TARGET_LEAVING),
+            ("target-state/runner", {"leaving": False}, Reason.NONE),
+            ("target/runner", {"zone": "nowhere"}, Reason.UNKNOWN_TARGET),
+        )
+        async with Scene() as scene:
+            for number, (key, value, reason) in enumerate(table):
+                with self.subTest(key=key, value=value):
+                    scene.entry.put_item(key, value)
+                    scene.entry.start_tasks(f"school/{number}", {})
+                    await wait_until(lambda n=number: len(scene.entry.outcomes) > n)
+                    self.assertEqual(scene.entry.outcomes[-1].reason, reason)
+
+    async def test_stale_configuration_starts_nothing(self):
+        async with Scene() as scene:
+            scene.entry.age_ms = 3_000
+            scene.agent._follower.freshness._as_of_ms = None
+            await wait_until(lambda: not scene.agent.agent.load("x").accepting)
+            scene.entry.start_tasks("school/1", {})
+            await wait_until(lambda: scene.entry.outcomes)
+            self.assertEqual(scene.entry.outcomes[0].reason, Reason.STALE_CONFIGURATION)
+            scene.entry.age_ms = 0
+            await wait_until(lambda: scene.agent.agent.load("x").accepting)
+
+    async def test_leaving_target_gets_no_starts(self):
+        async with Scene() as scene:
+            leaving = ttypes.Announcement("shop:runner-1", "", 1, 1, 1, 1, True)
+            scene.entry.link.send(ttypes.ShareAnnouncements([leaving]))
+            scene.entry.start_tasks("school/1", {})
+            await wait_until(lambda: scene.entry.outcomes)
+            self.assertEqual(scene.entry.outcomes[0].reason, Reason.TARGET_LEAVING)
+
+    async def test_planned_stop_cuts_off_nothing(self):
+        async with Scene() as scene:
+            scene.entry.start_tasks("school/1", HOLD)
+            await wait_until(lambda: scene.target.started)
+            stop = asyncio.ensure_future(scene.agent.stop())
+            await wait_until(lambda: scene.entry.loads and not scene.entry.loads[-1].accepting)
+            scene.entry.start_tasks("school/2", {})
+            await wait_until(lambda: scene.entry.outcomes)
+            self.assertEqual(scene.entry.outcomes[0].reason, Reason.STOPPING)
+            scene.target.release("school/1", 0)
+            await stop
+            self.assertEqual(scene.entry.outcomes[1].answer, b"ok")
+            self.assertIsNone(scene.entry.link)
+
+    async def test_stop_deadline_reports_what_it_cuts_off(self):
+        async with Scene() as scene:
+            scene.entry.start_tasks("school/1", HOLD)
+            await wait_until(lambda: scene.target.started)
+            await scene.agent.stop(deadline_ms=20)
+            cut_off = (0, TaskState.MAY_HAVE_RUN, Reason.STOPPING)
+            self.assertEqual(scene.entry.states(), [cut_off])
+            self.assertEqual(scene.target.stopped, [("school/1", 0)])
+
+    async def test_later_host_starts_nothing_before_its_time(self):
+        scene = Scene()
+        scene.first_start_after_ms = 300
+        async with scene:
+            self.assertGreaterEqual(scene.agent._clock(), scene.agent._may_start_ms)
+
+
+class TestProcess(unittest.IsolatedAsyncioTestCase):
+    async def test_agent_process_announces_its_target(self):
+        entry = StandInEntry()
+        await entry.start()
+        values = {"agent.target": "runner", "agent.entries": [entry.address], "agent.lease_ms": 60}
+        settings = Settings({**FAST, **values, "agent.environment": "trial"})
+        application = make_agent(settings)
+        await application.start()
+        await wait_until(lambda: len(entry.announcements) > 3)
+        self.assertEqual(entry.announcements[0].target, "runner")
+        self.assertTrue(entry.announcements[0].has_agent)
+        await application.stop()
+        self.assertTrue(entry.announcements[-1].leaving)
+        await entry.stop()
+
+    async def test_agent_without_a_target_is_refused(self):
+        with self.assertRaises(ApricotrailError):
+            make_agent(Settings())
--- /dev/null
+++ b/apricotrail/agent/tests/test_lost_links.py
@@ -0,0 +1,114 @@
+"""Links that are lost or swallow bytes, owners that change, and what agents then report."""
+
+import unittest
+
+from apricotrail.agent.tests.stand_ins import Scene, StandInEntry, wait_until
+from apricotrail.wire.generated import ttypes
+from apricotrail.wire.generated.ttypes import AttemptKey, Reason, TaskState
+
+HOLD = {"hold": True}
+CALL_MS = 2_000
+
+
+def resolve(incarnation: int, *attempts: tuple[int, int], epoch: int = 1) -> ttypes.ResolveAttempts:
+    keys = [AttemptKey(task, attempt) for task, attempt in attempts]
+    return ttypes.ResolveAttempts("school/1", "runner", epoch, incarnation, keys)
+
+
+def read_states(reply) -> list[tuple[int, int, int, int, bytes | None]]:
+    return [(o.task, o.attempt, o.state, o.reason, o.answer) for o in reply.unwrap().outcomes]
+
+
+class TestLostLinks(unittest.IsolatedAsyncioTestCase):
+    async def test_swallowed_bytes_are_resolved_through_a_new_link(self):
+        not_seen = (1, 1, TaskState.NOT_RUN, Reason.NONE, None)
+        done = (1, 1, TaskState.DONE, Reason.NONE, b"ok")
+        for direction, expected in (("to_agent", not_seen), ("to_entry", done)):
+            with self.subTest(direction):
+                async with Scene(proxied=True) as scene:
+                    entry = scene.entry
+                    entry.start_tasks("school/1", HOLD)
+                    await wait_until(lambda target=scene.target: target.started)
+                    first = entry.link
+                    scene.proxy.swallow(direction)
+                    late = entry.start_tasks("school/1", {}, {})
+                    scene.target.release("school/1", 0)
+                    await wait_until(lambda e=entry, f=first: e.link not in (None, f))
+                    before = len(entry.outcomes)
+                    self.assertEqual(before, int(direction == "to_agent"))
+                    request = resolve(first.peer.incarnation, (0, 1), (1, 1))
+                    reply = await entry.link.call(request, CALL_MS)
+                    first_task = (0, 1, TaskState.DONE, Reason.NONE, b"ok")
+                    self.assertEqual(read_states(reply), [first_task, expected])
+                    entry.link.send(late)
+                    await wait_until(lambda e=entry, b=before: len(e.outcomes) == b + 2)
+                    self.assertEqual(entry.outcomes[-1].state, expected[2])
+                    self.assertEqual(len(scene.target.started), 1 + (expected == done))
+
+    async def test_running_task_is_reported_and_its_outcome_follows(self):
+        async with Scene() as scene:
+            entry, first = scene.entry, scene.entry.link
+            entry.start_tasks("school/1", HOLD)
+            await wait_until(lambda: scene.target.started)
+            first.close()
+            await wait_until(lambda: entry.link not in (None, first))
+            incarnation = entry.link.peer.incarnation
+            reply = await entry.link.call(resolve(incarnation, (0, 1)), CALL_MS)
+            self.assertEqual(read_states(reply), [(0, 1, TaskState.RUNNING, Reason.NONE, None)])
+            scene.target.release("school/1", 0)
+            await wait_until(lambda: entry.outcomes)
+            self.assertEqual(entry.outcomes[0].answer, b"ok")
+            reply = await entry.link.call(resolve(incarnation - 1, (0, 1)), CALL_MS)
+            lost = (0, 1, TaskState.MAY_HAVE_RUN, Reason.AGENT_LOST, None)
+            self.assertEqual(read_states(reply), [lost])
+
+    async def test_new_owner_fences_and_collects(self):
+        async with Scene(slots=3, entries=2) as scene:
+            old, new = scene.entries
+            old.start_tasks("school/1", {}, HOLD)
+            await wait_until(lambda: old.outcomes)
+            fence = ttypes.FenceJob("school/1", "runner", 2, new.name)
+            reply = await new.link.call(fence, CALL_MS)
+            expected = [
+                (0, 1, TaskState.DONE, Reason.NONE, b"ok"),
+                (1, 1, TaskState.RUNNING, Reason.NONE, None),
+            ]
+            self.assertEqual(read_states(reply), expected)
+            old.start_tasks("school/1", {}, {}, {}, attempt=2)
+            await wait_until(lambda: len(old.outcomes) == 4)
+            self.assertEqual({state[1:] for state in old.states()[1:]}, {(3, Reason.FENCED)})
+            scene.target.release("school/1", 1)
+            await wait_until(lambda: new.outcomes)
+            self.assertEqual(new.states(), [(1, TaskState.DONE, Reason.NONE)])
+            low = ttypes.FenceJob("school/1", "runner", 1, old.name)
+            self.assertEqual(type((await old.link.call(low, 100)).failure()).__name__, "Problem")
+            ledger = (await new.link.call(ttypes.LedgerRequest("runner"), CALL_MS)).unwrap()
+            self.assertEqual(
+                [(j.job, j.owner, j.epoch) for j in ledger.jobs], [("school/1", new.name, 2)]
+            )
+
+    async def test_lost_owner_stops_nothing(self):
+        async with Scene(entries=2) as scene:
+            old, new = scene.entries
+            old.start_tasks("school/1", HOLD)
+            await wait_until(lambda: scene.target.started)
+            await old.stop()
+            scene.target.release("school/1", 0)
+            await wait_until(lambda: scene.agent.agent.slots.running == 0)
+            fence = ttypes.FenceJob("school/1", "runner", 2, new.name)
+            reply = await new.link.call(fence, CALL_MS)
+            self.assertEqual(read_states(reply), [(0, 1, TaskState.DONE, Reason.NONE, b"ok")])
+
+    async def test_new_entry_incarnation_replaces_the_old_link(self):
+        async with Scene() as scene:
+            address = scene.entry.address
+            await scene.entry.stop()
+            restarted = StandInEntry(incarnation=2)
+            host, port = address.split(":")
+            await restarted.endpoint.listen(host, int(port))
+            restarted.endpoint.start()
+            await wait_until(lambda: restarted.link is not None and restarted.loads)
+            restarted.start_tasks("school/2", {})
+            await wait_until(lambda: restarted.outcomes)
+            self.assertEqual(restarted.outcomes[0].state, TaskState.DONE)
+            await restarted.stop()
