--- a/apricotrail/entry/tests/system.py
+++ b/apricotrail/entry/tests/system.py
@@ -144,6 +144,7 @@
             "control.peers": [f"control-1={self.control_address}"],
             "control.data_folder": str(Path(self.folder.name) / "control"),
             "control.environment": "test",
+            "control.trial_environment": "test",
         }
         self.control = make_control(Settings(values))
         await self.control.start()
