--- a/apricotrail/control/_replica.py
+++ b/apricotrail/control/_replica.py
@@ -178,6 +178,7 @@
         postpone_election(state)
     state.leader = leader
     state.transfer = None
+    state.broadcast_due = False
     state.progress.clear()
     state.rounds_sent.clear()
     state.votes.clear()
--- a/apricotrail/control/_replication.py
+++ b/apricotrail/control/_replication.py
@@ -75,7 +75,8 @@
     progress = state.progress.get(sender)
     if not state.is_leader or message.term < state.term or progress is None:
         return
-    progress.echo = max(progress.echo, message.sequence or 0)
+    # Not the highest: a restarted replica counts from another number.
+    progress.echo = message.sequence or 0
     progress.acked_round = max(progress.acked_round, message.round)
     _confirm_round(state)
     if not message.accepted:
--- /dev/null
+++ b/apricotrail/control/tests/simulation.py
@@ -0,0 +1,302 @@
+"""Replicas on virtual time over a faulty network and faulty disks, with the invariants checked."""
+
+import json
+from heapq import heappop, heappush
+from itertools import count
+from random import Random
+
+from returns.result import Failure, Success
+
+from apricotrail.control._changes import DocumentFunctions
+from apricotrail.control._members import Member, replica_name
+from apricotrail.control._node import Limits, Node, Setup
+from apricotrail.control._repair import decide_member_change
+from apricotrail.control._replica import Timing
+from apricotrail.control.tests.disk import Crash, MemoryDisk
+from apricotrail.errors import ErrorKind, Problem
+from apricotrail.wire.generated.ttypes import Command, PutDocument, SetZoneState
+
+TIMING = Timing(round_ms=60, election_ms=200)
+LIMITS = Limits(snapshot_entries=8, kept_entries=3)
+TICK_MS = 30
+ZONES = ("pipa", "natal", "jeri")
+
+
+def parse(text: bytes):
+    if text.startswith(b"bad"):
+        return Failure((Problem(ErrorKind.MALFORMED, "It is bad.", "Mend it."),))
+    return Success(text)
+
+
+def make_items(text: bytes) -> dict[str, bytes]:
+    zones = {f"zone/{zone}": b"{}" for zone in ZONES}
+    return {**zones, "service/text": json.dumps(text.decode()).encode()}
+
+
+DOCUMENTS = DocumentFunctions(parse, lambda old, new: (), make_items)
+
+
+class Replica:
+    """One process slot: disk, clock and the node while it runs."""
+
+    def __init__(self, world: "World", name: str) -> None:
+        self.world, self.name = world, name
+        self.disk = MemoryDisk(world.random)
+        self.disk.on_sync = self._note_sync
+        self.offset_ms = world.random.uniform(0, 10_000)
+        self.lag_ms = self.sync_ms = self.busy_until = 0.0
+        self.node: Node | None = None
+
+    def clock(self) -> float:
+        return self.world.now_ms + self.lag_ms + self.offset_ms
+
+    def start(self) -> None:
+        world = self.world
+        setup = Setup(
+            self.name,
+            self.disk.layer(),
+            DOCUMENTS,
+            self.clock,
+            world.random,
+            lambda peer, message: world.send(self, peer, message),
+            lambda: None,
+            TIMING,
+            LIMITS,
+        )
+        self.run(lambda: self._open(setup))
+        world.at(world.random.uniform(0, TICK_MS), lambda: self._tick(self.node))
+
+    def run(self, work) -> None:
+        """Run a step of the process; a crash in it ends the process."""
+        try:
+            work()
+            self.world.check(self)
+        except Crash:
+            self.crash()
+        self.busy_until = self.world.now_ms + self.lag_ms
+        self.lag_ms = 0.0
+
+    def crash(self) -> None:
+        self.node = None
+        self.disk.crash()
+
+    def wipe(self) -> None:
+        self.node = None
+        self.disk = MemoryDisk(self.world.random)
+        self.disk.on_sync = self._note_sync
+
+    def receive(self, sender: str, message) -> None:
+        def work() -> None:
+            self.node.receive(sender, message)
+            self.node.flush()
+
+        self._when_free(self.node, work)
+
+    def propose(self, command: Command, done) -> None:
+        def work() -> None:
+            self.node.propose(command, done)
+            self.node.flush()
+
+        if self.node is not None:
+            self._when_free(self.node, work)
+
+    def _open(self, setup: Setup) -> None:
+        node = Node(setup)
+        apply = node.machine.apply
+        node.machine.apply = lambda command: self.world.note_applied(node, command, apply)
+        self.node = node
+
+    def _when_free(self, node: Node | None, work) -> None:
+        if node is None or node is not self.node:
+            return
+        if self.busy_until > self.world.now_ms:
+            self.world.at(self.busy_until - self.world.now_ms, lambda: self._when_free(node, work))
+            return
+        self.run(work)
+
+    def _tick(self, node: Node | None) -> None:
+        def work() -> None:
+            self.world.oversee(node)
+            node.tick()
+            node.flush()
+
+        if node is None or node is not self.node:
+            return
+        self._when_free(node, work)
+        self.world.at(TICK_MS, lambda: self._tick(node))
+
+    def _note_sync(self) -> None:
+        self.lag_ms += self.sync_ms
+
+
+class World:
+    """All replicas, the network between them and what was observed."""
+
+    def __init__(self, seed: int, size: int) -> None:
+        self.random = Random(seed)
+        self.now_ms = 0.0
+        self.wall_offset_ms = 1_000_000
+        self.loss = self.copies = 0.0
+        self.latency_ms = (0.5, 5.0)
+        self.blocked: set[tuple[str, str]] = set()
+        self._queue: list = []
+        self._order = count()
+        self.committed: dict[int, bytes] = {}
+        self.first_applied_ms: dict[int, float] = {}
+        self.leaders: dict[int, str] = {}
+        self.answers: dict[str, tuple] = {}
+        self.outcomes = 0
+        self.replicas = {name: Replica(self, name) for name in "abcde"[:size]}
+        for replica in self.replicas.values():
+            replica.start()
+        members = {it.node.replica_id: Member(name, True) for name, it in self.replicas.items()}
+        first = self.replicas["a"]
+        first.run(lambda: first.node.form(members))
+
+    # ---- time and network ----
+
+    def at(self, delay_ms: float, work) -> None:
+        heappush(self._queue, (self.now_ms + delay_ms, next(self._order), work))
+
+    def run_for(self, span_ms: float) -> None:
+        end_ms = self.now_ms + span_ms
+        while self._queue and self._queue[0][0] <= end_ms:
+            self.now_ms, _, work = heappop(self._queue)
+            work()
+        self.now_ms = end_ms
+
+    def run_until(self, condition, limit_ms: float = 20_000) -> None:
+        end_ms = self.now_ms + limit_ms
+        while not condition():
+            assert self.now_ms < end_ms, "did not get there in time"
+            self.run_for(20)
+
+    def send(self, sender: Replica, peer: str, message) -> None:
+        name = replica_name(peer)
+        own_id = sender.node.replica_id
+        for _ in range(1 + (self.random.random() < self.copies)):
+            if self.random.random() >= self.loss and (sender.name, name) not in self.blocked:
+                delay_ms = sender.lag_ms + self.random.uniform(*self.latency_ms)
+                self.at(delay_ms, lambda: self._deliver(own_id, peer, message))
+
+    def _deliver(self, sender_id: str, peer: str, message) -> None:
+        receiver = self.replicas[replica_name(peer)]
+        if (replica_name(sender_id), receiver.name) in self.blocked:
+            return
+        if receiver.node is not None and receiver.node.replica_id == peer:
+            receiver.receive(sender_id, message)
+
+    def isolate(self, name: str, inward: bool = True, outward: bool = True) -> None:
+        for other in self.replicas:
+            if other != name and outward:
+                self.blocked.add((name, other))
+            if other != name and inward:
+                self.blocked.add((other, name))
+
+    def heal(self) -> None:
+        self.blocked.clear()
+        self.loss = self.copies = 0.0
+        self.latency_ms = (0.5, 5.0)
+        for replica in self.replicas.values():
+            replica.sync_ms = 0.0
+            replica.disk.crash_at = None
+            if replica.node is None:
+                replica.start()
+
+    # ---- operators ----
+
+    def submit(self, number: int) -> None:
+        """Propose one command at random replicas until it is answered, some answers lost."""
+        command = self._make_command(number)
+        self._try(command, 300)
+
+    def _make_command(self, number: int) -> Command:
+        random = self.random
+        expect = random.randint(0, max(self.first_applied_ms, default=0))
+        command = Command(f"r{number}", f"op{number % 3}", 0)
+        command.expect = expect if random.random() < 0.3 else None
+        if number == 0 or random.random() < 0.2:
+            command.put_document = PutDocument(b"text %d" % random.randint(0, 5), b"", True)
+        else:
+            command.set_zone_state = SetZoneState(random.choice(ZONES), random.random() < 0.5)
+        return command
+
+    def _try(self, command: Command, tries: int) -> None:
+        if tries == 0:
+            return
+
+        def done(result) -> None:
+            if isinstance(result, Success):
+                self._note_answer(command.request_id, result.unwrap())
+
+        copy = Command(**{name: getattr(command, name) for name in Command.__slots__})
+        copy.wall_ms = int(self.wall_offset_ms + self.now_ms)
+        self.random.choice(list(self.replicas.values())).propose(copy, done)
+        if command.request_id not in self.answers or self.random.random() < 0.2:
+            pause_ms = self.random.uniform(10, 150)
+            self.at(pause_ms, lambda: self._try(command, tries - 1))
+
+    def _note_answer(self, request_id: str, outcome) -> None:
+        first = self.answers.setdefault(request_id, outcome)
+        assert first == outcome, f"{request_id} was answered differently"
+
+    # ---- invariants ----
+
+    def note_applied(self, node: Node, command: bytes, apply):
+        known = self.committed.setdefault(node.applied_index, command)
+        assert known == command, f"entry {node.applied_index} differs"
+        before = node.machine.version
+        outcome = apply(command)
+        assert before <= node.machine.version <= before + 1
+        self.first_applied_ms.setdefault(node.machine.version, self.now_ms)
+        return outcome
+
+    def check(self, replica: Replica) -> None:
+        node = replica.node
+        if node is None:
+            return
+        if node.replica.is_leader:
+            leader = self.leaders.setdefault(node.replica.term, node.replica_id)
+            assert leader == node.replica_id, f"two leaders in term {node.replica.term}"
+        next_ms = self.first_applied_ms.get(node.machine.version + 1)
+        as_of_ms = self.now_ms + replica.lag_ms - node.confirmation_age_ms()
+        assert next_ms is None or as_of_ms <= next_ms, "a confirmation is younger than the truth"
+
+    def oversee(self, node: Node) -> None:
+        if not node.replica.is_leader:
+            return
+        running = [it.node for it in self.replicas.values() if it.node is not None]
+        linked = {it.replica_id: Member(replica_name(it.replica_id), False) for it in running}
+        peers = {name: name for name in self.replicas}
+        change = decide_member_change(node.replica, linked, peers)
+        if change is not None:
+            node.propose(Command("", "leader", 0, change_member=change), lambda result: None)
+
+    def leader(self) -> Replica | None:
+        leaders = [it for it in self.replicas.values() if it.node and it.node.replica.is_leader]
+        return max(leaders, key=lambda it: it.node.replica.term, default=None)
+
+    def is_settled(self) -> bool:
+        nodes = [it.node for it in self.replicas.values()]
+        states = {(it.applied_index, it.replica.commit_index) for it in nodes}
+        voters = all(it.replica.is_voter for it in nodes)
+        members = all(len(it.replica.log.members) == len(nodes) for it in nodes)
+        fresh = all(it.confirmation_age_ms() < 4 * TIMING.round_ms for it in nodes)
+        return len(states) == 1 and voters and members and fresh and self.leader() is not None
+
+    def finish(self, submitted: int) -> None:
+        """Heal everything, wait until all replicas agree, and check what became of each request."""
+        self.heal()
+        self.run_until(lambda: self.is_settled() and len(self.answers) == submitted)
+        machines = [it.node.machine for it in self.replicas.values()]
+        assert len({machine.export() for machine in machines}) == 1
+        for request_id, outcome in self.answers.items():
+            found = machines[0].requests.find(request_id)
+            assert found is not None and found[1] == outcome, f"{request_id} was lost"
+        changed = [
+            outcome.version
+            for outcome in self.answers.values()
+            if outcome.accepted and json.loads(outcome.answer).get("changed")
+        ]
+        assert len(changed) == len(set(changed)), "two changes in one version"
+        assert set(changed) <= set(range(1, machines[0].version + 1))
--- /dev/null
+++ b/apricotrail/control/tests/test_schedules.py
@@ -0,0 +1,129 @@
+"""Seeded schedules of replicas under faults; every step checks the invariants."""
+
+from nose2.tools import params
+
+from apricotrail.control.tests.simulation import World
+
+REQUESTS = 8
+
+
+def lose_messages(world: World) -> None:
+    world.loss, world.copies, world.latency_ms = 0.15, 0.1, (0.5, 80.0)
+
+
+def delay_messages(world: World) -> None:
+    world.latency_ms = (1.0, 400.0)
+
+
+def isolate_leader(world: World) -> None:
+    leader = world.leader()
+    world.isolate(leader.name if leader else "a")
+    world.at(700, world.heal)
+
+
+def isolate_follower(world: World) -> None:
+    leader = world.leader()
+    followers = [name for name in world.replicas if leader is None or name != leader.name]
+    world.isolate(world.random.choice(followers))
+    world.at(700, world.heal)
+
+
+def block_one_direction(world: World) -> None:
+    inward = world.random.random() < 0.5
+    world.isolate(world.random.choice(list(world.replicas)), inward, not inward)
+    world.at(600, world.heal)
+
+
+def restart_all(world: World) -> None:
+    for replica in world.replicas.values():
+        replica.crash()
+    world.at(world.random.uniform(1, 300), world.heal)
+
+
+def crash_in_writes(world: World) -> None:
+    for replica in world.replicas.values():
+        replica.disk.crash_at = replica.disk.steps + world.random.randint(1, 40)
+    world.at(500, world.heal)
+
+
+def lose_disk(world: World) -> None:
+    world.random.choice(list(world.replicas.values())).wipe()
+    world.at(100, world.heal)
+
+
+def lose_two_around_a_repair(world: World) -> None:
+    first, second = world.random.sample(list(world.replicas), 2)
+    world.replicas[first].wipe()
+    world.at(50, world.replicas[first].start)
+    world.run_until(lambda: _is_repaired(world, first))
+    world.replicas[second].wipe()
+    world.at(50, world.heal)
+
+
+def slow_disks(world: World) -> None:
+    for replica in world.replicas.values():
+        replica.sync_ms = world.random.choice([0.0, 5.0, 50.0, 300.0])
+    world.at(900, world.heal)
+
+
+def jump_wall_clock(world: World) -> None:
+    world.wall_offset_ms += world.random.choice([-900_000, 600_000])
+
+
+def hand_over(world: World) -> None:
+    leader = world.leader()
+    if leader is not None:
+        leader.run(lambda: (leader.node.begin_transfer(), leader.node.flush()))
+
+
+def _is_repaired(world: World, name: str) -> bool:
+    node, leader = world.replicas[name].node, world.leader()
+    if node is None or leader is None:
+        return False
+    return node.replica_id in leader.node.replica.log.members and node.replica.is_voter
+
+
+FAULTS = (
+    lose_messages,
+    delay_messages,
+    isolate_leader,
+    isolate_follower,
+    block_one_direction,
+    restart_all,
+    crash_in_writes,
+    lose_disk,
+    lose_two_around_a_repair,
+    slow_disks,
+    jump_wall_clock,
+    hand_over,
+)
+SCHEDULES_EACH = 40
+
+
+@params(*FAULTS)
+def test_no_fault_loses_or_repeats_an_accepted_change(fault):
+    for seed in range(SCHEDULES_EACH):
+        run_schedule(seed, 3 if seed % 4 else 5, [fault])
+
+
+def test_faults_that_come_together():
+    for seed in range(100):
+        world = World(seed, 5 if seed % 4 == 0 else 3)
+        faults = [fault for fault in FAULTS if fault is not lose_two_around_a_repair]
+        run_schedule(seed, len(world.replicas), world.random.sample(faults, 3))
+
+
+def run_schedule(seed: int, size: int, faults) -> None:
+    world = World(seed, size)
+    try:
+        world.run_until(lambda: world.leader() is not None)
+        for number in range(REQUESTS):
+            world.at(number * 120 + world.random.uniform(0, 60), lambda n=number: world.submit(n))
+        for fault in faults:
+            world.run_for(world.random.uniform(50, 400))
+            fault(world)
+        world.run_for(1_000)
+        world.finish(REQUESTS)
+    except AssertionError as error:
+        names = [fault.__name__ for fault in faults]
+        raise AssertionError(f"seed {seed}, {size} replicas, {names}: {error}") from error
