--- a/apricotrail/control/_node.py
+++ b/apricotrail/control/_node.py
@@ -23,7 +23,7 @@
 from apricotrail.control._replication import append_command
 from apricotrail.control._requests import Outcome
 from apricotrail.control._state import StateMachine
-from apricotrail.control._storage import FORMATION_INDEX, Snapshot, Storage
+from apricotrail.control._storage import FORMATION_INDEX, Snapshot, Storage, make_random_identity
 from apricotrail.control._transfer import holds_snapshot, reset_to_snapshot
 from apricotrail.errors import ErrorKind, Problem
 from apricotrail.wire import decode_message, encode_message
@@ -80,6 +80,8 @@
         Protocol times.
     limits : Limits
         Bounds.
+    make_identity : callable
+        Gives the identity of an empty folder.
     """
 
     name: str
@@ -91,6 +93,7 @@
     on_change: Callable[[], None]
     timing: Timing = Timing()
     limits: Limits = Limits()
+    make_identity: Callable[[], str] = make_random_identity
 
 
 class _Pending(NamedTuple):
@@ -121,7 +124,7 @@
 
     def __init__(self, setup: Setup) -> None:
         self.setup = setup
-        self.storage = Storage(setup.files)
+        self.storage = Storage(setup.files, setup.make_identity)
         stored = self.storage.load()
         self.replica_id = make_replica_id(setup.name, stored.identity)
         self.machine = StateMachine(setup.documents)
--- a/apricotrail/control/_storage.py
+++ b/apricotrail/control/_storage.py
@@ -17,7 +17,15 @@
 from apricotrail.errors import ErrorKind, Problem
 from apricotrail.wire.generated.ttypes import LogEntry
 
-__all__ = ["FORMATION_INDEX", "Snapshot", "Stored", "Storage", "decode_snapshot", "encode_snapshot"]
+__all__ = [
+    "FORMATION_INDEX",
+    "Snapshot",
+    "Stored",
+    "Storage",
+    "decode_snapshot",
+    "encode_snapshot",
+    "make_random_identity",
+]
 
 FORMATION_INDEX = 1
 """Index covered by the snapshot that a new group starts from."""
@@ -90,6 +98,11 @@
         return None
 
 
+def make_random_identity() -> str:
+    """Return a new identity for an empty folder."""
+    return uuid4().hex[:12]
+
+
 class Storage:
     """Writer of one data folder.
 
@@ -107,7 +120,7 @@
     """
 
     def __init__(
-        self, files: FileLayer, make_identity: Callable[[], str] = lambda: uuid4().hex[:12]
+        self, files: FileLayer, make_identity: Callable[[], str] = make_random_identity
     ) -> None:
         self.log_bytes = 0
         self._files = files
--- a/apricotrail/control/tests/simulation.py
+++ b/apricotrail/control/tests/simulation.py
@@ -62,6 +62,7 @@
             lambda: None,
             TIMING,
             LIMITS,
+            lambda: f"{world.random.getrandbits(48):012x}",
         )
         self.run(lambda: self._open(setup))
         world.at(world.random.uniform(0, TICK_MS), lambda: self._tick(self.node))
--- /dev/null
+++ b/apricotrail/control/tests/test_protocol.py
@@ -0,0 +1,128 @@
+"""Single steps of the protocol that random schedules seldom reach."""
+
+from random import Random
+
+from nose2.tools import params
+
+from apricotrail.control._log import ReplicatedLog
+from apricotrail.control._members import Member
+from apricotrail.control._protocol import note_synced, receive, tick
+from apricotrail.control._replica import ReplicaState, Timing, confirmation_age_ms
+from apricotrail.control._storage import Snapshot, encode_snapshot
+from apricotrail.membership import NEVER_CONFIRMED_AGE_MS
+from apricotrail.wire.generated.ttypes import (
+    Append,
+    AppendReply,
+    InstallSnapshot,
+    LogEntry,
+    Vote,
+    VoteReply,
+)
+
+TIMING = Timing(round_ms=100, election_ms=1_000)
+MEMBERS = {name: Member(name, True) for name in "abc"}
+
+
+def make_replica(terms=(), term: int = 1, now_ms: float = 0.0) -> ReplicaState:
+    entries = [LogEntry(index, it, b"x") for index, it in enumerate(terms, start=1)]
+    log = ReplicatedLog(lambda command: None, 0, 0, MEMBERS, entries)
+    return ReplicaState("a", log, term, "", TIMING, Random(1), now_ms, lambda: None)
+
+
+def lead(replica: ReplicaState, now_ms: float) -> None:
+    tick(replica, now_ms)
+    receive(replica, "b", VoteReply(replica.term + 1, True, True), now_ms)
+    receive(replica, "b", VoteReply(replica.term, True, False), now_ms)
+    assert replica.is_leader
+    note_synced(replica)
+
+
+def append(echo: int = 0, age_ms: int = 0, commit: int = 0, term: int = 1) -> Append:
+    return Append(term, "b", 0, 0, [], commit, 1, age_ms, echo)
+
+
+@params(0, 100, 5_000, 100_000)
+def test_a_delayed_append_does_not_make_old_news_young(delay_ms):
+    follower = make_replica()
+    receive(follower, "b", append(), 1_000.0)
+    (sequence,) = follower.replies_sent
+    receive(follower, "b", append(echo=sequence, age_ms=40), 1_010.0 + delay_ms)
+    assert confirmation_age_ms(follower) == 50.0 + delay_ms
+
+
+@params((0, 5), (99, 5), (None, NEVER_CONFIRMED_AGE_MS))
+def test_an_append_without_a_known_echo_confirms_nothing(echo, age_ms):
+    follower = make_replica()
+    receive(follower, "b", append(), 1_000.0)
+    sequence = next(iter(follower.replies_sent)) if echo is None else echo
+    receive(follower, "b", append(echo=sequence, age_ms=age_ms), 1_001.0)
+    assert confirmation_age_ms(follower) >= NEVER_CONFIRMED_AGE_MS
+
+
+def test_a_leader_confirms_only_rounds_that_a_majority_answered():
+    leader = make_replica()
+    lead(leader, 2_000.0)
+    tick(leader, 2_100.0)
+    tick(leader, 2_200.0)
+    assert confirmation_age_ms(leader) >= NEVER_CONFIRMED_AGE_MS
+    receive(leader, "b", AppendReply(leader.term, True, 1, leader.round - 1, 7), 2_250.0)
+    assert confirmation_age_ms(leader) == 150.0
+    assert (leader.commit_index, leader.progress["b"].echo) == (1, 7)
+
+
+def test_a_leader_without_a_majority_steps_down():
+    leader = make_replica()
+    lead(leader, 2_000.0)
+    for now_ms in range(2_000, 3_200, 50):
+        tick(leader, float(now_ms))
+    assert not leader.is_leader
+
+
+def test_entries_of_former_terms_are_not_committed_by_count():
+    leader = make_replica(terms=(1, 1), term=1)
+    lead(leader, 2_000.0)
+    receive(leader, "b", AppendReply(leader.term, True, 2, 1, 1), 2_001.0)
+    assert leader.commit_index == 0
+    receive(leader, "b", AppendReply(leader.term, True, 3, 1, 2), 2_002.0)
+    assert leader.commit_index == 3
+
+
+@params((2, 2, True), (3, 1, False), (1, 2, False), (2, 3, True))
+def test_votes_go_only_to_logs_that_are_as_new(last_index, last_term, granted):
+    voter = make_replica(terms=(1, 2), term=3)
+    receive(voter, "b", Vote(4, "b", last_index, last_term, False), 2_000.0)
+    ((_, reply),) = voter.outbox
+    assert (reply.granted, voter.vote) == (granted, "b" if granted else "")
+
+
+def test_a_vote_is_given_once_a_term_and_not_beside_a_live_leader():
+    voter = make_replica()
+    receive(voter, "b", Vote(2, "b", 0, 0, False), 2_000.0)
+    receive(voter, "c", Vote(2, "c", 0, 0, False), 2_001.0)
+    assert [reply.granted for _, reply in voter.outbox] == [True, False]
+    receive(voter, "b", append(term=2), 2_002.0)
+    voter.outbox.clear()
+    receive(voter, "c", Vote(3, "c", 9, 9, False), 2_003.0)
+    assert (voter.outbox, voter.term) == ([], 2)
+
+
+def test_a_late_snapshot_does_not_take_back_confirmed_entries():
+    follower = make_replica(terms=(1, 1, 1, 1))
+    data = encode_snapshot(Snapshot(2, 1, b"state"))
+    receive(follower, "b", InstallSnapshot(1, "b", 2, 1, 0, data, True), 10.0)
+    assert follower.installed is None
+    assert (follower.log.last_index, follower.commit_index) == (4, 2)
+
+
+def test_a_snapshot_arrives_in_chunks_lost_and_repeated():
+    follower = make_replica()
+    data = encode_snapshot(Snapshot(9, 1, b"s" * 1_000))
+    for start in (0, 0, 300, 900, 300, 600, 600, 900):
+        chunk = data[start : start + 300]
+        last = start + 300 >= len(data)
+        receive(follower, "b", InstallSnapshot(1, "b", 9, 1, start, chunk, last), 10.0)
+    for start in range(900, len(data), 300):
+        chunk = data[start : start + 300]
+        last = start + 300 >= len(data)
+        receive(follower, "b", InstallSnapshot(1, "b", 9, 1, start, chunk, last), 10.0)
+    assert follower.installed == Snapshot(9, 1, b"s" * 1_000)
--- /dev/null
+++ b/apricotrail/control/tests/test_storage.py
@@ -0,0 +1,243 @@
+"""The data folder under crashes, damage, a full disk and a second process."""
+
+import tempfile
+from pathlib import Path
+from random import Random
+
+from hypothesis import given, settings
+from hypothesis import strategies as st
+from nose2.tools import params
+
+from apricotrail.control._files import StorageError, make_file_layer
+from apricotrail.control._members import Member
+from apricotrail.control._node import Limits, Node, Setup
+from apricotrail.control._storage import Snapshot, Storage
+from apricotrail.control.tests.disk import Crash, MemoryDisk
+from apricotrail.control.tests.simulation import DOCUMENTS, ZONES
+from apricotrail.wire.generated.ttypes import (
+    AssignHost,
+    Command,
+    InstallView,
+    LogEntry,
+    PutDocument,
+    SetTargetState,
+    SetZoneState,
+    ViewMember,
+)
+
+
+def fill(storage: Storage, groups: int = 4) -> None:
+    storage.load()
+    for group in range(groups):
+        storage.add_term(group + 1, "a")
+        for index in (2 * group + 1, 2 * group + 2):
+            storage.add_entry(LogEntry(index, group + 1, b"command %d" % index))
+        storage.commit()
+
+
+def refuse(work) -> str:
+    try:
+        work()
+    except StorageError as error:
+        assert error.problem.remedy
+        return error.problem.message
+    raise AssertionError("accepted")
+
+
+@params(1, 7, 30)
+def test_a_torn_end_is_cut(cut):
+    disk = MemoryDisk(Random(1))
+    fill(Storage(disk.layer()))
+    log = disk.names["log"]
+    log.data = log.data[:-cut]
+    stored = Storage(disk.layer()).load()
+    assert [entry.index for entry in stored.entries] == [1, 2, 3, 4, 5, 6, 7]
+    assert len(log.data) == len(log.synced)
+
+
+@params(0, 5, 40, 90)
+def test_a_damaged_middle_is_refused(offset):
+    disk = MemoryDisk(Random(1))
+    fill(Storage(disk.layer()))
+    data = bytearray(disk.names["log"].data)
+    data[offset] ^= 1
+    disk.names["log"].data = bytes(data)
+    assert "damaged" in refuse(Storage(disk.layer()).load)
+
+
+@params("identity", "log", "snapshot")
+def test_a_missing_or_damaged_file_is_refused(name):
+    disk = MemoryDisk(Random(1))
+    storage = Storage(disk.layer())
+    fill(storage)
+    storage.save_snapshot(Snapshot(8, 4, b"state"), [])
+    if name == "snapshot":
+        disk.names[name].data = disk.names[name].data[:-1]
+    else:
+        del disk.names[name]
+    refuse(Storage(disk.layer()).load)
+
+
+def test_nothing_is_written_after_a_failed_sync():
+    disk = MemoryDisk(Random(1))
+    storage = Storage(disk.layer())
+    fill(storage)
+    disk.fail_at = disk.steps + 2
+    storage.add_entry(LogEntry(9, 4, b""))
+    refuse(storage.commit)
+    disk.fail_at = None
+    refuse(storage.commit)
+
+
+def test_a_folder_serves_one_process_and_keeps_its_identity():
+    with tempfile.TemporaryDirectory() as folder:
+        files = make_file_layer(Path(folder) / "data")
+        storage = Storage(files)
+        fill(storage)
+        assert "in use" in refuse(lambda: make_file_layer(Path(folder) / "data"))
+        identity = storage.load().identity
+        storage.save_snapshot(Snapshot(8, 4, b"state"), [LogEntry(8, 4, b"command 8")])
+        storage.close()
+        again = Storage(make_file_layer(Path(folder) / "data"))
+        stored = again.load()
+        assert (stored.identity, stored.snapshot) == (identity, Snapshot(8, 4, b"state"))
+        assert [entry.index for entry in stored.entries] == [8]
+        again.close()
+
+
+OFTEN = Limits(snapshot_entries=4, kept_entries=2)
+
+
+class Single:
+    """A replica alone, which crashes and starts again on one disk."""
+
+    def __init__(self, seed: int, limits: Limits = OFTEN):
+        self.random = Random(seed)
+        self.disk = MemoryDisk(self.random)
+        self.limits = limits
+        self.accepted: dict[str, object] = {}
+        self.open()
+
+    def open(self) -> None:
+        files = self.disk.layer()
+        send = lambda peer, message: None  # noqa: E731
+        setup = Setup(
+            "a",
+            files,
+            DOCUMENTS,
+            lambda: 0.0,
+            self.random,
+            send,
+            lambda: None,
+            limits=self.limits,
+            make_identity=lambda: "1",
+        )
+        self.node = Node(setup)
+        if not self.node.is_formed:
+            self.node.form({self.node.replica_id: Member("a", True)})
+        self.node.tick()
+        self.node.flush()
+
+    def propose(self, command: Command) -> None:
+        def note(result) -> None:
+            self.accepted.setdefault(command.request_id, result.unwrap())
+
+        self.node.propose(command, note)
+        self.node.flush()
+
+    def restart(self) -> None:
+        self.disk.crash()
+        while True:
+            try:
+                self.open()
+                return
+            except Crash:
+                self.disk.crash()
+
+    def propose_through_crashes(self, command: Command) -> None:
+        try:
+            self.propose(command)
+        except Crash:
+            self.restart()
+
+
+def test_a_crash_at_any_step_of_a_write_loses_no_answered_change():
+    for step in range(1, 80):
+        single = Single(step)
+        single.disk.crash_at = step
+        for number in range(12):
+            put = PutDocument(b"text %d" % number, b"", True)
+            command = Command(f"r{number}", "ana", number, put_document=put)
+            while command.request_id not in single.accepted:
+                single.propose_through_crashes(command)
+        numbers = [record.number for record in single.node.machine.history]
+        assert numbers == list(range(1, 13)), (step, numbers)
+        assert single.node.machine.version == 12
+
+
+def test_a_full_disk_answers_nothing():
+    single = Single(1)
+    single.propose(Command("one", "ana", 1, put_document=PutDocument(b"text", b"", True)))
+    single.disk.fail_at = single.disk.steps + 1
+    refuse(
+        lambda: single.propose(Command("two", "ana", 2, set_zone_state=SetZoneState("pipa", False)))
+    )
+    assert list(single.accepted) == ["one"]
+    single.disk.fail_at = None
+    single.restart()
+    assert single.node.machine.read_item("zone-state/pipa") in (None, {"in_service": False})
+
+
+names = st.sampled_from(["x", "y"])
+bodies = st.one_of(
+    st.builds(
+        lambda text: {"put_document": PutDocument(text, b"", True)},
+        st.sampled_from([b"one", b"two", b"bad"]),
+    ),
+    st.builds(
+        lambda zone, state: {"set_zone_state": SetZoneState(zone, state)},
+        st.sampled_from([*ZONES, "none"]),
+        st.booleans(),
+    ),
+    st.builds(
+        lambda name, state: {"set_target_state": SetTargetState(name, state)}, names, st.booleans()
+    ),
+    st.builds(
+        lambda epoch, members: {
+            "install_view": InstallView(epoch, [ViewMember(it, 1, "", "") for it in members], 0)
+        },
+        st.integers(1, 4),
+        st.lists(names, unique=True),
+    ),
+    st.builds(
+        lambda entry, epoch: {"assign_host": AssignHost("x", entry, 1, epoch)},
+        names,
+        st.integers(1, 3),
+    ),
+)
+commands = st.builds(
+    lambda request, expect, wall_ms, body: Command(
+        f"r{request}" if request else "", "ana", wall_ms, expect, **body
+    ),
+    st.integers(0, 12),
+    st.none() | st.integers(0, 6),
+    st.integers(0, 10_000_000),
+    bodies,
+)
+
+
+@settings(derandomize=True, deadline=None, max_examples=150)
+@given(st.lists(commands, max_size=25), st.sets(st.integers(1, 60), max_size=3), st.integers(0, 9))
+def test_snapshot_and_restart_equal_replay(sequence, crashes, seed):
+    whole = Single(seed, Limits(snapshot_entries=1_000))
+    broken = Single(seed)
+    for number, command in enumerate(sequence):
+        whole.propose(command)
+        before = broken.node.applied_index
+        broken.propose(command)
+        assert broken.node.applied_index >= before
+        if number in crashes:
+            broken.restart()
+            assert broken.node.machine.export() == whole.node.machine.export()
+    whole.restart()
+    assert broken.node.machine.export() == whole.node.machine.export()
