Start tasks only for entry processes of the present view

Cause: an entry that was cut off, removed from the view and came back could start a task of a job that another entry had taken over, at an agent that joined after the takeover fenced the others.

--- a/apricotrail/agent/_agent.py
+++ b/apricotrail/agent/_agent.py
@@ -117,13 +117,24 @@
 
     # ---- messages ----
 
-    def start_tasks(self, sender: str, message: StartTasks) -> None:
-        """Start what may start and answer for the rest."""
+    def start_tasks(self, sender: str, message: StartTasks, sender_in_view: bool = True) -> None:
+        """Start what may start and answer for the rest.
+
+        Parameters
+        ----------
+        sender : str
+            Name of the entry.
+        message : StartTasks
+            As received.
+        sender_in_view : bool
+            Whether that entry process is a member of the entry view.
+        """
         if not _is_whole(message):
             emit(MESSAGE_INCOMPLETE, kind="StartTasks", sender=sender)
             return
         self._received[sender] += len(message.tasks)
-        state, now_ms = self._rim.gate_state(), self._clock()
+        state = self._rim.gate_state()._replace(sender_in_view=sender_in_view)
+        now_ms = self._clock()
         decision = decide_starts(message, sender, state, self.ledger, self.slots, now_ms)
         for start in decision.starts:
             self._run(message.job, start, message.budget_ms, now_ms)
--- a/apricotrail/agent/_gate.py
+++ b/apricotrail/agent/_gate.py
@@ -30,6 +30,9 @@
         Whether the agent is stopping.
     waiting : bool
         Whether the agent may not start tasks yet because an earlier host may still run some.
+    sender_in_view : bool
+        Whether the entry that sent the message is a member of the entry view, this very process.
+        One that left the view may have lost its jobs to another entry.
     """
 
     target: str
@@ -39,6 +42,7 @@
     leaving: bool = False
     stopping: bool = False
     waiting: bool = False
+    sender_in_view: bool = True
 
 
 class Decision(NamedTuple):
@@ -110,6 +114,8 @@
     closure = find_closure(state)
     if closure == Reason.NONE and message.budget_ms <= 0:
         closure = Reason.EXPIRED
+    if closure == Reason.NONE and not state.sender_in_view:
+        closure = Reason.FENCED
     decision = Decision([], [])
     for start, attempt_id in zip(message.tasks, attempt_ids, strict=True):
         known = ledger.find(message.job, attempt_id)
--- a/apricotrail/agent/_target_agent.py
+++ b/apricotrail/agent/_target_agent.py
@@ -14,7 +14,7 @@
 from apricotrail.clocks import Clock
 from apricotrail.events import Level, declare_event, emit
 from apricotrail.http import ClientLimits, HttpClient
-from apricotrail.membership import NEVER_CONFIRMED_AGE_MS, read_view
+from apricotrail.membership import NEVER_CONFIRMED_AGE_MS, NO_VIEW, View, read_view
 from apricotrail.wire import Link, LinkEndpoint
 from apricotrail.wire.generated import ttypes
 from apricotrail.wire.generated.ttypes import Announcement, Heartbeat, ShareAnnouncements
@@ -99,6 +99,7 @@
         self._clock: Clock = clock
         self._may_start_ms = clock() + parameters.first_start_after_ms
         self._standing: Standing = UNKNOWN
+        self._view: View = NO_VIEW
         self._leaving = False
         self._stopping = False
         self._echoed_ms: dict[str, float] = {}
@@ -201,7 +202,7 @@
         endpoint.receive_heartbeat = self._receive_heartbeat
         endpoint.on_up(self._link_up)
         endpoint.on_down(lambda link: agent.forget_entry(link.peer.name))
-        endpoint.on(ttypes.StartTasks, lambda link, m: agent.start_tasks(link.peer.name, m))
+        endpoint.on(ttypes.StartTasks, self._receive_start)
         endpoint.on(
             ttypes.ResolveAttempts, lambda link, m: agent.resolve_attempts(link.peer.name, m)
         )
@@ -212,6 +213,10 @@
         endpoint.on(ttypes.ConfigurationChange, self._receive_change)
         endpoint.on(ShareAnnouncements, self._receive_announcements)
 
+    def _receive_start(self, link: Link, message: ttypes.StartTasks) -> None:
+        in_view = self._view.has(link.peer.name, link.peer.incarnation)
+        self.agent.start_tasks(link.peer.name, message, in_view)
+
     def _link_up(self, link: Link) -> None:
         self.agent.forget_entry(link.peer.name)
         self._echoed_ms.pop(link.peer.name, None)
@@ -246,7 +251,8 @@
 
     def _apply_items(self, items: dict[str, bytes]) -> None:
         self._standing = read_standing(items, self._parameters.target)
-        members = {member.address for member in read_view(items.get("view")).members}
+        self._view = read_view(items.get("view"))
+        members = {member.address for member in self._view.members}
         wanted = members | set(self._parameters.entries)
         for address in wanted - set(self._endpoint.dialed()):
             self._endpoint.dial(address)
--- a/apricotrail/agent/tests/stand_ins.py
+++ b/apricotrail/agent/tests/stand_ins.py
@@ -18,6 +18,7 @@
     "agent.stop_task_ms": 200,
     "agent.stop_deadline_ms": 5_000,
 }
+VIEW_MEMBERS = {"entry-a": 1, "entry-b": 1}
 ITEMS = {
     "target/runner": {"names": {"shop": "runner-1"}, "service": "counter", "zone": "pipa"},
     "zone/pipa": {"names": {}},
@@ -79,6 +80,7 @@
         self.name = name
         self.version, self.age_ms = 1, 0
         self.items = {key: orjson.dumps(value) for key, value in ITEMS.items()}
+        self.served_versions: list[int] = []
         self.outcomes: list[ttypes.TaskOutcome] = []
         self.messages: list[ttypes.TaskOutcomes] = []
         self.offers: list[ttypes.SlotOffer] = []
@@ -102,8 +104,18 @@
 
     async def start(self) -> None:
         self.address = await self.endpoint.listen("127.0.0.1", 0)
+        self.set_view(self.address)
         self.endpoint.start()
 
+    def set_view(self, address: str) -> None:
+        """State a view whose members are dialed at `address`."""
+        incarnations = VIEW_MEMBERS | {self.name: self.endpoint.identity.incarnation}
+        members = [
+            {"name": name, "incarnation": incarnation, "zone": "pipa", "address": address}
+            for name, incarnation in incarnations.items()
+        ]
+        self.items["view"] = orjson.dumps({"epoch": 1, "members": members})
+
     async def stop(self) -> None:
         await self.endpoint.stop()
 
@@ -141,6 +153,7 @@
         return [(o.task, o.state, o.reason) for o in self.outcomes]
 
     def _configuration(self) -> ttypes.ConfigurationChange:
+        self.served_versions.append(self.version)
         items = [ttypes.ConfigurationItem(key, value) for key, value in self.items.items()]
         return ttypes.ConfigurationChange(0, self.version, items)
 
@@ -216,6 +229,7 @@
         if self._proxied:
             self.proxy = LossyProxy(self.entry.address)
             addresses = [await self.proxy.start()]
+            self.entry.set_view(addresses[0])
         announcement = ttypes.Announcement(
             "runner", self.target.address, self.slots, 16, 1, 6_000, False
         )
--- a/apricotrail/agent/tests/test_lost_links.py
+++ b/apricotrail/agent/tests/test_lost_links.py
@@ -104,10 +104,13 @@
             address = scene.entry.address
             await scene.entry.stop()
             restarted = StandInEntry(incarnation=2)
+            restarted.version = 2
+            restarted.set_view(address)
             host, port = address.split(":")
             await restarted.endpoint.listen(host, int(port))
             restarted.endpoint.start()
-            await wait_until(lambda: restarted.link is not None and restarted.loads)
+            await wait_until(lambda: restarted.link and restarted.served_versions[-1:] == [2])
+            await wait_until(lambda: restarted.loads and restarted.loads[-1].accepting)
             restarted.start_tasks("school/2", {})
             await wait_until(lambda: restarted.outcomes)
             self.assertEqual(restarted.outcomes[0].state, TaskState.DONE)
