--- a/apricotrail/agent/_agent.py
+++ b/apricotrail/agent/_agent.py
@@ -120,7 +120,6 @@
     def start_tasks(self, sender: str, message: StartTasks) -> None:
         """Start what may start and answer for the rest."""
         if not _is_whole(message):
-            emit(MESSAGE_INCOMPLETE, kind="StartTasks", sender=sender)
             return
         self._received[sender] += len(message.tasks)
         state, now_ms = self._rim.gate_state(), self._clock()
@@ -133,8 +132,10 @@
         self.starts += len(decision.starts)
         self._want(sender, message.want or 0)
 
-    def resolve_attempts(self, sender: str, message: ResolveAttempts) -> AttemptStates:
+    def resolve_attempts(self, sender: str, message: ResolveAttempts) -> AttemptStates | None:
         """Say what became of attempts; one never seen will never start."""
+        if _lacks(message, "job", "epoch", "attempts"):
+            return None
         state, now_ms = self._rim.gate_state(), self._clock()
         ids = [AttemptId(key.task, key.attempt) for key in message.attempts]
         if message.agent_incarnation != state.incarnation or message.target != state.target:
@@ -158,7 +159,7 @@
             None if the epoch itself is too low or can't be recorded: then nothing may be concluded.
         """
         state = self._rim.gate_state()
-        if message.target != state.target:
+        if _lacks(message, "job", "epoch", "owner") or message.target != state.target:
             return None
         now_ms = self._clock()
         if not self.ledger.claim(
@@ -169,7 +170,9 @@
 
     def stop_tasks(self, message: StopTasks) -> None:
         """Stop started tasks; an empty list of tasks stops the job and its later starts."""
-        if message.epoch is None or self.ledger.is_fenced(message.job, message.epoch):
+        if _lacks(message, "job", "epoch", "tasks"):
+            return
+        if self.ledger.is_fenced(message.job, message.epoch):
             return
         runs = self._runs.get(message.job, {})
         if not message.tasks:
@@ -300,7 +303,7 @@
             slots=slots.count,
             free_slots=slots.free(),
             running=slots.running,
-            accepting=find_closure(state) == Reason.NONE,
+            accepting=find_closure(state) == Reason.NONE and not self.ledger.is_full(),
             received=self._received[entry],
         )
 
@@ -329,11 +332,15 @@
         self.slots.forget(batch.receiver)
 
 
+def _lacks(message: Any, *names: str) -> bool:
+    """Return whether a message lacks one of these fields; such a message is ignored."""
+    missing = [name for name in names if getattr(message, name) is None]
+    if missing:
+        emit(MESSAGE_INCOMPLETE, kind=type(message).__name__, missing=missing)
+    return bool(missing)
+
+
 def _is_whole(message: StartTasks) -> bool:
-    fields = (message.job, message.owner, message.epoch, message.budget_ms, message.tasks)
-    if any(field is None for field in fields):
+    if _lacks(message, "job", "owner", "epoch", "budget_ms", "tasks"):
         return False
-    return all(
-        start.task is not None and start.attempt is not None and start.body is not None
-        for start in message.tasks
-    )
+    return not any(_lacks(start, "task", "attempt", "body") for start in message.tasks)
--- a/apricotrail/agent/_ledger.py
+++ b/apricotrail/agent/_ledger.py
@@ -30,9 +30,10 @@
 ANSWER_KEEP_BYTES = declare_setting(
     "agent.answer_keep_bytes",
     8 * 1024 * 1024,
-    "Bytes of answers that an agent keeps, not counting the newest answer.",
+    "Bytes of answers that an agent keeps; the newest answer stays, whatever its size.",
     unit="bytes",
     minimum=0,
+    maximum=12 * 1024 * 1024,
 )
 LEDGER_RECORDS = declare_setting(
     "agent.ledger_records",
@@ -177,6 +178,10 @@
         record = self._jobs.get(job)
         return record is not None and epoch < record.epoch
 
+    def is_full(self) -> bool:
+        """Return whether the start of a new job would be refused."""
+        return not self._has_room(2)
+
     def owner(self, job: str) -> str | None:
         """Return the name of the entry with the highest epoch seen for the job."""
         record = self._jobs.get(job)
--- a/apricotrail/http/_connection.py
+++ b/apricotrail/http/_connection.py
@@ -71,7 +71,7 @@
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Count the connection; one too many is refused."""
         self._transport = transport  # type: ignore[assignment]
-        host, port = transport.get_extra_info("peername")[:2]
+        host, port = (transport.get_extra_info("peername") or ("unknown", 0))[:2]
         self._peer = f"{host}:{port}"
         if not self._server.track(self):
             remedy = "Close idle connections, or retry on another entry."
@@ -144,6 +144,8 @@
                 self._add_body(event.data)
             elif type(event) is h11.EndOfMessage:
                 self._run()
+                if self._phase is Phase.IDLE and not self._h11.trailing_data[0]:
+                    return
             else:
                 self._wait_for_data()
                 return
--- a/apricotrail/http/_exchange.py
+++ b/apricotrail/http/_exchange.py
@@ -71,14 +71,17 @@
 
     # ---- use ----
 
+    def is_closed(self) -> bool:
+        """Return whether nothing can be sent any more."""
+        return self._transport is None or self._transport.is_closing()
+
     def is_usable(self) -> bool:
         """Return whether a request may be sent: open, between exchanges, nothing received."""
-        if self._transport is None or self._transport.is_closing():
-            return False
-        if self._h11.our_state is not h11.IDLE:
+        if self.is_closed() or self._h11.our_state is not h11.IDLE:
             return False
         readable = poll()
-        readable.register(self._transport.get_extra_info("socket").fileno(), POLLIN)
+        socket = self._transport.get_extra_info("socket")  # type: ignore[union-attr]
+        readable.register(socket.fileno(), POLLIN)
         return not readable.poll(0)
 
     def send(
--- a/apricotrail/http/_pool.py
+++ b/apricotrail/http/_pool.py
@@ -102,6 +102,9 @@
             self._wake_one()
             raise
         self._opening -= 1
+        if connection.is_closed():
+            self._wake_one()
+            raise ConnectionResetError("the connection was closed as soon as it was open")
         self._open.add(connection)
         return connection
 
