--- a/apricotrail/entry/_application.py
+++ b/apricotrail/entry/_application.py
@@ -7,7 +7,7 @@
 
 from returns.result import Failure, Result, Success
 
-from apricotrail.agent import make_hosted_agent
+from apricotrail.agent import GRANT_MS, make_hosted_agent
 from apricotrail.application import Application
 from apricotrail.clocks import monotonic_ms, wall_ms
 from apricotrail.entry._admission import (
@@ -18,14 +18,17 @@
 )
 from apricotrail.entry._agents import AgentTable
 from apricotrail.entry._announcements import MAX_ANNOUNCEMENTS, AnnouncementTable
+from apricotrail.entry._burn import EXCHANGE_S, BurnCounts
 from apricotrail.entry._callers import CallerParts, add_caller_routes
 from apricotrail.entry._claiming import CLAIM_CALL_MS, CLAIM_HEDGE_MS
 from apricotrail.entry._claims import MAX_ANSWERS_BYTES, MAX_CLAIMS, RETENTION_S, ClaimTable
 from apricotrail.entry._control_client import CONTROL_CALL_MS, ControlClient
 from apricotrail.entry._dispatch import AGENT_LOST_MS, STOP_GRACE_MS, Dispatcher
 from apricotrail.entry._hosting import Hosting, HostingParts
+from apricotrail.entry._job import Job, JobResult
+from apricotrail.entry._operating import OperatingParts, make_operator_router
 from apricotrail.entry._relay import ConfigurationRelay
-from apricotrail.entry._submission import read_limits
+from apricotrail.entry._submission import Submission, read_limits
 from apricotrail.entry._succession import SYNC_MS, ViewSuccession
 from apricotrail.entry._takeover import TakeOverParts, make_take_over
 from apricotrail.entry._uncertainty import Vouching
@@ -34,6 +37,7 @@
 from apricotrail.events import Level, declare_event, emit
 from apricotrail.http import HttpServer, Router, read_server_limits
 from apricotrail.membership import CONFIG_STALE_MS, NEVER_CONFIRMED_AGE_MS
+from apricotrail.metrics import make_metrics, watch_loop_lag
 from apricotrail.policy import PLACEMENTS, Admission
 from apricotrail.settings import Settings, declare_setting
 from apricotrail.wire import KEY_FILE, KeyRing, Link, LinkEndpoint, parse_address
@@ -45,6 +49,9 @@
 ZONE = declare_setting("entry.zone", "", "Availability zone of this entry.")
 ENVIRONMENT = declare_setting("entry.environment", "production", "Environment of this entry.")
 LISTEN = declare_setting("entry.listen", "127.0.0.1:8080", "Address for callers and targets.")
+OPERATORS_LISTEN = declare_setting(
+    "entry.operators_listen", "127.0.0.1:8081", "Address for operators, apart from the callers'."
+)
 LINK_LISTEN = declare_setting("entry.link_listen", "127.0.0.1:7080", "Address for links.")
 CONTROL_ADDRESSES = declare_setting(
     "control.addresses", [], "Link addresses of the control replicas."
@@ -60,9 +67,7 @@
 FINISH_MS = declare_setting(
     "entry.finish_ms", 20_000, "How long a stopping entry waits for its jobs.", unit="ms", minimum=0
 )
-GRANT_MS = declare_setting(
-    "agent.grant_ms", 50, "How long an agent reserves a granted slot.", unit="ms", minimum=1
-)
+HTTP_OK = 200
 TICK_MS = 250
 POLL_MS = 20
 MS_PER_S = 1_000
@@ -90,8 +95,8 @@
     ----------
     application : Application
         Life cycle.
-    address : str
-        Address for callers, once started.
+    address, operators_address : str
+        Addresses for callers and for operators, once started.
     """
 
     def __init__(self, settings: Settings) -> None:
@@ -116,13 +121,23 @@
         self.succession = ViewSuccession(
             self.table, self.find_link, self.identity, monotonic_ms, settings.get(SYNC_MS)
         )
+        self.metrics = make_metrics("entry")
         self.dispatcher = self._make_dispatcher()
         self.hosting = Hosting(self._hosting_parts())
         admission = self._admission_parts()
         self.admit = make_admit(admission)
         self.retry_after_ms = make_retry_after(admission)
+        self.burn = BurnCounts(
+            *self.identity(),
+            lambda: self.relay.effective,
+            self.member_links,
+            lambda: {member.name for member in self.succession.view.members},
+        )
         self.pipeline = Pipeline(self._pipeline_parts())
-        self.server = HttpServer(self._make_router(), read_server_limits(settings))
+        limits = read_server_limits(settings)
+        self.server = HttpServer(self._make_router(), limits)
+        self.operators = HttpServer(make_operator_router(self._operating_parts()), limits)
+        self.operators_address = ""
         self._was_member = False
         self._connect_parts()
 
@@ -307,6 +322,8 @@
         endpoint.on(ttypes.CopyAnswer, self.pipeline.receive_answer)
         endpoint.on(ttypes.AttachJob, self.pipeline.receive_attach)
         endpoint.on(ttypes.CancelJob, self.pipeline.receive_cancel)
+        endpoint.on(ttypes.ReportRequest, self.burn.answer_request)
+        self._watch_gauges()
         self.relay.on_applied.append(self._configuration_applied)
         self.application.on_start(self._start)
         self.application.on_stop(self._stop)
@@ -322,6 +339,7 @@
             placement,
             monotonic_ms,
             self.random,
+            self.metrics,
             self.settings.get(AGENT_LOST_MS),
             self.settings.get(STOP_GRACE_MS),
         )
@@ -388,6 +406,19 @@
             self.stale_ms,
             self.settings.get(CLAIM_CALL_MS),
             self.settings.get(CLAIM_HEDGE_MS),
+            self._observe_job,
+        )
+
+    def _operating_parts(self) -> OperatingParts:
+        return OperatingParts(
+            self.settings,
+            self.control,
+            lambda: self.relay.effective,
+            self.announcements,
+            self.agents,
+            self.burn,
+            self.metrics.render,
+            self.stale_ms,
         )
 
     def _make_router(self) -> Router:
@@ -399,17 +430,37 @@
             self.leave,
             lambda: self.ready and self.succession.is_ready() and self.relay.freshness.is_fresh(),
             self.retry_after_ms,
-            self._render_metrics,
-            lambda submission, result, response_ms: None,
-            monotonic_ms,
+            self.metrics.render,
+            self._observe_refusal,
         )
         add_caller_routes(router, parts)
         return router
 
-    def _render_metrics(self) -> bytes:
-        counters = self.dispatcher.counters
-        lines = [f"apricotrail_{name}_total {counters[name]}" for name in sorted(counters)]
-        return ("\n".join(lines) + "\n").encode()
+    def _observe_job(self, job: Job, result: JobResult, response_ms: float) -> None:
+        self.metrics.jobs.add("complete" if result.status == HTTP_OK else "failed")
+        self.metrics.response_ms.observe(response_ms)
+        if job.longest_ms:
+            self.metrics.response_over_ideal.observe(response_ms / job.longest_ms)
+        self.burn.observe_job(job, result, response_ms)
+
+    def _observe_refusal(self, submission: Submission, problem: Problem) -> None:
+        self.metrics.refusals.add(problem.kind.value)
+        self.burn.observe_refusal(submission.service, problem)
+
+    def _watch_gauges(self) -> None:
+        metrics = self.metrics
+        metrics.links.watch(self.endpoint.links.__len__)
+        metrics.config_version.watch(lambda: self.relay.configuration.version)
+        metrics.config_age_ms.watch(self.relay.freshness.age_ms)
+        metrics.queued_tasks.watch(self.dispatcher.count_all_queued)
+        metrics.running_tasks.watch(self.dispatcher.count_running)
+        metrics.slots.watch(lambda: sum(agent.slots for agent in self.agents.connected()))
+        metrics.free_slots.watch(
+            lambda: sum(agent.count_free() for agent in self.agents.connected())
+        )
+        metrics.targets_ejected.watch(lambda: len(self.dispatcher.health.ejected()))
+        metrics.claims.watch(self.table.__len__)
+        metrics.view_epoch.watch(lambda: self.succession.view.epoch)
 
     # ---- life cycle ----
 
@@ -419,9 +470,21 @@
         for address in self.settings.get(CONTROL_ADDRESSES):
             self.endpoint.dial(address)
         self.application.spawn(self._tick_forever())
+        self.application.spawn(self._exchange_forever())
+        self.application.spawn(watch_loop_lag(self.metrics.loop_lag_ms))
         self.address = await self.server.listen(*parse_address(self.settings.get(LISTEN)))
+        operators = parse_address(self.settings.get(OPERATORS_LISTEN))
+        self.operators_address = await self.operators.listen(*operators)
         self.ready = True
 
+    async def _exchange_forever(self) -> None:
+        while True:
+            await asyncio.sleep(self.settings.get(EXCHANGE_S))
+            try:
+                await self.burn.exchange()
+            except Exception as error:
+                emit(TICK_FAILED, error=repr(error))
+
     async def _tick_forever(self) -> None:
         while True:
             try:
@@ -439,6 +502,7 @@
         await self.hosting.stop()
         await _wait_until(self._has_left_view, LEAVE_VIEW_MS)
         await self.server.stop(LEAVE_VIEW_MS)
+        await self.operators.stop(LEAVE_VIEW_MS)
         await self.dispatcher.stop()
         await self.endpoint.stop()
 
--- a/apricotrail/entry/_job.py
+++ b/apricotrail/entry/_job.py
@@ -9,9 +9,17 @@
 from apricotrail.errors import ErrorKind, Problem, http_status
 from apricotrail.wire.generated.ttypes import Reason, TaskOutcome, TaskState
 
-__all__ = ["Attempt", "Job", "JobResult", "encode_result", "read_result_status"]
-
-_STATE_NAMES = {
+__all__ = [
+    "STATE_NAMES",
+    "Attempt",
+    "Job",
+    "JobResult",
+    "describe_reason",
+    "encode_result",
+    "read_result_status",
+]
+
+STATE_NAMES = {
     TaskState.DONE: "done",
     TaskState.FAILED: "failed",
     TaskState.NOT_RUN: "not_run",
@@ -77,6 +85,8 @@
         Started tasks without outcome.
     queued : set of int
         Tasks that wait for a slot.
+    blamed_target : str
+        Where a task failed first, else where the last task ended.
     """
 
     def __init__(
@@ -109,6 +119,7 @@
         self.problem: Problem | None = None
         self.busy_ms = 0
         self.longest_ms = 0
+        self.blamed_target = ""
         self.result: asyncio.Future[JobResult] = asyncio.get_running_loop().create_future()
 
     @property
@@ -176,7 +187,7 @@
             "message": problem.message,
             "remedy": problem.remedy,
         },
-        "tasks": [{"state": _STATE_NAMES[state]} for state in job.states],
+        "tasks": [{"state": STATE_NAMES[state]} for state in job.states],
     }
     return JobResult(http_status(problem.kind), orjson.dumps(value))
 
