--- a/apricotrail/cli/_things.py
+++ b/apricotrail/cli/_things.py
@@ -26,4 +26,5 @@
     version = answer["version"]
     if answer["in_force"] == "confirmed":
         return f"version {version} is in force everywhere."
-    return f"version {version} is in force: nodes that did not confirm it start no task."
+    behind = ", ".join(answer.get("behind", ())) or "nodes that did not confirm it"
+    return f"version {version} is in force: the stale limit has stopped {behind}."
--- a/apricotrail/operators/_changes.py
+++ b/apricotrail/operators/_changes.py
@@ -2,7 +2,7 @@
 
 import asyncio
 import json
-from collections.abc import Awaitable, Callable
+from collections.abc import Callable
 from typing import Any, NamedTuple
 
 from returns.result import Failure, Result, Success
@@ -21,6 +21,9 @@
 MAX_HEADER_CHARACTERS = 128
 DEFAULT_AUTHOR = "unknown"
 POLL_MS = 100
+MS_PER_S = 1_000
+CONFIRMED = "confirmed"
+STALE_LIMIT = "stale_limit"
 CLOCK_MARGIN = 1.05
 """Factor on the stale limit, for clocks of nodes that run slower than this one's."""
 
@@ -32,9 +35,9 @@
 )
 
 
-class _Accepted(NamedTuple):
-    version: int
-    answer: dict[str, Any]
+class _Force(NamedTuple):
+    in_force: str
+    behind: list[str]
 
 
 def read_command(request: Request) -> Result[Command, Problem]:
@@ -87,7 +90,7 @@
     -------
     Response
         ``in_force`` is "confirmed" if every node confirmed the version, "stale_limit" if those
-        that did not have certainly stopped starting tasks.
+        that did not, ``behind``, have certainly stopped starting tasks.
     """
     read = read_command(request)
     if isinstance(read, Failure):
@@ -101,9 +104,9 @@
     if not reply.accepted:
         return _refuse(command, reply)
     emit(CHANGE_ACCEPTED, author=command.author, version=reply.version)
-    in_force = await _wait_in_force(parts, reply.version or 0)
-    answer = _read_answer(reply)
-    return json_response(200, {**answer, **details, "version": reply.version, "in_force": in_force})
+    force = await _wait_in_force(parts, reply.version or 0)
+    answer = {**_read_answer(reply), **details, "version": reply.version, **force._asdict()}
+    return json_response(200, answer)
 
 
 def _refuse(command: Command, reply: ProposeReply) -> Response:
@@ -126,33 +129,33 @@
     return answer if isinstance(answer, dict) else {}
 
 
-async def _wait_in_force(parts: OperatorParts, version: int) -> str:
+async def _wait_in_force(parts: OperatorParts, version: int) -> _Force:
     end_ms = parts.clock() + parts.stale_ms * CLOCK_MARGIN
     while parts.clock() < end_ms:
-        remaining_s = (end_ms - parts.clock()) / 1000
-        if await _within(_is_forced(parts, version), remaining_s):
-            return "confirmed"
-        await asyncio.sleep(min(POLL_MS / 1000, remaining_s))
-    return "stale_limit"
+        remaining_s = (end_ms - parts.clock()) / MS_PER_S
+        force = await _ask_force(parts, version, remaining_s)
+        if force is not None:
+            return force
+        await asyncio.sleep(min(POLL_MS / MS_PER_S, remaining_s))
+    return _Force(STALE_LIMIT, [])
 
 
-async def _within(question: Awaitable[bool], limit_s: float) -> bool:
+async def _ask_force(parts: OperatorParts, version: int, limit_s: float) -> _Force | None:
     try:
         async with asyncio.timeout(limit_s):
-            return await question
+            asked = await parts.ask_status("forced", version)
     except TimeoutError:
-        return False
-
-
-async def _is_forced(parts: OperatorParts, version: int) -> bool:
-    asked = await parts.ask_status("forced", version)
+        return None
     if isinstance(asked, Failure):
-        return False
+        return None
     try:
         answer = json.loads(asked.unwrap())
     except ValueError:
-        return False
-    return isinstance(answer, dict) and answer.get("forced") is True
+        return None
+    if not isinstance(answer, dict) or answer.get("in_force") is not True:
+        return None
+    how = CONFIRMED if answer.get("how") == CONFIRMED else STALE_LIMIT
+    return _Force(how, list(answer.get("behind", ())))
 
 
 def _is_short_text(text: str) -> bool:
--- a/apricotrail/operators/_documents.py
+++ b/apricotrail/operators/_documents.py
@@ -1,5 +1,6 @@
 """Handlers for documents: check, diff, try, promote, history, exact bytes."""
 
+import json
 from hashlib import sha256
 
 from returns.result import Failure, Result, Success
@@ -63,7 +64,7 @@
     asked = await parts.ask_status("history", 0)
     if isinstance(asked, Failure):
         return problem_response(asked.failure())
-    return Response(200, asked.unwrap())
+    return json_response(200, {"documents": json.loads(asked.unwrap())})
 
 
 async def show(parts: OperatorParts, request: Request, number: str) -> Response:
--- a/apricotrail/operators/tests/fakes.py
+++ b/apricotrail/operators/tests/fakes.py
@@ -39,7 +39,7 @@
         self.commands = []
         self.lose = 0
         self.failure = None
-        self.forced = True
+        self.force = {"in_force": True, "how": "confirmed", "behind": []}
         self.clock = VirtualClock()
         self.live = [LiveTarget("natal-1", "h:1", 8, 64, 1, False, 3)]
         self.put(TEXT)
@@ -70,12 +70,12 @@
         """Answer about versions, history and documents."""
         if what == "forced":
             self.clock.advance(1_000)
-            return Success(json.dumps({"forced": self.forced}).encode())
+            return Success(json.dumps(self.force).encode())
         if what == "document":
             return Success(self.texts[number - 1])
         if what == "history":
             rows = [{"number": number + 1} for number in range(len(self.texts))]
-            return Success(json.dumps({"documents": rows}).encode())
+            return Success(json.dumps(rows).encode())
         members = [{"name": "control-1", "identity": "a1", "address": "h:1", "voter": True}]
         return Success(json.dumps({"members": members, "leader": "control-1"}).encode())
 
--- a/apricotrail/operators/tests/test_operators.py
+++ b/apricotrail/operators/tests/test_operators.py
@@ -93,10 +93,18 @@
                 self.assertEqual(set(states.values()), {True})
 
     async def test_unconfirmed_change_is_answered_at_the_stale_limit(self):
-        self.control.forced = False
-        answer = await self.call("POST", "/zones/Pipa/out")
-        self.assertEqual(answer.value["in_force"], "stale_limit")
-        self.assertGreaterEqual(self.control.clock(), 3_000)
+        table = (
+            ({"in_force": False, "how": "unknown_version", "behind": []}, [], 3_000),
+            ({"in_force": True, "how": "stale_limit", "behind": ["entry-2"]}, ["entry-2"], 0),
+            ("?", [], 3_000),
+        )
+        for number, (force, behind, least_ms) in enumerate(table):
+            self.control.force = force
+            started_ms = self.control.clock()
+            answer = await self.call("POST", "/zones/Pipa/out", apricotrail_request_id=str(number))
+            self.assertEqual(answer.value["in_force"], "stale_limit")
+            self.assertEqual(answer.value["behind"], behind)
+            self.assertGreaterEqual(self.control.clock() - started_ms, least_ms)
 
     async def test_resend_gets_the_first_answer(self):
         self.control.lose = 1
