--- a/apricotrail/document/_configuration.py
+++ b/apricotrail/document/_configuration.py
@@ -145,7 +145,7 @@
         self._zone_states: Mapping[str, bool] = self._section("zone-state")
         self._target_states: Mapping[str, bool] = self._section("target-state")
         self._tables: dict[str, NameTable] = {}
-        self._targets_by_service: dict[str, tuple[str, ...]] | None = None
+        self._targets_by_service: dict[str, tuple[Target, ...]] | None = None
         self._teams_by_caller: dict[str, Team] | None = None
 
     def apply(self, changes: Mapping[str, bytes | None]) -> "EffectiveConfiguration":
@@ -175,8 +175,8 @@
         """Return whether operators told the target to leave."""
         return self._target_states.get(target_id, False)
 
-    def targets_of(self, service_id: str) -> tuple[str, ...]:
-        """Return the ids of a service's targets."""
+    def targets_of(self, service_id: str) -> tuple[Target, ...]:
+        """Return the targets of a service."""
         if self._targets_by_service is None:
             self._targets_by_service = _index_targets(self.targets.values())
         return self._targets_by_service.get(service_id, ())
@@ -241,8 +241,8 @@
     return grouped
 
 
-def _index_targets(targets: Iterable[Target]) -> dict[str, tuple[str, ...]]:
-    index: dict[str, list[str]] = {}
+def _index_targets(targets: Iterable[Target]) -> dict[str, tuple[Target, ...]]:
+    index: dict[str, list[Target]] = {}
     for target in targets:
-        index.setdefault(target.service, []).append(target.id)
+        index.setdefault(target.service, []).append(target)
     return {service: tuple(members) for service, members in index.items()}
--- a/apricotrail/operators/_services.py
+++ b/apricotrail/operators/_services.py
@@ -30,8 +30,8 @@
     service_id = resolved.unwrap()
     live = {target.target: target for target in parts.list_live()}
     targets = [
-        describe_target(configuration, target_id, live.get(target_id))
-        for target_id in configuration.targets_of(service_id)
+        describe_target(configuration, target.id, live.get(target.id))
+        for target in configuration.targets_of(service_id)
     ]
     answer = _describe(configuration, service_id, set(live))
     return json_response(200, {**answer, "target_list": targets})
@@ -50,5 +50,5 @@
         "max_answer_bytes": service.max_answer_bytes,
         "objectives": service.objectives._asdict(),
         "targets": len(targets),
-        "live_targets": sum(target_id in live for target_id in targets),
+        "live_targets": sum(target.id in live for target in targets),
     }
