--- a/apricotrail/settings/_files.py
+++ b/apricotrail/settings/_files.py
@@ -41,6 +41,7 @@
     "metrics",
     "node",
     "operators",
+    "operators",
     "policy",
     "process",
     "report",
