--- a/apricotrail/entry/tests/system.py
+++ b/apricotrail/entry/tests/system.py
@@ -143,7 +143,7 @@
             "control.listen": self.control_address,
             "control.peers": [f"control-1={self.control_address}"],
             "control.data_folder": str(Path(self.folder.name) / "control"),
-            "control.environment": "test",
+            "control.environment": "trial",
         }
         self.control = make_control(Settings(values))
         await self.control.start()
@@ -152,7 +152,7 @@
         values = self.settings | {
             "entry.name": name,
             "entry.zone": zone,
-            "entry.environment": "test",
+            "entry.environment": "trial",
             "entry.listen": "127.0.0.1:0",
             "entry.link_listen": "127.0.0.1:0",
             "entry.operators_listen": "127.0.0.1:0",
@@ -168,7 +168,7 @@
             "agent.target": target.name,
             "agent.target_address": target.address,
             "agent.zone": target.zone,
-            "agent.environment": "test",
+            "agent.environment": "trial",
             "agent.entries": [entry.endpoint.identity.address for entry in self.entries],
         }
         agent = make_agent(Settings(values))
