--- a/apricotrail/agent/_agent.py
+++ b/apricotrail/agent/_agent.py
@@ -6,8 +6,9 @@
 from typing import Any, NamedTuple
 
 from apricotrail.agent._gate import GateState, decide_starts, find_closure
-from apricotrail.agent._ledger import AttemptId, Ledger, LedgerLimits, Outcome
+from apricotrail.agent._ledger import Ledger
 from apricotrail.agent._outbox import Batch, Outbox, make_task_outcome
+from apricotrail.agent._records import AttemptId, LedgerLimits, Outcome
 from apricotrail.agent._slots import Slots
 from apricotrail.clocks import Clock
 from apricotrail.events import Level, declare_event, emit
--- a/apricotrail/agent/_application.py
+++ b/apricotrail/agent/_application.py
@@ -3,7 +3,7 @@
 from collections.abc import Sequence
 from pathlib import Path
 
-from apricotrail.agent._ledger import read_ledger_limits
+from apricotrail.agent._records import read_ledger_limits
 from apricotrail.agent._target_agent import AgentParameters, TargetAgent
 from apricotrail.application import Application
 from apricotrail.clocks import Clock, monotonic_ms, wall_ms
--- a/apricotrail/agent/_client.py
+++ b/apricotrail/agent/_client.py
@@ -5,7 +5,7 @@
 
 from returns.result import Success
 
-from apricotrail.agent._ledger import Outcome
+from apricotrail.agent._records import Outcome
 from apricotrail.errors import ErrorKind, Problem
 from apricotrail.http import HttpClient, Response
 from apricotrail.wire.generated.ttypes import Reason, TaskState
--- a/apricotrail/agent/_gate.py
+++ b/apricotrail/agent/_gate.py
@@ -3,7 +3,8 @@
 from collections.abc import Sequence
 from typing import NamedTuple
 
-from apricotrail.agent._ledger import AttemptId, Ledger, Outcome
+from apricotrail.agent._ledger import Ledger
+from apricotrail.agent._records import AttemptId, Outcome
 from apricotrail.agent._slots import Slots
 from apricotrail.agent._standing import Standing
 from apricotrail.wire.generated.ttypes import Reason, StartTasks, TaskStart, TaskState
--- a/apricotrail/agent/_outbox.py
+++ b/apricotrail/agent/_outbox.py
@@ -3,7 +3,7 @@
 from collections.abc import Callable
 from typing import NamedTuple
 
-from apricotrail.agent._ledger import AttemptId, Outcome
+from apricotrail.agent._records import AttemptId, Outcome
 from apricotrail.wire.generated.ttypes import TaskOutcome, TaskState
 
 __all__ = ["Batch", "Outbox", "make_task_outcome"]
--- a/apricotrail/agent/_target_agent.py
+++ b/apricotrail/agent/_target_agent.py
@@ -9,7 +9,7 @@
 from apricotrail.agent._client import run_task, stop_task
 from apricotrail.agent._follower import ConfigurationFollower
 from apricotrail.agent._gate import GateState
-from apricotrail.agent._ledger import LedgerLimits, Outcome
+from apricotrail.agent._records import LedgerLimits, Outcome
 from apricotrail.agent._standing import UNKNOWN, Standing, read_standing
 from apricotrail.clocks import Clock
 from apricotrail.events import Level, declare_event, emit
--- a/apricotrail/agent/tests/test_gate.py
+++ b/apricotrail/agent/tests/test_gate.py
@@ -6,7 +6,8 @@
 from nose2.tools import params
 
 from apricotrail.agent._gate import GateState, decide_starts
-from apricotrail.agent._ledger import AttemptId, Ledger, LedgerLimits, Outcome
+from apricotrail.agent._ledger import Ledger
+from apricotrail.agent._records import AttemptId, LedgerLimits, Outcome
 from apricotrail.agent._slots import Slots
 from apricotrail.agent._standing import Standing
 from apricotrail.wire.generated.ttypes import Reason, StartTasks, TaskStart, TaskState
--- a/apricotrail/agent/tests/test_waves.py
+++ b/apricotrail/agent/tests/test_waves.py
@@ -7,8 +7,8 @@
 
 from apricotrail.agent._agent import Agent, AgentRim
 from apricotrail.agent._gate import GateState
-from apricotrail.agent._ledger import LedgerLimits, Outcome
 from apricotrail.agent._outbox import MAX_BATCH_BYTES
+from apricotrail.agent._records import LedgerLimits, Outcome
 from apricotrail.agent._standing import Standing
 from apricotrail.clocks import VirtualClock
 from apricotrail.wire.generated.ttypes import (
--- a/apricotrail/http/_connection.py
+++ b/apricotrail/http/_connection.py
@@ -8,9 +8,17 @@
 
 import h11
 
-from apricotrail.errors import ErrorKind, Problem
+from apricotrail.errors import Problem
 from apricotrail.events import Level, declare_event, emit
 from apricotrail.http._messages import Request, Response, problem_response
+from apricotrail.http._problems import (
+    body_too_large,
+    handler_failed,
+    headers_too_large,
+    late,
+    malformed,
+    too_many_connections,
+)
 
 __all__ = ["ServerConnection"]
 
@@ -74,9 +82,7 @@
         host, port = (transport.get_extra_info("peername") or ("unknown", 0))[:2]
         self._peer = f"{host}:{port}"
         if not self._server.track(self):
-            remedy = "Close idle connections, or retry on another entry."
-            problem = Problem(ErrorKind.OVERLOADED, "Too many open connections.", remedy)
-            self._refuse(problem, STATUS_UNAVAILABLE)
+            self._refuse(too_many_connections(), STATUS_UNAVAILABLE)
 
     def data_received(self, data: bytes) -> None:
         """Feed the parser; bytes of a further request wait for the running one."""
@@ -113,9 +119,7 @@
         elif self._phase is Phase.LINGERING:
             self.abort()
         else:
-            remedy = "Send the whole request faster, or in smaller parts."
-            message = f"The {self._phase.value} of the request did not arrive in time."
-            self._refuse(Problem(ErrorKind.DEADLINE, message, remedy), STATUS_TIMEOUT)
+            self._refuse(late(self._phase.value), STATUS_TIMEOUT)
 
     def close_idle(self) -> None:
         """Close the connection if no request is under way on it."""
@@ -179,9 +183,7 @@
         self._waiting_bytes = 0
         target = self._head.target.decode("ascii")  # type: ignore[union-attr]
         if not target.startswith("/"):
-            remedy = "Send the path alone, as in GET /healthz."
-            message = "The request target is not a path."
-            self._refuse(Problem(ErrorKind.MALFORMED, message, remedy), STATUS_BAD_REQUEST)
+            self._refuse(malformed("The request target is not a path."), STATUS_BAD_REQUEST)
             return
         try:
             answer = self._server.handler(self._make_request(target))
@@ -218,9 +220,7 @@
 
     def _report_failure(self, error: Exception) -> Response:
         emit(HANDLER_FAILED, path=self._head.target.decode("ascii"), error=repr(error))
-        remedy = "Retry under the same id; if it stays, report the log's event 1502."
-        problem = Problem(ErrorKind.INTERNAL, "The request's handler failed.", remedy)
-        return problem_response(problem)
+        return problem_response(handler_failed())
 
     def _respond(self, response: Response) -> None:
         self._server.requests += 1
@@ -258,19 +258,13 @@
 
     def _refuse_malformed(self, error: h11.RemoteProtocolError) -> None:
         if error.error_status_hint == STATUS_HEADERS_TOO_LARGE:
-            limit = self._limits.max_header_bytes
-            message = f"The headers are over {limit} bytes."
-            problem = Problem(ErrorKind.TOO_LARGE, message, "Send fewer or shorter headers.")
+            problem = headers_too_large(self._limits.max_header_bytes)
             self._refuse(problem, STATUS_HEADERS_TOO_LARGE)
             return
-        remedy = "Send well-formed HTTP/1.1."
-        problem = Problem(ErrorKind.MALFORMED, f"The request is malformed: {error}.", remedy)
-        self._refuse(problem, STATUS_BAD_REQUEST)
+        self._refuse(malformed(f"The request is malformed: {error}."), STATUS_BAD_REQUEST)
 
     def _refuse_body(self) -> None:
-        message = f"The body is over {self._limits.max_body_bytes} bytes."
-        problem = Problem(ErrorKind.TOO_LARGE, message, "Split the request into smaller ones.")
-        self._refuse(problem, STATUS_TOO_LARGE)
+        self._refuse(body_too_large(self._limits.max_body_bytes), STATUS_TOO_LARGE)
 
     def _refuse(self, problem: Problem, status: int) -> None:
         self._server.refused += 1
--- a/apricotrail/http/_exchange.py
+++ b/apricotrail/http/_exchange.py
@@ -7,8 +7,16 @@
 import h11
 from returns.result import Failure, Result, Success
 
-from apricotrail.errors import ErrorKind, Problem
+from apricotrail.errors import Problem
 from apricotrail.http._messages import Response
+from apricotrail.http._problems import (
+    broken_response,
+    cut_short,
+    no_answer,
+    no_framing,
+    response_too_large,
+    unsendable,
+)
 
 __all__ = ["ClientConnection"]
 
@@ -66,7 +74,7 @@
     def connection_lost(self, exc: Exception | None) -> None:
         """End an open exchange without a whole answer."""
         if self._answer is not None and not self._answer.done():
-            self._fail(_cut_short() if self._head is not None else _no_answer())
+            self._fail(cut_short() if self._head is not None else no_answer())
         self._on_lost(self)
 
     # ---- use ----
@@ -115,7 +123,7 @@
         try:
             data = self._h11.send(h11.Request(method=method, target=path, headers=fields)) or b""
         except (h11.LocalProtocolError, ValueError) as error:
-            self._fail(_bad_request(error))
+            self._fail(unsendable(error))
             return self._answer
         if body:
             data += self._h11.send(h11.Data(data=body)) or b""
@@ -135,7 +143,7 @@
             try:
                 event = self._h11.next_event()
             except h11.RemoteProtocolError as error:
-                self._fail(_malformed(error))
+                self._fail(broken_response(error))
                 return
             if type(event) is h11.Response:
                 self._begin(event)
@@ -155,16 +163,16 @@
             return
         names = {name for name, _ in head.headers}
         if not names & FRAMING_HEADERS:
-            self._fail(_no_framing())
+            self._fail(no_framing())
             return
         length = next((value for name, value in head.headers if name == b"content-length"), b"0")
         if int(length) > self._max_body_bytes:
-            self._fail(_too_large(self._max_body_bytes))
+            self._fail(response_too_large(self._max_body_bytes))
 
     def _add_body(self, data: bytes) -> None:
         self._body_bytes += len(data)
         if self._body_bytes > self._max_body_bytes:
-            self._fail(_too_large(self._max_body_bytes))
+            self._fail(response_too_large(self._max_body_bytes))
             return
         self._body.append(bytes(data))
 
@@ -186,38 +194,3 @@
     def _fail(self, problem: Problem) -> None:
         self._answer.set_result(Failure(problem))  # type: ignore[union-attr]
         self.abort()
-
-
-_SENT_REMEDY = "The request may have been carried out: ask under its id before sending another."
-
-
-def _no_answer() -> Problem:
-    message = "The connection was closed after the request was sent and before any answer."
-    return Problem(ErrorKind.UNKNOWN_OUTCOME, message, _SENT_REMEDY)
-
-
-def _cut_short() -> Problem:
-    message = "The response was cut short."
-    return Problem(ErrorKind.MALFORMED, message, _SENT_REMEDY)
-
-
-def _malformed(error: Exception) -> Problem:
-    message = f"The response is broken or cut short: {error}."
-    return Problem(ErrorKind.MALFORMED, message, _SENT_REMEDY)
-
-
-def _no_framing() -> Problem:
-    message = "The response has neither Content-Length nor chunks, so its end can't be checked."
-    remedy = "Let the server send Content-Length. The request may have been carried out."
-    return Problem(ErrorKind.MALFORMED, message, remedy)
-
-
-def _too_large(limit_bytes: int) -> Problem:
-    message = f"The response is over {limit_bytes} bytes."
-    remedy = "Raise the limit or answer with less. The request may have been carried out."
-    return Problem(ErrorKind.TOO_LARGE, message, remedy)
-
-
-def _bad_request(error: Exception) -> Problem:
-    remedy = "Correct the method, path or headers; nothing was sent."
-    return Problem(ErrorKind.UNREACHABLE, f"The request can't be sent: {error}.", remedy)
