Check large documents in half the time and list things in order

Parsing a document of 22,000 targets took 3.1 s, 0.5 s of it for line numbers that only problems need and as much for resolving the same zones again for each target. Lines are now looked up only for problems and resolutions are kept: 1.6 s, of which tomllib takes 1.2 s. Changes that keep a kind's names keep its name table.

Answers list things by id; a conflict shows the winner's time.

--- a/apricotrail/cli/_output.py
+++ b/apricotrail/cli/_output.py
@@ -3,14 +3,23 @@
 import json
 import sys
 from collections.abc import Mapping, Sequence
+from datetime import UTC, datetime
 from typing import Any
 
 from apricotrail.cli._exit_codes import ExitCode, find_exit_code
 from apricotrail.errors import Problem
 
-__all__ = ["TABLE_WIDTH", "format_table", "print_json", "print_table", "report_problem"]
+__all__ = [
+    "TABLE_WIDTH",
+    "format_table",
+    "format_time",
+    "print_json",
+    "print_table",
+    "report_problem",
+]
 
 TABLE_WIDTH = 100
+MS_PER_S = 1_000
 _GAP = "  "
 _MIN_COLUMN_WIDTH = 6
 _CUT = "\u2026"
@@ -72,11 +81,33 @@
         print(f"{item['kind']}: {item['message']} Remedy: {item['remedy']}", file=sys.stderr)
     if not listed:
         print(problem, file=sys.stderr)
+    winner = details.pop("winner", None)
+    if winner is not None:
+        print(_describe_winner(winner), file=sys.stderr)
     for name, value in details.items():
         print(f"{name}: {json.dumps(value, ensure_ascii=False)}", file=sys.stderr)
     return find_exit_code(problem)
 
 
+def format_time(wall_ms: int) -> str:
+    """Return a wall clock time in UTC, to the second.
+
+    Examples
+    --------
+    >>> format_time(86_400_000)
+    '1970-01-02 00:00:00'
+    """
+    return datetime.fromtimestamp(wall_ms / MS_PER_S, UTC).strftime("%Y-%m-%d %H:%M:%S")
+
+
+def _describe_winner(winner: Mapping[str, Any]) -> str:
+    time = format_time(winner.get("wall_ms", 0))
+    return (
+        f"winner: version {winner.get('version')} by {winner.get('author')} at {time} UTC, "
+        f"SHA-256 {winner.get('sha256')}"
+    )
+
+
 def _show(value: object) -> str:
     if value is None:
         return "-"
--- a/apricotrail/cli/document.py
+++ b/apricotrail/cli/document.py
@@ -1,7 +1,6 @@
 """``apricotrail document``: check, diff, try, promote, history, show."""
 
 import sys
-from datetime import UTC, datetime
 from typing import Any
 
 from returns.result import Failure, Result, Success
@@ -14,7 +13,7 @@
     read_file,
     write_file,
 )
-from apricotrail.cli._output import print_json, print_table, report_problem
+from apricotrail.cli._output import format_time, print_json, print_table, report_problem
 from apricotrail.cli._things import describe_force
 from apricotrail.document import digest_document, parse_document
 from apricotrail.errors import ErrorKind, Problem
@@ -30,7 +29,6 @@
 
 ACCEPTANCE_SUFFIX = ".accepted"
 SHORT_DIGEST_CHARACTERS = 12
-MS_PER_S = 1_000
 
 
 @read_command
@@ -213,14 +211,10 @@
         [
             row.get("number"),
             row.get("version"),
-            _format_time(row.get("wall_ms", 0)),
+            format_time(row.get("wall_ms", 0)),
             row.get("author"),
             row.get("sha256", "")[:SHORT_DIGEST_CHARACTERS],
         ]
         for row in answer["documents"]
     ]
     print_table(["number", "version", "time (UTC)", "author", "SHA-256"], rows)
-
-
-def _format_time(wall_ms: int) -> str:
-    return datetime.fromtimestamp(wall_ms / MS_PER_S, UTC).strftime("%Y-%m-%d %H:%M:%S")
--- a/apricotrail/cli/tests/test_operator_commands.py
+++ b/apricotrail/cli/tests/test_operator_commands.py
@@ -43,7 +43,7 @@
             self.assertEqual(done.code, 0, done.error)
             self.assertIn("Pipa / PIP / rn-2 is out of service", done.out)
         listed = self.run_words("zone", "list").out.splitlines()
-        self.assertEqual([line.split()[3] for line in listed[1:]], ["in", "out", "in", "in"])
+        self.assertEqual([line.split()[3] for line in listed[1:]], ["in", "in", "in", "out"])
 
     def test_every_list_fits_and_has_json(self):
         nouns = (("zone", "list"), ("target", "list"), ("service", "list"), ("member", "list"))
@@ -81,7 +81,7 @@
     def test_exit_codes(self):
         table = (
             (("zone", "out", "Pippa"), None, 1, "Did you mean"),
-            (("zone", "out", "Pipa", "--expect", "9"), None, 1, "winner"),
+            (("zone", "out", "Pipa", "--expect", "9"), None, 1, "winner: version 7 by ana"),
             (("zone", "list"), NOBODY, 3, "unreachable"),
             (("zone", "out", "Pipa"), NOBODY, 3, "unreachable"),
             (("zone", "out"), None, 2, "usage"),
--- a/apricotrail/document/_configuration.py
+++ b/apricotrail/document/_configuration.py
@@ -164,7 +164,7 @@
                     section[item_id] = _READERS[kind](item_id, json.loads(value))
             sections[kind] = section
         configuration = EffectiveConfiguration(sections)
-        configuration._share_indexes(self, grouped.keys())
+        configuration._share_indexes(self, grouped)
         return configuration
 
     def is_zone_in_service(self, zone_id: str) -> bool:
@@ -214,16 +214,29 @@
             table = self._tables[kind] = NameTable(kind, self.schemes, names)
         return table
 
-    def _share_indexes(self, other: "EffectiveConfiguration", changed: Iterable[str]) -> None:
+    def _share_indexes(
+        self, other: "EffectiveConfiguration", changed: Mapping[str, Mapping[str, object]]
+    ) -> None:
         if "schemes" not in changed:
-            self._tables = {
-                kind: table for kind, table in other._tables.items() if kind not in changed
-            }
+            for kind, table in other._tables.items():
+                if self._has_names_of(other, kind, changed.get(kind, {})):
+                    self._tables[kind] = table
         if "target" not in changed:
             self._targets_by_service = other._targets_by_service
         if "team" not in changed:
             self._teams_by_caller = other._teams_by_caller
 
+    def _has_names_of(
+        self, other: "EffectiveConfiguration", kind: str, item_ids: Iterable[str]
+    ) -> bool:
+        present, former = self._section(kind), other._section(kind)
+        return all(
+            item_id in present
+            and item_id in former
+            and present[item_id].names == former[item_id].names
+            for item_id in item_ids
+        )
+
 
 def read_items(items: Mapping[str, bytes]) -> EffectiveConfiguration:
     """Return the typed configuration of JSON items by key; items of unknown kinds are skipped."""
--- a/apricotrail/document/_parse.py
+++ b/apricotrail/document/_parse.py
@@ -5,7 +5,6 @@
 
 from returns.result import Failure, Result, Success
 
-from apricotrail.document._lines import LineIndex
 from apricotrail.document._model import (
     SCHEME_COUNT,
     Document,
@@ -66,7 +65,7 @@
         values = tomllib.loads(decoded)
     except (ValueError, RecursionError) as error:
         return Failure((_describe_syntax(text, error),))
-    problems = Problems(LineIndex(decoded))
+    problems = Problems(decoded)
     document = _read_document(TableReader(values, (), problems))
     found = problems.list()
     return Failure(found) if found else Success(document)
@@ -221,17 +220,21 @@
         "service": NameTable("service", schemes, {key: it.names for key, it in services.items()}),
         "zone": NameTable("zone", schemes, {key: it.names for key, it in zones.items()}),
     }
+    known: dict[tuple[str, str], Result[str, Problem]] = {
+        (kind, ""): Success("") for kind in tables
+    }
     resolved = {}
     for target_id, target in targets.items():
-        changes = {}
+        ids = {}
         for kind, table in tables.items():
             reference = getattr(target, kind)
-            result = table.resolve(reference) if reference else Success("")
+            if (kind, reference) not in known:
+                known[kind, reference] = table.resolve(reference)
+            result = known[kind, reference]
+            ids[kind] = result.value_or("")
             if isinstance(result, Failure):
                 problem = result.failure()
                 path = ("targets", target_id, kind)
                 problems.add(path, problem.message, problem.remedy, problem.kind)
-            else:
-                changes[kind] = result.unwrap()
-        resolved[target_id] = target._replace(**changes)
+        resolved[target_id] = target._replace(**ids)
     return resolved
--- a/apricotrail/document/_reader.py
+++ b/apricotrail/document/_reader.py
@@ -17,28 +17,45 @@
     maximum: float
 
 
+class _Found(NamedTuple):
+    path: Path
+    message: str
+    remedy: str
+    kind: ErrorKind
+
+
 class Problems:
-    """The problems found in one text.
+    """The problems found in one text; its lines are looked up only if there is one.
 
     Parameters
     ----------
-    lines : LineIndex
-        Lines of the text.
+    text : str
+        The text.
     """
 
-    def __init__(self, lines: LineIndex) -> None:
-        self._lines = lines
-        self._found: list[tuple[int, Problem]] = []
+    def __init__(self, text: str) -> None:
+        self._text = text
+        self._found: list[_Found] = []
 
-    def add(self, path: Path, message: str, remedy: str, kind: ErrorKind | None = None) -> None:
+    def add(
+        self, path: Path, message: str, remedy: str, kind: ErrorKind = ErrorKind.MALFORMED
+    ) -> None:
         """Add a problem at `path`."""
-        line = self._lines.find(path)
-        text = f"line {line}, {'.'.join(path)}: {message}"
-        self._found.append((line, Problem(kind or ErrorKind.MALFORMED, text, remedy)))
+        self._found.append(_Found(path, message, remedy, kind))
 
     def list(self) -> tuple[Problem, ...]:
         """Return the problems by line."""
-        return tuple(problem for _, problem in sorted(self._found, key=lambda found: found[0]))
+        if not self._found:
+            return ()
+        lines = LineIndex(self._text)
+        numbered = [(lines.find(found.path), found) for found in self._found]
+        numbered.sort(key=lambda pair: pair[0])
+        return tuple(_locate(line, found) for line, found in numbered)
+
+
+def _locate(line: int, found: _Found) -> Problem:
+    text = f"line {line}, {'.'.join(found.path)}: {found.message}"
+    return Problem(found.kind, text, found.remedy)
 
 
 class TableReader:
--- a/apricotrail/operators/_services.py
+++ b/apricotrail/operators/_services.py
@@ -17,7 +17,9 @@
     """Answer every service with its limits, objectives and number of targets."""
     configuration = parts.read_configuration()
     live = {target.target for target in parts.list_live()}
-    services = [_describe(configuration, service_id, live) for service_id in configuration.services]
+    services = [
+        _describe(configuration, service_id, live) for service_id in sorted(configuration.services)
+    ]
     return json_response(200, {"services": services})
 
 
@@ -31,7 +33,7 @@
     live = {target.target: target for target in parts.list_live()}
     targets = [
         describe_target(configuration, target.id, live.get(target.id))
-        for target in configuration.targets_of(service_id)
+        for target in sorted(configuration.targets_of(service_id))
     ]
     answer = _describe(configuration, service_id, set(live))
     return json_response(200, {**answer, "target_list": targets})
--- a/apricotrail/operators/_targets.py
+++ b/apricotrail/operators/_targets.py
@@ -30,10 +30,10 @@
     live = {target.target: target for target in parts.list_live()}
     targets = [
         describe_target(configuration, target_id, live.get(target_id))
-        for target_id, target in configuration.targets.items()
+        for target_id, target in sorted(configuration.targets.items())
         if all(getattr(target, kind) == item_id for kind, item_id in wanted.items())
     ]
-    unknown = [it for key, it in live.items() if key not in configuration.targets]
+    unknown = [it for key, it in sorted(live.items()) if key not in configuration.targets]
     described = [{"reference": it.target, **_describe_live(it)} for it in unknown]
     return json_response(200, {"targets": targets, "unknown": [] if wanted else described})
 
--- a/apricotrail/operators/_zones.py
+++ b/apricotrail/operators/_zones.py
@@ -30,7 +30,7 @@
             "targets": known[zone_id],
             "live_targets": live[zone_id],
         }
-        for zone_id in configuration.zones
+        for zone_id in sorted(configuration.zones)
     ]
     return json_response(200, {"zones": zones})
 
--- a/apricotrail/operators/tests/fakes.py
+++ b/apricotrail/operators/tests/fakes.py
@@ -81,7 +81,9 @@
 
     def _decide(self, command):
         if command.expect is not None and command.expect != self.version:
-            return self._refuse(ErrorKind.CONFLICT, winner={"author": "ana", "sha256": "ab"})
+            return self._refuse(
+                ErrorKind.CONFLICT, winner={"author": "ana", "sha256": "ab", "version": 7}
+            )
         put = command.put_document
         if put is not None:
             proof = put.acceptance or ""
--- a/apricotrail/operators/tests/test_operators.py
+++ b/apricotrail/operators/tests/test_operators.py
@@ -142,14 +142,16 @@
             )
             self.assertEqual(answer.value["target"]["id"], "natal-1")
             listed = (await self.call("GET", "/targets")).value["targets"]
-            self.assertEqual(listed[0]["state"], state)
-            self.assertEqual({row["state"] for row in listed[1:]}, {"not_announced"})
+            states = {row["id"]: row["state"] for row in listed}
+            self.assertEqual(states.pop("natal-1"), state)
+            self.assertEqual(set(states.values()), {"not_announced"})
+            self.assertEqual(list(states), sorted(states))
 
     async def test_lists_give_names_and_unknown_targets(self):
         self.control.live.append(LiveTarget("intruder", "h:2", 8, 64, 1, False))
         answer = await self.call("GET", "/targets")
         self.assertEqual([row["reference"] for row in answer.value["unknown"]], ["intruder"])
-        self.assertEqual(answer.value["targets"][0]["zone"]["names"]["booking"], "NAT")
+        self.assertEqual(answer.value["targets"][-1]["zone"]["names"]["booking"], "PIP")
         answer = await self.call("GET", "/targets", query={"zone": "PIP", "service": "RPC"})
         self.assertEqual(len(answer.value["targets"]), 3)
         service = (await self.call("GET", "/services/svc-repair")).value
