--- a/apricotrail/wire/_link.py
+++ b/apricotrail/wire/_link.py
@@ -10,7 +10,7 @@
 from apricotrail.clocks import Clock
 from apricotrail.errors import ApricotrailError, ErrorKind, Problem
 from apricotrail.events import Level, declare_event, emit
-from apricotrail.settings import declare_setting
+from apricotrail.settings import declare_constraint, declare_setting
 from apricotrail.wire._codec import FrameReader, WireError, encode_frame
 from apricotrail.wire._keys import NONCE_BYTES, KeyRing
 from apricotrail.wire.generated.ttypes import Heartbeat, Hello, Identity, Proof
@@ -45,6 +45,12 @@
     minimum=50,
     maximum=60_000,
 )
+declare_constraint(
+    (HEARTBEAT_MS, SILENT_MS),
+    lambda heartbeat_ms, silent_ms: heartbeat_ms * 2 < silent_ms,
+    "link.heartbeat_ms must be under half of link.silent_ms",
+    "Lower link.heartbeat_ms, or raise link.silent_ms.",
+)
 BUFFER_BYTES = declare_setting(
     "link.buffer_bytes",
     64 * 1024 * 1024,
@@ -86,6 +92,8 @@
     ----------
     peer : Identity or None
         Who the other end is; None before the handshake.
+    dialing : bool
+        Whether this side opened the connection.
     """
 
     def __init__(self, endpoint: Any, dialing: bool) -> None:
@@ -99,7 +107,7 @@
         self.received_bytes = 0
         self._endpoint = endpoint
         self._clock: Clock = endpoint.clock
-        self._dialing = dialing
+        self.dialing = dialing
         self._reader = FrameReader()
         self._transport: asyncio.Transport | None = None
         self._nonce = urandom(NONCE_BYTES)
@@ -119,7 +127,7 @@
         """Send Hello when this side dialed."""
         self._transport = transport  # type: ignore[assignment]
         self._endpoint.track(self)
-        if self._dialing:
+        if self.dialing:
             self._write(self._hello(), 0)
 
     def data_received(self, data: bytes) -> None:
@@ -238,7 +246,7 @@
             return
         self.peer = hello.identity
         self._peer_nonce = hello.nonce
-        if not self._dialing:
+        if not self.dialing:
             self._write(self._hello(), 0)
         self._write(self._prove(), 0)
 
--- a/apricotrail/wire/messages.thrift
+++ b/apricotrail/wire/messages.thrift
@@ -57,6 +57,7 @@
   3: i32 free_slots,
   4: i32 running,
   5: bool accepting,
+  6: optional i64 received,   // tasks received in StartTasks on the link that carries this load
 }
 
 // echo is the highest sequence received from the peer: the sender of that sequence knows that this
@@ -226,6 +227,7 @@
   5: binary digest,           // SHA-256 of the submission's canonical body
   6: i64 age_ms,
   7: optional binary answer,  // JSON answer once finished
+  8: optional i32 tasks,      // number of tasks of the job
 }
 
 struct Claim {
@@ -268,6 +270,7 @@
   2: bool ready,
   3: list<ClaimRecord> records,
   4: bool more,
+  5: optional i64 lost_wall_ms,  // claims older than this may be missing here
 }
 
 struct AttachJob {
@@ -279,6 +282,7 @@
   1: string job,
   2: bool known,
   3: optional binary answer,  // absent: still running
+  4: optional ClaimRecord record,  // what a member that is not the owner knows
 }
 
 struct CancelJob {
@@ -311,6 +315,7 @@
   3: i64 last_index,
   4: i64 last_term,
   5: bool pre_vote,
+  6: optional bool transfer,  // the leader asked for this election
 }
 
 struct VoteReply {
@@ -328,6 +333,7 @@
   6: i64 commit_index,
   7: i64 round,               // echoed in the reply
   8: i32 confirmed_age_ms,    // age of the leader's last quorum round
+  9: optional i64 echo,       // newest AppendReply.sequence that the leader got from the receiver
 }
 
 struct AppendReply {
@@ -335,6 +341,7 @@
   2: bool accepted,
   3: i64 match_index,
   4: i64 round,
+  5: optional i64 sequence,   // the sender notes when it wrote this number
 }
 
 struct InstallSnapshot {
@@ -351,6 +358,7 @@
   1: i64 term,
   2: i64 offset_bytes,
   3: bool installed,
+  4: optional i64 last_index, // of the snapshot
 }
 
 struct TimeoutNow {
