--- /dev/null
+++ b/apricotrail/measure/commands.py
@@ -0,0 +1,79 @@
+"""``apricotrail measure``: figures of the real roles on loopback."""
+
+import asyncio
+import json as json_format
+from itertools import product
+
+from apricotrail.measure._faults import FAULTS
+from apricotrail.measure._figures import Figures, render_table
+from apricotrail.measure._run import RunPlan, run_plan
+
+__all__ = ["MEASURE_COMMANDS"]
+
+
+def run(
+    *,
+    deployment: list[str] = ["reparo"],  # noqa: B006
+    fault: list[str] = ["calm"],  # noqa: B006
+    placement: list[str] = ["late-binding"],  # noqa: B006
+    load: list[float] = [0.7],  # noqa: B006
+    seconds: float = 20.0,
+    seed: int = 1,
+    one_process: bool = False,
+    json: bool = False,
+) -> int:
+    """Run every combination, one after the other, and print a table of figures.
+
+    Parameters
+    ----------
+    deployment
+        reparo or areneros.
+    fault
+        Fault scripts, see ``apricotrail measure faults``.
+    placement
+        late-binding, power-of-two, join-shortest or random.
+    load
+        Load factors: work offered over the work that all slots can do.
+    seconds
+        Time in which jobs arrive.
+    seed
+        Seed of load and choices.
+    one_process
+        Run all roles in this process; quicker to start, and no role can be killed.
+    json
+        Print JSON instead of a table.
+    """
+    plans = [
+        RunPlan(size, name, policy, factor, seconds, seed, not one_process)
+        for size, name, factor, policy in product(deployment, fault, load, placement)
+    ]
+    rows = [(_describe(plan), asyncio.run(run_plan(plan))) for plan in plans]
+    print(_render_json(rows) if json else render_table(rows))
+    return int(any(_breaks_promise(figures) for _, figures in rows))
+
+
+def faults() -> None:
+    """List the fault scripts."""
+    for script in FAULTS.values():
+        print(f"{script.name:16} {script.meaning}")
+
+
+MEASURE_COMMANDS = {"run": run, "faults": faults}
+
+
+def _describe(plan: RunPlan) -> str:
+    return f"{plan.deployment} {plan.fault} {plan.load_factor:g} {plan.placement}"
+
+
+def _render_json(rows: list[tuple[str, Figures]]) -> str:
+    return json_format.dumps([{"run": name} | figures._asdict() for name, figures in rows])
+
+
+def _breaks_promise(figures: Figures) -> bool:
+    counts = (
+        figures.double_starts,
+        figures.false_reports,
+        figures.starts_out_of_service,
+        figures.broken_answers,
+    )
+    return any(counts)
