--- a/apricotrail/agent/tests/stand_ins.py
+++ b/apricotrail/agent/tests/stand_ins.py
@@ -18,6 +18,7 @@
     "agent.stop_task_ms": 200,
     "agent.stop_deadline_ms": 5_000,
 }
+VIEW_MEMBERS = {"entry-a": 1, "entry-b": 1}
 ITEMS = {
     "target/runner": {"names": {"shop": "runner-1"}, "service": "counter", "zone": "pipa"},
     "zone/pipa": {"names": {}},
@@ -79,6 +80,7 @@
         self.name = name
         self.version, self.age_ms = 1, 0
         self.items = {key: orjson.dumps(value) for key, value in ITEMS.items()}
+        self.served_versions: list[int] = []
         self.outcomes: list[ttypes.TaskOutcome] = []
         self.messages: list[ttypes.TaskOutcomes] = []
         self.offers: list[ttypes.SlotOffer] = []
@@ -102,8 +104,18 @@
 
     async def start(self) -> None:
         self.address = await self.endpoint.listen("127.0.0.1", 0)
+        self.set_view(self.address)
         self.endpoint.start()
 
+    def set_view(self, address: str) -> None:
+        """State a view whose members are dialed at `address`."""
+        incarnations = VIEW_MEMBERS | {self.name: self.endpoint.identity.incarnation}
+        members = [
+            {"name": name, "incarnation": incarnation, "zone": "pipa", "address": address}
+            for name, incarnation in incarnations.items()
+        ]
+        self.items["view"] = orjson.dumps({"epoch": 1, "members": members})
+
     async def stop(self) -> None:
         await self.endpoint.stop()
 
@@ -141,6 +153,7 @@
         return [(o.task, o.state, o.reason) for o in self.outcomes]
 
     def _configuration(self) -> ttypes.ConfigurationChange:
+        self.served_versions.append(self.version)
         items = [ttypes.ConfigurationItem(key, value) for key, value in self.items.items()]
         return ttypes.ConfigurationChange(0, self.version, items)
 
@@ -149,10 +162,57 @@
         self.outcomes.extend(message.outcomes)
 
 
+class LossyProxy:
+    """Passes bytes on; the connections open at `swallow` stay open but lose one direction."""
+
+    def __init__(self, address: str) -> None:
+        self._address = address
+        self._pipes: list[dict] = []
+        self._tasks: list[asyncio.Task] = []
+        self._server: asyncio.Server | None = None
+
+    async def start(self) -> str:
+        self._server = await asyncio.start_server(self._accept, "127.0.0.1", 0)
+        return f"127.0.0.1:{self._server.sockets[0].getsockname()[1]}"
+
+    async def stop(self) -> None:
+        self._server.close()
+        for task in self._tasks:
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+
+    def swallow(self, direction: str) -> None:
+        for pipe in self._pipes:
+            pipe["lost"].add(direction)
+
+    async def _accept(self, reader, writer) -> None:
+        host, port = self._address.split(":")
+        far_reader, far_writer = await asyncio.open_connection(host, int(port))
+        pipe = {"lost": set()}
+        self._pipes.append(pipe)
+        for direction, source, sink in (
+            ("to_entry", reader, far_writer),
+            ("to_agent", far_reader, writer),
+        ):
+            self._tasks.append(asyncio.create_task(self._pass(pipe, direction, source, sink)))
+
+    async def _pass(self, pipe, direction, source, sink) -> None:
+        try:
+            while data := await source.read(65_536):
+                if direction not in pipe["lost"]:
+                    sink.write(data)
+        except ConnectionError:
+            pass
+        finally:
+            sink.close()
+
+
 class Scene:
     """A target, its agent and entries, all over loopback."""
 
-    def __init__(self, slots: int = 2, entries: int = 1, **settings) -> None:
+    def __init__(self, slots: int = 2, entries: int = 1, proxied: bool = False, **settings) -> None:
+        self.proxy: LossyProxy | None = None
+        self._proxied = proxied
         self.target = StandInTarget()
         self.entries = [StandInEntry(f"entry-{name}") for name in "abc"[:entries]]
         self.entry = self.entries[0]
@@ -165,6 +225,11 @@
         await self.target.start()
         for entry in self.entries:
             await entry.start()
+        addresses = [entry.address for entry in self.entries]
+        if self._proxied:
+            self.proxy = LossyProxy(self.entry.address)
+            addresses = [await self.proxy.start()]
+            self.entry.set_view(addresses[0])
         announcement = ttypes.Announcement(
             "runner", self.target.address, self.slots, 16, 1, 6_000, False
         )
@@ -174,7 +239,7 @@
             announcement,
             "trial",
             "pipa",
-            [entry.address for entry in self.entries],
+            addresses,
             self.first_start_after_ms,
         )
         await self.agent.start()
@@ -185,6 +250,8 @@
         await self.agent.stop(0)
         for entry in self.entries:
             await entry.stop()
+        if self.proxy is not None:
+            await self.proxy.stop()
         await self.target.stop()
 
     def _is_ready(self) -> bool:
