--- a/apricotrail/agent/_agent.py
+++ b/apricotrail/agent/_agent.py
@@ -1,14 +1,14 @@
-"""The agent's state: messages from entries in, task runs and messages to entries out."""
+"""The agent's state: messages from entries in, runs and messages to entries out."""
 
-import asyncio
 from collections import Counter
-from collections.abc import Awaitable, Callable
-from typing import Any, NamedTuple
+from typing import Any
 
 from apricotrail.agent._gate import GateState, decide_starts, find_closure
 from apricotrail.agent._ledger import Ledger
 from apricotrail.agent._outbox import Batch, Outbox, make_task_outcome
 from apricotrail.agent._records import AttemptId, LedgerLimits, Outcome
+from apricotrail.agent._rim import AgentRim
+from apricotrail.agent._runs import Runs
 from apricotrail.agent._slots import Slots
 from apricotrail.clocks import Clock
 from apricotrail.events import Level, declare_event, emit
@@ -24,18 +24,14 @@
     StartTasks,
     StopTasks,
     TaskOutcomes,
-    TaskStart,
     TaskState,
 )
 from apricotrail.wire.generated.ttypes import (
     Ledger as LedgerMessage,
 )
 
-__all__ = ["Agent", "AgentRim"]
+__all__ = ["Agent"]
 
-RUN_FAILED = declare_event(
-    5002, "task_run_failed", Level.ERROR, "Running a task raised an exception; it may have run."
-)
 OUTCOMES_NOT_SENT = declare_event(
     5003,
     "outcomes_not_sent",
@@ -47,36 +43,6 @@
 )
 
 
-class AgentRim(NamedTuple):
-    """What connects the state to sockets, the loop and the configuration.
-
-    Attributes
-    ----------
-    send : callable
-        Sends a message to an entry by name; returns whether the link took it.
-    schedule : callable
-        Runs a function after the present loop tick.
-    run_task : callable
-        Coroutine function of job, `TaskStart` and budget in ms; returns an `Outcome`.
-    stop_task : callable
-        Coroutine function of job and task number that asks the target to stop it.
-    gate_state : callable
-        Returns the present `GateState`.
-    """
-
-    send: Callable[[str, Any], bool]
-    schedule: Callable[[Callable[[], None]], object]
-    run_task: Callable[[str, TaskStart, float], Awaitable[Outcome]]
-    stop_task: Callable[[str, int], Awaitable[None]]
-    gate_state: Callable[[], GateState]
-
-
-class _Run(NamedTuple):
-    attempt_id: AttemptId
-    started_ms: float
-    work: asyncio.Task
-
-
 class Agent:
     """The one gate in front of a target.
 
@@ -107,14 +73,13 @@
         self.ledger = Ledger(limits)
         self.slots = Slots(slots, grant_ms)
         self.outbox = Outbox(rim.schedule, self._deliver)
+        self.runs = Runs(rim, clock, self._record_outcome, self._release_slot)
         self.starts = 0
         self.refusals: Counter[int] = Counter()
         self._rim = rim
         self._clock = clock
         self._received: Counter[str] = Counter()
         self._kept_since_ms = clock()
-        self._runs: dict[str, dict[int, _Run]] = {}
-        self._work: set[asyncio.Task] = set()
 
     # ---- messages ----
 
@@ -137,7 +102,7 @@
         now_ms = self._clock()
         decision = decide_starts(message, sender, state, self.ledger, self.slots, now_ms)
         for start in decision.starts:
-            self._run(message.job, start, message.budget_ms, now_ms)
+            self.runs.start(message.job, start, message.budget_ms, now_ms)
         for attempt_id, outcome in decision.outcomes:
             self.outbox.add(sender, message.job, attempt_id, outcome)
             self.refusals[outcome.reason] += 1
@@ -186,13 +151,9 @@
             return
         if self.ledger.is_fenced(message.job, message.epoch):
             return
-        runs = self._runs.get(message.job, {})
         if not message.tasks:
             self.ledger.cancel_job(message.job)
-        for task in message.tasks or list(runs):
-            run = runs.get(task)
-            if run is not None:
-                self._cancel(message.job, run, Reason.CANCELLED)
+        self.runs.stop(message.job, message.tasks, Reason.CANCELLED)
 
     def want_slots(self, sender: str, message: SlotWant) -> None:
         """Register an entry's need of slots."""
@@ -225,77 +186,19 @@
         """Return the present load as told to `entry`."""
         return self._make_load(entry, self._rim.gate_state())
 
-    async def wait_until_idle(self) -> None:
-        """Wait until no task runs."""
-        while self._work:
-            await asyncio.wait(list(self._work))
-
-    def stop_all(self) -> None:
-        """Stop every run; each is reported as ``MAY_HAVE_RUN``."""
-        for job, runs in list(self._runs.items()):
-            for run in list(runs.values()):
-                self._cancel(job, run, Reason.STOPPING)
-
     # ---- runs ----
 
-    def _run(self, job: str, start: TaskStart, budget_ms: float, now_ms: float) -> None:
-        attempt_id = AttemptId(start.task, start.attempt)
-        work = self._spawn(self._run_to_end(job, start, attempt_id, budget_ms, now_ms))
-        self._runs.setdefault(job, {})[start.task] = _Run(attempt_id, now_ms, work)
-
-    async def _run_to_end(
-        self, job: str, start: TaskStart, attempt_id: AttemptId, budget_ms: float, started_ms: float
-    ) -> None:
-        left_ms = budget_ms - (self._clock() - started_ms)
-        try:
-            outcome = await self._rim.run_task(job, start, left_ms)
-        except Exception as error:
-            emit(RUN_FAILED, job=job, task=start.task, error=repr(error))
-            outcome = Outcome(TaskState.MAY_HAVE_RUN, Reason.TARGET_ERROR, detail=repr(error))
-        self._finish(job, attempt_id, outcome, started_ms)
-        if outcome.reason == Reason.TARGET_SILENT:
-            await self._stop_quietly(job, start.task)
-        self._release_slot()
-
-    def _finish(self, job: str, attempt_id: AttemptId, outcome: Outcome, started_ms: float) -> None:
-        now_ms = self._clock()
-        outcome = outcome._replace(run_ms=round(now_ms - started_ms))
-        runs = self._runs.get(job, {})
-        runs.pop(attempt_id.task, None)
-        if not runs:
-            self._runs.pop(job, None)
-        if not self.ledger.finish(job, attempt_id, outcome, now_ms):
+    def _record_outcome(self, job: str, attempt_id: AttemptId, outcome: Outcome) -> None:
+        if not self.ledger.finish(job, attempt_id, outcome, self._clock()):
             return
         owner = self.ledger.owner(job)
         if owner is not None:
             self.outbox.add(owner, job, attempt_id, outcome)
 
-    def _cancel(self, job: str, run: _Run, reason: int) -> None:
-        run.work.cancel()
-        outcome = Outcome(TaskState.MAY_HAVE_RUN, reason)
-        self._finish(job, run.attempt_id, outcome, run.started_ms)
-        self._spawn(self._stop_then_release(job, run.attempt_id.task))
-
-    async def _stop_then_release(self, job: str, task: int) -> None:
-        await self._stop_quietly(job, task)
-        self._release_slot()
-
-    async def _stop_quietly(self, job: str, task: int) -> None:
-        try:
-            await self._rim.stop_task(job, task)
-        except Exception as error:
-            emit(RUN_FAILED, job=job, task=task, error=repr(error))
-
     def _release_slot(self) -> None:
         self.slots.release()
         self.outbox.request_flush()
 
-    def _spawn(self, work: Awaitable[None]) -> asyncio.Task:
-        task = asyncio.ensure_future(work)
-        self._work.add(task)
-        task.add_done_callback(self._work.discard)
-        return task
-
     # ---- answers ----
 
     def _want(self, entry: str, count: int) -> None:
--- a/apricotrail/agent/_application.py
+++ b/apricotrail/agent/_application.py
@@ -3,17 +3,16 @@
 from collections.abc import Sequence
 from pathlib import Path
 
-from apricotrail.agent._records import read_ledger_limits
-from apricotrail.agent._target_agent import AgentParameters, TargetAgent
+from apricotrail.agent._parameters import make_parameters
+from apricotrail.agent._target_agent import TargetAgent
 from apricotrail.application import Application
 from apricotrail.clocks import Clock, monotonic_ms, wall_ms
 from apricotrail.errors import ApricotrailError, ErrorKind, Problem
-from apricotrail.membership import CONFIG_STALE_MS
 from apricotrail.settings import Settings, declare_setting
 from apricotrail.wire import KEY_FILE, KeyRing, LinkEndpoint
 from apricotrail.wire.generated.ttypes import Announcement, Identity
 
-__all__ = ["GRANT_MS", "make_agent", "make_hosted_agent"]
+__all__ = ["make_agent", "make_hosted_agent"]
 
 TARGET = declare_setting("agent.target", "", "Id of the target in the document.")
 TARGET_ADDRESS = declare_setting(
@@ -32,39 +31,6 @@
 ZONE = declare_setting("agent.zone", "", "Availability zone of this agent.")
 ENVIRONMENT = declare_setting("agent.environment", "production", "Environment of this agent.")
 ENTRIES = declare_setting("agent.entries", [], "Link addresses of the entries to dial first.")
-LEASE_MS = declare_setting(
-    "agent.lease_ms",
-    6_000,
-    "Lease of an agent's announcement; it is renewed three times in it.",
-    unit="ms",
-    minimum=500,
-    maximum=120_000,
-)
-GRANT_MS = declare_setting(
-    "agent.grant_ms", 50, "How long an agent reserves a granted slot.", unit="ms", minimum=1
-)
-TICK_MS = declare_setting(
-    "agent.tick_ms",
-    50,
-    "Time between two clean-ups of grants and ledger.",
-    unit="ms",
-    minimum=1,
-    maximum=1_000,
-)
-STOP_DEADLINE_MS = declare_setting(
-    "agent.stop_deadline_ms",
-    20_000,
-    "How long a stopping agent waits for the tasks that run.",
-    unit="ms",
-    minimum=0,
-)
-STOP_TASK_MS = declare_setting(
-    "agent.stop_task_ms",
-    1_000,
-    "Time for asking a target to stop a task; its slot is free afterwards.",
-    unit="ms",
-    minimum=1,
-)
 
 
 def make_agent(settings: Settings, clock: Clock = monotonic_ms) -> Application:
@@ -86,7 +52,7 @@
     if not target:
         remedy = "Set agent.target to the target's id in the document."
         raise ApricotrailError(Problem(ErrorKind.SETTINGS, "agent.target is empty.", remedy))
-    parameters = _make_parameters(
+    parameters = make_parameters(
         settings,
         target=target,
         address=settings.get(TARGET_ADDRESS),
@@ -137,7 +103,7 @@
     clock : Clock
         Monotonic time in milliseconds.
     """
-    parameters = _make_parameters(
+    parameters = make_parameters(
         settings,
         target=target,
         address=announcement.address,
@@ -154,35 +120,6 @@
     return target_agent
 
 
-def _make_parameters(
-    settings: Settings,
-    *,
-    target: str,
-    address: str,
-    slots: int,
-    connections: int,
-    entries: Sequence[str],
-    announces: bool,
-    first_start_after_ms: float = 0.0,
-) -> AgentParameters:
-    return AgentParameters(
-        target=target,
-        address=address,
-        slots=slots,
-        connections=connections,
-        entries=tuple(entries),
-        announces=announces,
-        lease_ms=settings.get(LEASE_MS),
-        first_start_after_ms=first_start_after_ms,
-        stop_deadline_ms=settings.get(STOP_DEADLINE_MS),
-        stop_task_ms=settings.get(STOP_TASK_MS),
-        grant_ms=settings.get(GRANT_MS),
-        tick_ms=settings.get(TICK_MS),
-        stale_ms=settings.get(CONFIG_STALE_MS),
-        ledger=read_ledger_limits(settings),
-    )
-
-
 def _make_endpoint(
     settings: Settings, target: str, environment: str, zone: str, incarnation: int, clock: Clock
 ) -> LinkEndpoint:
--- /dev/null
+++ b/apricotrail/agent/_parameters.py
@@ -0,0 +1,117 @@
+"""What one agent is started with, and the settings behind it."""
+
+from collections.abc import Sequence
+from typing import NamedTuple
+
+from apricotrail.agent._records import LedgerLimits, read_ledger_limits
+from apricotrail.membership import CONFIG_STALE_MS
+from apricotrail.settings import Settings, declare_setting
+
+__all__ = ["GRANT_MS", "AgentParameters", "make_parameters"]
+
+LEASE_MS = declare_setting(
+    "agent.lease_ms",
+    6_000,
+    "Lease of an agent's announcement; it is renewed three times in it.",
+    unit="ms",
+    minimum=500,
+    maximum=120_000,
+)
+GRANT_MS = declare_setting(
+    "agent.grant_ms", 50, "How long an agent reserves a granted slot.", unit="ms", minimum=1
+)
+TICK_MS = declare_setting(
+    "agent.tick_ms",
+    50,
+    "Time between two clean-ups of grants and ledger.",
+    unit="ms",
+    minimum=1,
+    maximum=1_000,
+)
+STOP_DEADLINE_MS = declare_setting(
+    "agent.stop_deadline_ms",
+    20_000,
+    "How long a stopping agent waits for the tasks that run.",
+    unit="ms",
+    minimum=0,
+)
+STOP_TASK_MS = declare_setting(
+    "agent.stop_task_ms",
+    1_000,
+    "Time for asking a target to stop a task; its slot is free afterwards.",
+    unit="ms",
+    minimum=1,
+)
+
+
+class AgentParameters(NamedTuple):
+    """What one agent is started with.
+
+    Attributes
+    ----------
+    target : str
+        Id of its target.
+    address : str
+        Target's HTTP server as ``host:port``.
+    slots, connections : int
+        Tasks and connections that the target takes at a time.
+    entries : tuple of str
+        Link addresses of the first entries; those of the view are added.
+    announces : bool
+        Whether it announces its target.
+    lease_ms : int
+        Lease of the announcement.
+    first_start_after_ms : float
+        Time after the start in which no task starts.
+    stop_deadline_ms, stop_task_ms : float
+        Time for a planned stop, and for one request that stops a task.
+    grant_ms, tick_ms, stale_ms : float
+        Reservation of a granted slot, time between clean-ups, age from which no task starts.
+    ledger : LedgerLimits
+        Bounds of the ledger.
+    """
+
+    target: str
+    address: str
+    slots: int
+    connections: int
+    entries: tuple[str, ...]
+    announces: bool
+    lease_ms: int
+    first_start_after_ms: float
+    stop_deadline_ms: float
+    stop_task_ms: float
+    grant_ms: float
+    tick_ms: float
+    stale_ms: float
+    ledger: LedgerLimits
+
+
+def make_parameters(
+    settings: Settings,
+    *,
+    target: str,
+    address: str,
+    slots: int,
+    connections: int,
+    entries: Sequence[str],
+    announces: bool,
+    first_start_after_ms: float = 0.0,
+) -> AgentParameters:
+    """Return the parameters of one agent; what is not given comes from the settings."""
+    return AgentParameters(
+        target=target,
+        address=address,
+        slots=slots,
+        connections=connections,
+        entries=tuple(entries),
+        announces=announces,
+        lease_ms=settings.get(LEASE_MS),
+        first_start_after_ms=first_start_after_ms,
+        stop_deadline_ms=settings.get(STOP_DEADLINE_MS),
+        stop_task_ms=settings.get(STOP_TASK_MS),
+        grant_ms=settings.get(GRANT_MS),
+        tick_ms=settings.get(TICK_MS),
+        stale_ms=settings.get(CONFIG_STALE_MS),
+        ledger=read_ledger_limits(settings),
+    )
--- a/apricotrail/agent/_target_agent.py
+++ b/apricotrail/agent/_target_agent.py
@@ -3,13 +3,15 @@
 import asyncio
 import math
 from contextlib import suppress
-from typing import Any, NamedTuple
+from typing import Any
 
-from apricotrail.agent._agent import Agent, AgentRim
+from apricotrail.agent._agent import Agent
 from apricotrail.agent._client import run_task, stop_task
 from apricotrail.agent._follower import ConfigurationFollower
 from apricotrail.agent._gate import GateState
-from apricotrail.agent._records import LedgerLimits, Outcome
+from apricotrail.agent._parameters import AgentParameters
+from apricotrail.agent._records import Outcome
+from apricotrail.agent._rim import AgentRim
 from apricotrail.agent._standing import UNKNOWN, Standing, read_standing
 from apricotrail.clocks import Clock
 from apricotrail.events import Level, declare_event, emit
@@ -17,9 +19,9 @@
 from apricotrail.membership import NEVER_CONFIRMED_AGE_MS, NO_VIEW, View, read_view
 from apricotrail.wire import Link, LinkEndpoint
 from apricotrail.wire.generated import ttypes
-from apricotrail.wire.generated.ttypes import Announcement, Heartbeat, ShareAnnouncements
+from apricotrail.wire.generated.ttypes import Announcement, Heartbeat, Reason, ShareAnnouncements
 
-__all__ = ["AgentParameters", "TargetAgent"]
+__all__ = ["TargetAgent"]
 
 STOP_CONNECTIONS = 8
 POLL_MS = 10
@@ -33,49 +35,6 @@
 )
 
 
-class AgentParameters(NamedTuple):
-    """What one agent is started with.
-
-    Attributes
-    ----------
-    target : str
-        Id of its target.
-    address : str
-        Target's HTTP server as ``host:port``.
-    slots, connections : int
-        Tasks and connections that the target takes at a time.
-    entries : tuple of str
-        Link addresses of the first entries; those of the view are added.
-    announces : bool
-        Whether it announces its target.
-    lease_ms : int
-        Lease of the announcement.
-    first_start_after_ms : float
-        Time after the start in which no task starts.
-    stop_deadline_ms, stop_task_ms : float
-        Time for a planned stop, and for one request that stops a task.
-    grant_ms, tick_ms, stale_ms : float
-        Reservation of a granted slot, time between clean-ups, age from which no task starts.
-    ledger : LedgerLimits
-        Bounds of the ledger.
-    """
-
-    target: str
-    address: str
-    slots: int
-    connections: int
-    entries: tuple[str, ...]
-    announces: bool
-    lease_ms: int
-    first_start_after_ms: float
-    stop_deadline_ms: float
-    stop_task_ms: float
-    grant_ms: float
-    tick_ms: float
-    stale_ms: float
-    ledger: LedgerLimits
-
-
 class TargetAgent:
     """An agent with its links.
 
@@ -144,7 +103,7 @@
         self._beat()
         await self._wait_for_runs(limit_ms)
         cut_off = self.agent.slots.running
-        self.agent.stop_all()
+        self.agent.runs.stop_all(Reason.STOPPING)
         await self._wait_for_runs(self._parameters.stop_task_ms)
         await self._wait_for_echoes(max(until_ms, self._clock() + self._endpoint.silent_ms))
         await self._endpoint.stop()
@@ -309,7 +268,7 @@
     async def _wait_for_runs(self, limit_ms: float) -> None:
         with suppress(TimeoutError):
             async with asyncio.timeout(max(0.0, limit_ms) / 1000):
-                await self.agent.wait_until_idle()
+                await self.agent.runs.wait_until_idle()
 
     async def _wait_for_echoes(self, until_ms: float) -> None:
         """Wait until each entry has answered a heartbeat sent after the last outcome."""
--- a/apricotrail/agent/tests/test_waves.py
+++ b/apricotrail/agent/tests/test_waves.py
@@ -5,10 +5,11 @@
 
 from nose2.tools import params
 
-from apricotrail.agent._agent import Agent, AgentRim
+from apricotrail.agent._agent import Agent
 from apricotrail.agent._gate import GateState
 from apricotrail.agent._outbox import MAX_BATCH_BYTES
 from apricotrail.agent._records import LedgerLimits, Outcome
+from apricotrail.agent._rim import AgentRim
 from apricotrail.agent._standing import Standing
 from apricotrail.clocks import VirtualClock
 from apricotrail.wire.generated.ttypes import (
@@ -59,7 +60,7 @@
 
     sys.setprofile(profile)
     agent.stop_tasks(StopTasks("school/1", "runner", 1, tasks))
-    await agent.wait_until_idle()
+    await agent.runs.wait_until_idle()
     sys.setprofile(None)
     await asyncio.sleep(0)
     outcomes = [outcome for message in sent for outcome in message.outcomes]
@@ -85,7 +86,7 @@
     async def run():
         agent, sent = make_bench(answer, 10)
         agent.start_tasks("entry-a", make_start(10))
-        await agent.wait_until_idle()
+        await agent.runs.wait_until_idle()
         await asyncio.sleep(0)
         return sent
 
@@ -102,7 +103,7 @@
     async def run():
         agent, sent = make_bench(fail, 1)
         agent.start_tasks("entry-a", make_start(1))
-        await agent.wait_until_idle()
+        await agent.runs.wait_until_idle()
         await asyncio.sleep(0)
         return agent.slots.running, sent[0].outcomes[0].state
 
