--- a/apricotrail/settings/_files.py
+++ b/apricotrail/settings/_files.py
@@ -45,6 +45,7 @@
     "policy",
     "process",
     "report",
+    "reports",
 )
 
 _TYPE_NAMES = {bool: "true or false", int: "a whole number", float: "a number", str: "a string"}
