Bound refusals: references, kept remedies, listed problems

An unknown name cost the search for its neighbours each time, without a bound on the reference's length; a caller could stall an entry's loop. Long references are refused unsearched and remedies are kept, 256 a kind. A refused document lists 200 problems at most, since control keeps its answer.

The documents in the pages and the list of operators' calls are now tested.

--- a/apricotrail/document/_reader.py
+++ b/apricotrail/document/_reader.py
@@ -10,6 +10,10 @@
 __all__ = ["Bounds", "Problems", "TableReader"]
 
 
+MAX_PROBLEMS = 200
+MAX_SHOWN_CHARACTERS = 64
+
+
 class Bounds(NamedTuple):
     """Inclusive bounds of a number."""
 
@@ -50,12 +54,17 @@
         lines = LineIndex(self._text)
         numbered = [(lines.find(found.path), found) for found in self._found]
         numbered.sort(key=lambda pair: pair[0])
-        return tuple(_locate(line, found) for line, found in numbered)
+        located = [_locate(line, found) for line, found in numbered[:MAX_PROBLEMS]]
+        surplus = len(numbered) - len(located)
+        if surplus:
+            message = f"{surplus} further problems are not listed."
+            located.append(Problem(ErrorKind.MALFORMED, message, "Correct the listed ones first."))
+        return tuple(located)
 
 
 def _locate(line: int, found: _Found) -> Problem:
-    text = f"line {line}, {'.'.join(found.path)}: {found.message}"
-    return Problem(found.kind, text, found.remedy)
+    path = ".".join(f"{part:.{MAX_SHOWN_CHARACTERS}}" for part in found.path)
+    return Problem(found.kind, f"line {line}, {path}: {found.message}", found.remedy)
 
 
 class TableReader:
--- a/apricotrail/document/tests/test_parse.py
+++ b/apricotrail/document/tests/test_parse.py
@@ -120,6 +120,22 @@
     assert problem.kind is ErrorKind.TOO_LARGE
 
 
+def test_listed_problems_are_bounded():
+    text = HEAD + "".join(f"[zones.x{number}]\n" for number in range(1_000))
+    problems = list_problems(text + f"[{'y' * 100_000}]\n")
+    assert len(problems) == 201
+    assert "801 further" in problems[-1].message
+    assert sum(map(len, map(str, problems))) < 100_000
+
+
+def test_documents_in_the_pages_are_accepted():
+    page = (EXAMPLES.parent / "docs" / "document.md").read_text()
+    blocks = page.split("```toml\n")[1:]
+    assert blocks
+    for block in blocks:
+        assert list_problems(block.split("```")[0]) == ()
+
+
 @params("reparo-costeiro", "areneros")
 def test_examples_are_accepted(name):
     document = parse_document((EXAMPLES / f"{name}.toml").read_bytes()).unwrap()
--- a/apricotrail/names/_table.py
+++ b/apricotrail/names/_table.py
@@ -7,11 +7,13 @@
 from returns.result import Failure, Result, Success
 
 from apricotrail.errors import ErrorKind, Problem
-from apricotrail.names._check import ID_SCHEME, normalize_name
+from apricotrail.names._check import ID_SCHEME, MAX_NAME_CHARACTERS, normalize_name
 from apricotrail.names._nearest import suggest
 
 __all__ = ["NameTable"]
 
+MAX_REFERENCE_CHARACTERS = 2 * MAX_NAME_CHARACTERS
+MAX_KEPT_REFUSALS = 256
 _NEIGHBOURS = 32
 
 
@@ -43,6 +45,7 @@
     ) -> None:
         self._kind = kind
         self._names = names
+        self._refusals: dict[str, Problem] = {}
         self._ids: dict[str, dict[str, str]] = {scheme: {} for scheme in schemes}
         for item_id, item_names in names.items():
             for scheme, name in item_names.items():
@@ -57,16 +60,18 @@
             The id, or a problem of kind ``unknown_name`` (with the nearest known names) or
             ``ambiguous_name`` (with the candidates).
         """
-        reference = normalize_name(reference)
-        scheme, colon, name = reference.partition(":")
-        if colon and (scheme in self._ids or scheme == ID_SCHEME):
-            return self._resolve_in(scheme, name)
-        found = self.find(reference)
-        if len(found) == 1:
-            return Success(next(iter(found)))
-        if found:
-            return Failure(self._describe_ambiguity(reference, found))
-        return Failure(self._describe_unknown(reference))
+        if len(reference) > MAX_REFERENCE_CHARACTERS:
+            return Failure(self._describe_long(reference))
+        item_id = self._find_one(normalize_name(reference))
+        if item_id is not None:
+            return Success(item_id)
+        refusal = self._refusals.get(reference)
+        if refusal is None:
+            refusal = self._describe_refusal(normalize_name(reference))
+            if len(self._refusals) >= MAX_KEPT_REFUSALS:
+                self._refusals.clear()
+            self._refusals[reference] = refusal
+        return Failure(refusal)
 
     def find(self, name: str) -> dict[str, str]:
         """Return the ids that the bare `name` could mean, each with one reference to it."""
@@ -76,18 +81,39 @@
                 found[ids[name]] = f"{scheme}:{name}"
         return found
 
-    def _resolve_in(self, scheme: str, name: str) -> Result[str, Problem]:
+    def _find_one(self, reference: str) -> str | None:
+        scheme, name = self._split(reference)
         if scheme == ID_SCHEME:
-            item_id = name if name in self._names else None
-        else:
-            item_id = self._ids[scheme].get(name)
-        if item_id is not None:
-            return Success(item_id)
+            return name if name in self._names else None
+        if scheme is not None:
+            return self._ids[scheme].get(name)
+        found = self.find(reference)
+        return next(iter(found)) if len(found) == 1 else None
+
+    def _split(self, reference: str) -> tuple[str | None, str]:
+        scheme, colon, name = reference.partition(":")
+        if colon and (scheme in self._ids or scheme == ID_SCHEME):
+            return scheme, name
+        return None, reference
+
+    def _describe_refusal(self, reference: str) -> Problem:
+        scheme, name = self._split(reference)
+        if scheme is not None:
+            return self._describe_unknown_in(scheme, name)
+        found = self.find(reference)
+        if found:
+            return self._describe_ambiguity(reference, found)
+        return self._describe_unknown(reference)
+
+    def _describe_long(self, reference: str) -> Problem:
+        message = f"a {self._kind}'s reference has {len(reference)} characters."
+        remedy = f"Use a name of at most {MAX_NAME_CHARACTERS} characters."
+        return Problem(ErrorKind.UNKNOWN_NAME, message, remedy)
+
+    def _describe_unknown_in(self, scheme: str, name: str) -> Problem:
         known = self._names if scheme == ID_SCHEME else self._ids[scheme]
         message = f'no {self._kind} is called "{name}" under the scheme "{scheme}".'
-        return Failure(
-            Problem(ErrorKind.UNKNOWN_NAME, message, suggest(name, self._near(name, known)))
-        )
+        return Problem(ErrorKind.UNKNOWN_NAME, message, suggest(name, self._near(name, known)))
 
     def _describe_ambiguity(self, name: str, found: Mapping[str, str]) -> Problem:
         candidates = ", ".join(sorted(found.values()))
--- a/apricotrail/names/tests/test_names.py
+++ b/apricotrail/names/tests/test_names.py
@@ -7,6 +7,7 @@
 
 from apricotrail.errors import ErrorKind
 from apricotrail.names import NameTable, find_id_fault, find_name_fault, suggest
+from apricotrail.names._table import MAX_KEPT_REFUSALS
 
 SCHEMES = ("place", "code", "asset")
 ZONES = {
@@ -39,6 +40,7 @@
     ("town:Natal", ErrorKind.UNKNOWN_NAME, "Did you mean"),
     ("id:Natal", ErrorKind.UNKNOWN_NAME, 'Did you mean "natal"?'),
     ("", ErrorKind.UNKNOWN_NAME, "Use one of"),
+    ("x" * 1_000_000, ErrorKind.UNKNOWN_NAME, "at most 128"),
 )
 def test_refused_references(reference, kind, remedy):
     problem = TABLE.resolve(reference).failure()
@@ -52,6 +54,15 @@
     assert '"runner-00042"' in problem.remedy
 
 
+def test_kept_refusals_are_bounded_and_stay_right():
+    table = NameTable("zone", SCHEMES, ZONES)
+    for number in range(1_000):
+        assert table.resolve(f"Pippa{number}").failure().message.count(f"Pippa{number}") == 1
+    first = table.resolve("Pippa").failure()
+    assert table.resolve("Pippa").failure() is first
+    assert len(table._refusals) <= MAX_KEPT_REFUSALS
+
+
 @params("", " x", "x\n", "place:x", "id:x", "x" * 129)
 def test_texts_that_are_no_names(text):
     assert find_name_fault(text, SCHEMES)
--- a/apricotrail/operators/tests/test_operators.py
+++ b/apricotrail/operators/tests/test_operators.py
@@ -7,7 +7,7 @@
 from returns.result import Failure
 
 from apricotrail.errors import ErrorKind, Problem
-from apricotrail.operators import LiveTarget, TokenFile
+from apricotrail.operators import LiveTarget, TokenFile, make_operator_routes
 from apricotrail.operators.tests.fakes import TEXT, TOKEN, FakeControl, call, make_router
 
 
@@ -64,6 +64,18 @@
         self.assertEqual(self.control.commands, [])
 
 
+class TestPage(TestCase):
+    """The page lists every call."""
+
+    def test_every_call_is_on_the_page(self):
+        page = (Path(__file__).parents[3] / "docs" / "operators.md").read_text()
+        for _, pattern, _ in make_operator_routes(None):
+            path = pattern.removeprefix("/v1/admin")
+            parts = [part.strip("{}").upper() if "{" in part else part for part in path.split("/")]
+            last = f"/{parts[-1]}"
+            self.assertTrue("/".join(parts) in page or f"`{last}`" in page, path)
+
+
 class TestTokenFile(TestCase):
     """Files that cannot be used."""
 
