Split the dispatcher into work, placer, outcomes and failures

A refused task now counts as queued at once, also while its retry waits, so that a deadline in that wait reports it as not_run instead of may_have_run.

--- a/apricotrail/entry/_admission.py
+++ b/apricotrail/entry/_admission.py
@@ -176,5 +176,5 @@
         queued_tasks=parts.dispatcher.count_queued(service_id),
         slots=sum(known_slots),
         running=sum(agent.open_count for agent in agents if agent is not None),
-        mean_task_ms=parts.dispatcher.run_times.mean_ms(service_id),
+        mean_task_ms=parts.dispatcher.work.run_times.mean_ms(service_id),
     )
--- a/apricotrail/entry/_application.py
+++ b/apricotrail/entry/_application.py
@@ -28,11 +28,13 @@
 from apricotrail.entry._job import Job, JobResult
 from apricotrail.entry._operating import OperatingParts, make_operator_router
 from apricotrail.entry._ownership import OwnershipParts
+from apricotrail.entry._placer import Placer
 from apricotrail.entry._relay import ConfigurationRelay
 from apricotrail.entry._submission import Submission, read_limits
 from apricotrail.entry._succession import SYNC_MS, ViewSuccession
 from apricotrail.entry._takeover import TakeOverParts, make_take_over
 from apricotrail.entry._uncertainty import Vouching
+from apricotrail.entry._work import Work
 from apricotrail.entry.pipeline import Pipeline
 from apricotrail.errors import ErrorKind, Problem
 from apricotrail.events import Level, declare_event, emit
@@ -246,9 +248,7 @@
         agent.config_version = heartbeat.config_version or 0
         for load in heartbeat.loads or ():
             agent.report(load)
-        service = self.service_of(agent.target)
-        if service is not None:
-            self.dispatcher.mark(service)
+        self.dispatcher.placer.mark_target(agent.target)
 
     def _link_up(self, link: Link) -> None:
         if link.peer.role != "agent":
@@ -285,7 +285,7 @@
             self._begin_new_incarnation()
         self._was_member = view.has(*self.identity())
         self.application.spawn(self._follow_view())
-        self.dispatcher.mark_all()
+        self.dispatcher.placer.mark_all()
 
     async def _follow_view(self) -> None:
         await self.succession.follow(self.relay.view)
@@ -330,19 +330,17 @@
         self.application.on_stop(self._stop)
 
     def _make_dispatcher(self) -> Dispatcher:
-        placement = PLACEMENTS[self.settings.get(PLACEMENT)](self.random)
-        return Dispatcher(
+        work = Work(self.agents, monotonic_ms, self.random, self.metrics)
+        placer = Placer(
+            work,
             lambda: self.endpoint.identity.name,
-            self.agents,
             self.usable_targets,
             self.service_of,
             self.relay.freshness.is_fresh,
-            placement,
-            monotonic_ms,
-            self.random,
-            self.metrics,
-            self.settings.get(AGENT_LOST_MS),
-            self.settings.get(STOP_GRACE_MS),
+            PLACEMENTS[self.settings.get(PLACEMENT)](self.random),
+        )
+        return Dispatcher(
+            work, placer, self.settings.get(AGENT_LOST_MS), self.settings.get(STOP_GRACE_MS)
         )
 
     def _hosting_parts(self) -> HostingParts:
@@ -458,7 +456,7 @@
         metrics.free_slots.watch(
             lambda: sum(agent.count_free() for agent in self.agents.connected())
         )
-        metrics.targets_ejected.watch(lambda: len(self.dispatcher.health.ejected()))
+        metrics.targets_ejected.watch(lambda: len(self.dispatcher.work.health.ejected()))
         metrics.claims.watch(self.table.__len__)
         metrics.view_epoch.watch(lambda: self.succession.view.epoch)
 
--- /dev/null
+++ b/apricotrail/entry/_outcomes.py
@@ -0,0 +1,184 @@
+"""Takes in what agents say of started tasks: settles them, or queues those that did not run."""
+
+import asyncio
+from collections.abc import Callable
+
+from returns.result import Success
+
+from apricotrail.entry._agents import AgentState
+from apricotrail.entry._failures import describe_deadline, describe_failure
+from apricotrail.entry._job import Job, describe_reason
+from apricotrail.entry._placer import Placer
+from apricotrail.entry._work import Work
+from apricotrail.events import Level, declare_event, emit
+from apricotrail.policy import backoff_ms
+from apricotrail.wire.generated.ttypes import (
+    AttemptKey,
+    AttemptStates,
+    Reason,
+    ResolveAttempts,
+    TaskOutcome,
+    TaskOutcomes,
+    TaskState,
+)
+
+__all__ = ["OutcomeReader"]
+
+REFUSAL_PAUSE_MS = 100
+RESOLVE_CALL_MS = 2_000
+RESOLVE_TRIES = 5
+FINAL_REASONS = frozenset({Reason.EXPIRED, Reason.CANCELLED})
+# Another start to the same agent would meet the same refusal.
+LASTING_REASONS = frozenset(
+    {
+        Reason.STALE_CONFIGURATION,
+        Reason.ZONE_OUT,
+        Reason.TARGET_LEAVING,
+        Reason.TARGET_UNREACHABLE,
+        Reason.UNKNOWN_TARGET,
+        Reason.LEDGER_FULL,
+        Reason.STOPPING,
+    }
+)
+
+OUTCOME_DROPPED = declare_event(
+    4101, "outcome_dropped", Level.WARNING, "A crossed, late or truncated outcome was dropped."
+)
+
+
+class OutcomeReader:
+    """Reads outcomes for the jobs of one entry.
+
+    Parameters
+    ----------
+    work : Work
+        Jobs and queues.
+    placer : Placer
+        Told when tasks wait again.
+    finish_if_settled : callable
+        Ends a job all of whose tasks are settled.
+    """
+
+    def __init__(
+        self, work: Work, placer: Placer, finish_if_settled: Callable[[Job], bool]
+    ) -> None:
+        self._work = work
+        self._placer = placer
+        self._finish_if_settled = finish_if_settled
+        self._resolving: set[asyncio.Task] = set()
+
+    def take(self, agent: AgentState, message: TaskOutcomes | AttemptStates) -> None:
+        """Take in the outcomes of one job at one agent."""
+        job = self._work.jobs.get(message.job)
+        if job is None:
+            self._work.metrics.dropped_replies.add("no_job", len(message.outcomes))
+            return
+        refused = []
+        for outcome in message.outcomes:
+            if outcome.state == TaskState.RUNNING:
+                continue
+            if not job.accept(agent.name, message.agent_incarnation, outcome):
+                self._drop(agent, job, outcome)
+                continue
+            agent.note_outcome(job.key, outcome.task)
+            if outcome.state == TaskState.NOT_RUN:
+                refused.append(outcome)
+            else:
+                self._settle(agent, job, outcome)
+        self._take_refusals(agent, job, refused)
+        self._work.queues[job.service].note_progress(job.key, job.remaining)
+        if job.problem is not None:
+            self._work.drop_queued(job)
+        self._finish_if_settled(job)
+
+    def resolve(self, agent: AgentState, key: str) -> None:
+        """Ask an agent what became of a job's open attempts there."""
+        task = asyncio.ensure_future(self._resolve(agent, key))
+        self._resolving.add(task)
+        task.add_done_callback(self._resolving.discard)
+
+    async def stop(self) -> None:
+        """Cancel open questions."""
+        for task in list(self._resolving):
+            task.cancel()
+        await asyncio.gather(*self._resolving, return_exceptions=True)
+
+    def _settle(self, agent: AgentState, job: Job, outcome: TaskOutcome) -> None:
+        now_ms = self._work.clock()
+        failed = outcome.state != TaskState.DONE
+        run_ms = outcome.run_ms or 0
+        if job.problem is None:
+            job.blamed_target = agent.target
+        if outcome.reason != Reason.CANCELLED:
+            health = self._work.health
+            health.observe(agent.target, job.service, failed, run_ms, now_ms, job.key)
+        started_ms = job.open[outcome.task].started_ms
+        agent.note_latency(max(0.0, now_ms - started_ms - run_ms))
+        job.settle(outcome.task, outcome.state, outcome.answer)
+        if failed:
+            job.fail(describe_failure(agent.target, outcome))
+            return
+        self._work.run_times.observe(job.service, run_ms, now_ms)
+        job.longest_ms = max(job.longest_ms, run_ms)
+
+    def _take_refusals(self, agent: AgentState, job: Job, refused: list[TaskOutcome]) -> None:
+        now_ms = self._work.clock()
+        at_once, later = [], []
+        for outcome in refused:
+            kind = describe_reason(outcome.reason).replace(" ", "_")
+            self._work.metrics.wasted_messages.add(kind)
+            if outcome.reason in FINAL_REASONS or job.problem is not None:
+                job.settle(outcome.task, TaskState.NOT_RUN)
+                job.fail(describe_deadline())
+                continue
+            job.requeue(outcome.task)
+            if outcome.reason in LASTING_REASONS:
+                self._note_lasting(agent, job, outcome.reason)
+            free = outcome.reason == Reason.FULL
+            may_retry = free or self._work.retries.may_retry(job.service, now_ms)
+            (at_once if may_retry else later).append(outcome.task)
+        self._enqueue(job, at_once)
+        if later:
+            delay_s = backoff_ms(max(job.attempts), self._work.random) / 1000
+            asyncio.get_running_loop().call_later(delay_s, self._enqueue, job, later)
+
+    def _note_lasting(self, agent: AgentState, job: Job, reason: int) -> None:
+        now_ms = self._work.clock()
+        agent.pause(now_ms + REFUSAL_PAUSE_MS)
+        loop = asyncio.get_running_loop()
+        loop.call_later(REFUSAL_PAUSE_MS / 1000, self._placer.mark, job.service)
+        if reason == Reason.TARGET_UNREACHABLE:
+            self._work.health.observe(agent.target, job.service, True, 0, now_ms, job.key)
+
+    def _enqueue(self, job: Job, tasks: list[int]) -> None:
+        waiting = [task for task in tasks if task in job.queued]
+        if self._work.jobs.get(job.key) is not job or job.problem is not None or not waiting:
+            return
+        self._work.enqueue(job, waiting)
+        self._placer.mark(job.service)
+
+    def _drop(self, agent: AgentState, job: Job, outcome: TaskOutcome) -> None:
+        self._work.metrics.dropped_replies.add("crossed_or_truncated")
+        emit(OUTCOME_DROPPED, job=job.key, task=outcome.task, agent=agent.name)
+        attempt = job.open.get(outcome.task)
+        if attempt is None or attempt.agent != agent.name or attempt.number != outcome.attempt:
+            return
+        if attempt.agent_incarnation == agent.incarnation:
+            self.resolve(agent, job.key)
+
+    async def _resolve(self, agent: AgentState, key: str) -> None:
+        for _ in range(RESOLVE_TRIES):
+            job, link = self._work.jobs.get(key), agent.link
+            if job is None or link is None or key not in agent.open:
+                return
+            attempts = [
+                AttemptKey(task, job.open[task].number)
+                for task in agent.open[key]
+                if task in job.open
+            ]
+            request = ResolveAttempts(key, agent.target, job.epoch, agent.incarnation, attempts)
+            self._work.metrics.messages.add("resolve")
+            reply = await link.call(request, RESOLVE_CALL_MS)
+            if isinstance(reply, Success):
+                self.take(agent, reply.unwrap())
+                return
--- /dev/null
+++ b/apricotrail/entry/_placer.py
@@ -0,0 +1,174 @@
+"""Sends queued tasks to agents with known free slots, and tells full ones how many wait."""
+
+import asyncio
+from collections.abc import Callable, Iterable
+
+from apricotrail.entry._agents import AgentState
+from apricotrail.entry._job import Job
+from apricotrail.entry._work import Work
+from apricotrail.policy import Candidate, FairQueue, Placement
+from apricotrail.wire.generated.ttypes import SlotWant, StartTasks, TaskStart
+
+__all__ = ["Placer", "ServiceView"]
+
+ServiceView = Callable[[str], Iterable[tuple[str, str]]]
+"""Gives (target id, zone id) of every target of a service that may start tasks now."""
+
+
+class Placer:
+    """Binds tasks to slots as late as possible.
+
+    Parameters
+    ----------
+    work : Work
+        Jobs and queues.
+    owner : callable
+        Gives the name of this entry.
+    usable_targets : ServiceView
+        Targets in service, by the present configuration.
+    service_of : callable
+        Gives the service id of a target, None if it is unknown.
+    may_start : callable
+        Whether this entry's configuration is fresh enough to start tasks.
+    placement : Placement
+        Spreads tasks over free slots.
+    """
+
+    def __init__(
+        self,
+        work: Work,
+        owner: Callable[[], str],
+        usable_targets: ServiceView,
+        service_of: Callable[[str], str | None],
+        may_start: Callable[[], bool],
+        placement: Placement,
+    ) -> None:
+        self._work = work
+        self._owner = owner
+        self._usable_targets = usable_targets
+        self._service_of = service_of
+        self._may_start = may_start
+        self._placement = placement
+        self._dirty: set[str] = set()
+
+    def mark(self, service: str) -> None:
+        """Place tasks of a service soon, once for all changes of this loop turn."""
+        if not self._dirty:
+            asyncio.get_running_loop().call_soon(self._place_dirty)
+        self._dirty.add(service)
+
+    def mark_target(self, target: str) -> None:
+        """Place tasks of a target's service soon."""
+        service = self._service_of(target)
+        if service in self._work.queues:
+            self.mark(service)
+
+    def mark_all(self) -> None:
+        """Place tasks of every service soon."""
+        for service in list(self._work.queues):
+            self.mark(service)
+
+    def _place_dirty(self) -> None:
+        services, self._dirty = self._dirty, set()
+        for service in services:
+            if self._may_start():
+                self._place(service)
+
+    def _place(self, service: str) -> None:
+        queue = self._work.queues[service]
+        if not len(queue):
+            self._withdraw_wants(service)
+            return
+        agents = self._list_usable(service)
+        candidates = [self._describe(agent, service) for agent in agents.values()]
+        open_slots = [c for c in candidates if c.free_slots + c.granted > 0]
+        room = sum(c.free_slots + c.granted for c in open_slots)
+        count = min(len(queue), room)
+        if count:
+            for assignment in self._placement(open_slots, count):
+                self._start(agents[assignment.name], queue, assignment.count)
+        if len(queue):
+            self._state_wants(list(agents.values()), len(queue))
+
+    def _list_usable(self, service: str) -> dict[str, AgentState]:
+        now_ms = self._work.clock()
+        usable = {}
+        for target, _zone in self._usable_targets(service):
+            agent = self._work.agents.by_target(target)
+            if agent is None or not agent.is_usable(now_ms):
+                continue
+            if self._work.health.may_use(target, now_ms):
+                usable[agent.name] = agent
+        return usable
+
+    def _describe(self, agent: AgentState, service: str) -> Candidate:
+        granted = agent.count_granted()
+        free_slots = agent.count_free()
+        now_ms = self._work.clock()
+        usable = self._work.health.slots_to_use(agent.target, free_slots + granted, now_ms)
+        return Candidate(
+            name=agent.name,
+            zone=agent.link.peer.zone,
+            free_slots=max(0, usable - granted),
+            granted=min(granted, usable),
+            slots=agent.slots,
+            queue_ahead=agent.open_count,
+            latency_ms=agent.latency_ms,
+            service_ms=self._work.run_times.mean_ms(service),
+        )
+
+    def _start(self, agent: AgentState, queue: FairQueue, count: int) -> None:
+        now_ms = self._work.clock()
+        for taken in queue.take(count, now_ms):
+            job = self._work.jobs.get(taken.job)
+            if job is not None:
+                self._send_start(agent, job, list(taken.tasks), len(queue), now_ms)
+
+    def _send_start(
+        self, agent: AgentState, job: Job, tasks: list[int], queued: int, now_ms: float
+    ) -> None:
+        starts = []
+        for task in tasks:
+            attempt = job.open_attempt(task, agent.name, agent.incarnation, now_ms)
+            starts.append(TaskStart(task, attempt.number, job.bodies[task]))
+        want = min(queued, agent.slots)
+        message = StartTasks(
+            job=job.key,
+            target=agent.target,
+            owner=self._owner(),
+            epoch=job.epoch,
+            agent_incarnation=agent.incarnation,
+            budget_ms=max(1, int(job.deadline_ms - now_ms)),
+            tasks=starts,
+            want=want,
+        )
+        if not agent.link.send(message):
+            for task in tasks:
+                job.requeue(task)
+            self._work.enqueue(job, tasks)
+            return
+        agent.want_stated = want
+        agent.note_start(job.key, tasks)
+        self._work.health.note_start(agent.target, now_ms)
+        self._work.retries.note_start(job.service, len(tasks), now_ms)
+        self._work.metrics.messages.add("start")
+        self._work.metrics.tasks_started.add(len(tasks))
+
+    def _state_wants(self, agents: list[AgentState], queued: int) -> None:
+        for agent in agents:
+            if agent.want_stated or agent.count_free():
+                continue
+            want = min(queued, agent.slots or 1)
+            if agent.link.send(SlotWant(agent.target, agent.incarnation, want)):
+                agent.want_stated = want
+                self._work.metrics.messages.add("want")
+
+    def _withdraw_wants(self, service: str) -> None:
+        for target, _zone in self._usable_targets(service):
+            agent = self._work.agents.by_target(target)
+            if agent is None or agent.link is None or not agent.want_stated:
+                continue
+            agent.want_stated = 0
+            if agent.link.send(SlotWant(agent.target, agent.incarnation, 0)):
+                self._work.metrics.messages.add("want")
+                self._work.metrics.wasted_messages.add("withdrawn_want")
--- /dev/null
+++ b/apricotrail/entry/_work.py
@@ -0,0 +1,82 @@
+"""What the parts of the dispatcher share: jobs, queues, agents and what was learned of them."""
+
+from collections import defaultdict
+from collections.abc import Iterable
+from random import Random
+
+from apricotrail.clocks import Clock
+from apricotrail.entry._agents import AgentTable
+from apricotrail.entry._job import Job
+from apricotrail.metrics import EntryMetrics
+from apricotrail.policy import FairQueue, QueuedJob, RetryBudget, RunTimes, TargetHealth
+from apricotrail.wire.generated.ttypes import TaskState
+
+__all__ = ["Work"]
+
+
+class Work:
+    """Jobs of one entry and their queues.
+
+    Parameters
+    ----------
+    agents : AgentTable
+        Agents and their loads.
+    clock : Clock
+        Monotonic time in milliseconds.
+    random : Random
+        Source of jitter.
+    metrics : EntryMetrics
+        Counts messages and outcomes.
+
+    Attributes
+    ----------
+    jobs : dict of str to Job
+        Unfinished jobs.
+    queues : dict of str to FairQueue
+        Queued tasks by service.
+    run_times : RunTimes
+        Learned run times.
+    health : TargetHealth
+        Which targets fail.
+    retries : RetryBudget
+        Starts that may be repeated.
+    """
+
+    def __init__(
+        self, agents: AgentTable, clock: Clock, random: Random, metrics: EntryMetrics
+    ) -> None:
+        self.agents = agents
+        self.clock = clock
+        self.random = random
+        self.metrics = metrics
+        self.jobs: dict[str, Job] = {}
+        self.queues: dict[str, FairQueue] = defaultdict(FairQueue)
+        self.run_times = RunTimes()
+        self.health = TargetHealth()
+        self.retries = RetryBudget()
+
+    def enqueue(self, job: Job, tasks: Iterable[int]) -> None:
+        """Queue tasks of a job, new or given back."""
+        listed = sorted(tasks)
+        queue = self.queues[job.service]
+        if not listed or queue.put_back(job.key, listed):
+            return
+        queue.add(
+            QueuedJob(
+                job.key, job.caller, job.team, job.share, listed, self.clock(), job.deadline_ms
+            )
+        )
+
+    def drop_queued(self, job: Job) -> None:
+        """Settle every queued task of a job as not run."""
+        self.queues[job.service].cancel(job.key)
+        for task in list(job.queued):
+            job.settle(task, TaskState.NOT_RUN)
+
+    def forget(self, job: Job) -> bool:
+        """Drop a job; returns False if it was dropped before."""
+        if self.jobs.get(job.key) is not job:
+            return False
+        del self.jobs[job.key]
+        self.queues[job.service].cancel(job.key)
+        return True
--- a/apricotrail/entry/tests/test_dispatch.py
+++ b/apricotrail/entry/tests/test_dispatch.py
@@ -13,6 +13,8 @@
 from apricotrail.entry._agents import AgentTable
 from apricotrail.entry._dispatch import Dispatcher
 from apricotrail.entry._job import Job, encode_result
+from apricotrail.entry._placer import Placer
+from apricotrail.entry._work import Work
 from apricotrail.errors import ErrorKind, Problem
 from apricotrail.metrics import make_metrics
 from apricotrail.policy import PLACEMENTS
@@ -63,19 +65,16 @@
         self.clock = VirtualClock(1_000.0)
         self.fresh = True
         self.agents = AgentTable(self.clock, 50)
-        self.dispatcher = Dispatcher(
+        work = Work(self.agents, self.clock, Random(1), make_metrics("entry"))
+        placer = Placer(
+            work,
             lambda: "entry-1",
-            self.agents,
             lambda service: [(target, "pipa") for target in targets],
             lambda target: "repair",
             lambda: self.fresh,
             PLACEMENTS["late-binding"](Random(1)),
-            self.clock,
-            Random(1),
-            make_metrics("entry"),
-            20,
-            20,
         )
+        self.dispatcher = Dispatcher(work, placer, 20, 20)
         self.dispatcher.on_finish = lambda job: job.result.set_result(encode_result(job))
         self.links = {target: self.connect(target, slots) for target in targets}
 
@@ -99,7 +98,7 @@
         self.dispatcher.receive_outcomes(link, message)
 
     def count_dropped(self) -> int:
-        return self.dispatcher.metrics.dropped_replies.values["crossed_or_truncated"]
+        return self.dispatcher.work.metrics.dropped_replies.values["crossed_or_truncated"]
 
     async def settle(self) -> None:
         for _ in range(5):
