--- a/apricotrail/agent/_agent.py
+++ b/apricotrail/agent/_agent.py
@@ -12,6 +12,7 @@
 from apricotrail.agent._slots import Slots
 from apricotrail.clocks import Clock
 from apricotrail.events import Level, declare_event, emit
+from apricotrail.metrics import make_metrics
 from apricotrail.wire.generated.ttypes import (
     AttemptStates,
     FenceJob,
@@ -42,6 +43,9 @@
     5004, "message_incomplete", Level.WARNING, "A message lacked a field and was ignored."
 )
 
+_REASON_LABELS = {number: name.lower() for number, name in Reason._VALUES_TO_NAMES.items()}
+_STATE_LABELS = {number: name.lower() for number, name in TaskState._VALUES_TO_NAMES.items()}
+
 
 class Agent:
     """The one gate in front of a target.
@@ -61,10 +65,8 @@
 
     Attributes
     ----------
-    starts : int
-        Tasks started.
-    refusals : Counter
-        Tasks not started, by `Reason`.
+    metrics : AgentMetrics
+        Counts of starts, refusals and outcomes.
     """
 
     def __init__(
@@ -74,8 +76,7 @@
         self.slots = Slots(slots, grant_ms)
         self.outbox = Outbox(rim.schedule, self._deliver)
         self.runs = Runs(rim, clock, self._record_outcome, self._release_slot)
-        self.starts = 0
-        self.refusals: Counter[int] = Counter()
+        self.metrics = make_metrics("agent")
         self._rim = rim
         self._clock = clock
         self._received: Counter[str] = Counter()
@@ -105,8 +106,8 @@
             self.runs.start(message.job, start, message.budget_ms, now_ms)
         for attempt_id, outcome in decision.outcomes:
             self.outbox.add(sender, message.job, attempt_id, outcome)
-            self.refusals[outcome.reason] += 1
-        self.starts += len(decision.starts)
+            self.metrics.refused_starts.add(_REASON_LABELS[outcome.reason])
+        self.metrics.tasks_started.add(len(decision.starts))
         self._want(sender, message.want or 0)
 
     def resolve_attempts(self, sender: str, message: ResolveAttempts) -> AttemptStates | None:
@@ -191,6 +192,8 @@
     def _record_outcome(self, job: str, attempt_id: AttemptId, outcome: Outcome) -> None:
         if not self.ledger.finish(job, attempt_id, outcome, self._clock()):
             return
+        self.metrics.tasks.add(_STATE_LABELS[outcome.state])
+        self.metrics.run_ms.observe(outcome.run_ms)
         owner = self.ledger.owner(job)
         if owner is not None:
             self.outbox.add(owner, job, attempt_id, outcome)
--- a/apricotrail/agent/_target_agent.py
+++ b/apricotrail/agent/_target_agent.py
@@ -8,7 +8,7 @@
 from apricotrail.agent._agent import Agent
 from apricotrail.agent._client import run_task, stop_task
 from apricotrail.agent._follower import ConfigurationFollower
-from apricotrail.agent._gate import GateState
+from apricotrail.agent._gate import GateState, find_closure
 from apricotrail.agent._parameters import AgentParameters
 from apricotrail.agent._records import Outcome
 from apricotrail.agent._rim import AgentRim
@@ -76,6 +76,7 @@
         slots = min(parameters.slots, connections)
         self.agent = Agent(rim, slots, parameters.grant_ms, parameters.ledger, clock)
         self._connect_handlers()
+        self._watch_metrics()
 
     async def start(self) -> None:
         """Dial the entries and begin."""
@@ -111,6 +112,10 @@
         await self._stop_client.close()
         emit(AGENT_STOPPED, target=self._parameters.target, cut_off=cut_off)
 
+    def is_ready(self) -> bool:
+        """Return whether tasks may start here now."""
+        return find_closure(self._gate_state()) == Reason.NONE
+
     def set_leaving(self, leaving: bool) -> None:
         """Note whether the target announces that it leaves; a leaving one gets no starts."""
         self._leaving = leaving
@@ -160,7 +165,7 @@
         endpoint.state_heartbeat = self._state_heartbeat
         endpoint.receive_heartbeat = self._receive_heartbeat
         endpoint.on_up(self._link_up)
-        endpoint.on_down(lambda link: agent.forget_entry(link.peer.name))
+        endpoint.on_down(self._link_down)
         endpoint.on(ttypes.StartTasks, self._receive_start)
         endpoint.on(
             ttypes.ResolveAttempts, lambda link, m: agent.resolve_attempts(link.peer.name, m)
@@ -183,6 +188,10 @@
             link.send(self._announcement())
         link.beat()
 
+    def _link_down(self, link: Link) -> None:
+        self.agent.forget_entry(link.peer.name)
+        self.agent.metrics.links_lost.add()
+
     def _state_heartbeat(self, link: Link) -> Heartbeat:
         version = self._follower.configuration.version
         age_ms = math.ceil(min(self._follower.freshness.age_ms(), NEVER_CONFIRMED_AGE_MS))
@@ -250,6 +259,16 @@
 
     # ---- internals ----
 
+    def _watch_metrics(self) -> None:
+        metrics, agent = self.agent.metrics, self.agent
+        metrics.links.watch(self._endpoint.links.__len__)
+        metrics.config_version.watch(lambda: self._follower.configuration.version)
+        metrics.config_age_ms.watch(self._follower.freshness.age_ms)
+        metrics.slots.watch(lambda: agent.slots.count)
+        metrics.free_slots.watch(agent.slots.free)
+        metrics.running_tasks.watch(lambda: agent.slots.running)
+        metrics.ledger_records.watch(agent.ledger.__len__)
+
     def _entry_links(self) -> list[Link]:
         return [link for link in self._endpoint.links.values() if link.peer.role == "entry"]
 
--- a/apricotrail/agent/tests/test_agent.py
+++ b/apricotrail/agent/tests/test_agent.py
@@ -1,11 +1,13 @@
 """The whole agent over loopback: starts, refusals, stops, lost links, planned stop."""
 
 import asyncio
+import socket
 import unittest
 
 from apricotrail.agent import make_agent
 from apricotrail.agent.tests.stand_ins import FAST, Scene, StandInEntry, wait_until
 from apricotrail.errors import ApricotrailError
+from apricotrail.http import HttpClient
 from apricotrail.settings import Settings
 from apricotrail.wire.generated import ttypes
 from apricotrail.wire.generated.ttypes import Reason, TaskState
@@ -193,6 +195,22 @@
         self.assertTrue(entry.announcements[-1].leaving)
         await entry.stop()
 
+    async def test_listener_shows_readiness_and_metrics(self):
+        with socket.create_server(("127.0.0.1", 0)) as probe:
+            address = f"127.0.0.1:{probe.getsockname()[1]}"
+        settings = Settings({**FAST, "agent.target": "runner", "agent.listen": address})
+        application = make_agent(settings)
+        await application.start()
+        client = HttpClient()
+        replies = [
+            (await client.request("GET", address, path)).unwrap()
+            for path in ("/healthz", "/readyz", "/metrics")
+        ]
+        self.assertEqual([reply.status for reply in replies], [200, 503, 200])
+        self.assertIn(b"apricotrail_ledger_records", replies[2].body)
+        await client.close()
+        await application.stop()
+
     async def test_agent_without_a_target_is_refused(self):
         with self.assertRaises(ApricotrailError):
             make_agent(Settings())
--- a/apricotrail/agent/tests/test_schedules.py
+++ b/apricotrail/agent/tests/test_schedules.py
@@ -1,4 +1,4 @@
-"""The agent's state under random messages, runs that end in any way, and links that drop messages."""
+"""The agent's state under random messages, random ends of runs and lossy links."""
 
 import asyncio
 from collections import Counter
--- a/apricotrail/http/tests/test_server.py
+++ b/apricotrail/http/tests/test_server.py
@@ -116,6 +116,21 @@
         await server.stop(1_000)
         self.assertEqual(len(server), 0)
 
+    async def test_idle_and_unread_connections_are_closed(self):
+        limits = LIMITS._replace(idle_timeout_ms=40)
+        big = Response(200, b"a" * 20_000_000, "text/plain")
+        for name, request in (("idle", b""), ("unread", GET)):
+            with self.subTest(name):
+                server = HttpServer(lambda request: big, limits)
+                host, port = (await server.listen("127.0.0.1", 0)).split(":")
+                reader, writer = await asyncio.open_connection(host, int(port), limit=1_000)
+                writer.write(request)
+                async with asyncio.timeout(10):
+                    while not (server.requests or not request) or len(server):
+                        await asyncio.sleep(0.01)
+                writer.close()
+                await server.stop(100)
+
     async def test_disconnect_is_seen_by_the_handler(self):
         seen = asyncio.get_running_loop().create_future()
 
