Refuse by the tasks ahead under fair shares and the job's longest task

Under three times the capacity many jobs were admitted and then missed their deadlines: the estimate counted the whole queue but not that other callers keep their shares while a large job waits. It now counts those shares, the longest of the job's tasks and this entry's part of the slots; a crowded queue gives each team its share; an empty queue refuses nothing.

--- a/apricotrail/measure/_model_entry.py
+++ b/apricotrail/measure/_model_entry.py
@@ -263,7 +263,14 @@
         slots = self.model.shape.slots * len(live) // max(1, len(self.model.entries))
         running = sum(len(known.sent) for known in self.known.values())
         mean_ms = self.times.mean_ms(spec.service)
-        return ServiceState(len(self.queue), slots, running, mean_ms)
+        return ServiceState(
+            queued_tasks=len(self.queue),
+            slots=slots,
+            running=running,
+            mean_task_ms=mean_ms,
+            tasks_ahead=self.queue.tasks_ahead(spec.caller, spec.team, 1.0, len(spec.tasks)),
+            tail_ms=self.times.longest_ms(spec.service, len(spec.tasks)),
+        )
 
     def _agent(self, name: str) -> "ModelAgent":
         return next(agent for agent in self.model.agents if agent.name == name)
--- a/apricotrail/policy/admission.py
+++ b/apricotrail/policy/admission.py
@@ -26,6 +26,7 @@
 MIN_RETRY_AFTER_MS = 100.0
 MAX_RETRY_AFTER_MS = 60_000.0
 RETRY_SPREAD = 1.0
+CROWDED_SHARE = 0.5
 
 
 class AdmissionRequest(NamedTuple):
@@ -67,6 +68,12 @@
         Tasks of the request's team in this entry's queue.
     team_share : float
         The team's part (0 to 1) of all shares.
+    tasks_ahead : float
+        Queued tasks that start before the job's last one, see `FairQueue.tasks_ahead`.
+    tail_ms : float
+        Learned run time of the job's longest task, see `RunTimes.longest_ms`.
+    busy : int
+        Slots in use by all entries together, 0 if unknown: this entry counts on its part of them.
     """
 
     queued_tasks: int
@@ -75,6 +82,9 @@
     mean_task_ms: float
     team_queued: int = 0
     team_share: float = 1.0
+    tasks_ahead: float = 0.0
+    tail_ms: float = 0.0
+    busy: int = 0
 
 
 class Admission:
@@ -102,10 +112,17 @@
         self._deadline_share = settings.get(DEADLINE_SHARE)
 
     def decide(self, request: AdmissionRequest, state: ServiceState) -> Result[None, Problem]:
-        """Take a job, or say why it is refused before any of it could run."""
+        """Take a job, or say why it is refused before any of it could run.
+
+        Without queued tasks the estimate refuses nothing, so that a wrong one is always replaced.
+        """
         if state.queued_tasks + request.tasks > self._max_queued:
             return Failure(_overloaded("The queue of the service is full."))
-        if expected_response_ms(request.tasks, state) > self._limit_ms(request):
+        if self._exceeds_quota(request, state):
+            return Failure(_over_quota(request.team))
+        if state.queued_tasks and expected_response_ms(request.tasks, state) > self._limit_ms(
+            request
+        ):
             return Failure(_overloaded("The job would not be answered before its deadline."))
         return Success(None)
 
@@ -115,20 +132,40 @@
         base_ms = min(max(excess_ms, MIN_RETRY_AFTER_MS), MAX_RETRY_AFTER_MS)
         return base_ms * (1 + self._random.uniform(0.0, RETRY_SPREAD))
 
+    def _exceeds_quota(self, request: AdmissionRequest, state: ServiceState) -> bool:
+        """Return whether a crowded queue holds more of the team's tasks than its share of it."""
+        if state.queued_tasks + request.tasks <= self._max_queued * CROWDED_SHARE:
+            return False
+        return state.team_queued + request.tasks > self._max_queued * state.team_share
+
     def _limit_ms(self, request: AdmissionRequest) -> float:
         return request.deadline_ms * self._deadline_share
 
 
 def expected_response_ms(tasks: int, state: ServiceState) -> float:
-    """Return the time in which `tasks` more tasks would be done, by the learned mean.
+    """Return the time in which `tasks` more tasks would be done, by learned run times.
 
     Without any slot the wait has no estimate and counts as zero: targets may return.
     """
-    if state.slots <= 0 or state.mean_task_ms <= 0:
+    slots = _own_slots(state)
+    if slots <= 0 or state.mean_task_ms <= 0:
         return 0.0
-    ahead = state.queued_tasks + max(0, state.running + tasks - state.slots)
-    return state.mean_task_ms * (1 + ahead / state.slots)
+    queued = max(state.queued_tasks, state.tasks_ahead)
+    waiting = queued + max(0, state.running + tasks - slots)
+    return max(state.mean_task_ms, state.tail_ms) + state.mean_task_ms * waiting / slots
+
+
+def _own_slots(state: ServiceState) -> float:
+    """Return the slots this entry can count on while others compete for them."""
+    if state.queued_tasks <= 0 or state.busy <= 0 or state.running <= 0:
+        return state.slots
+    return state.slots * min(1.0, state.running / state.busy)
 
 
 def _overloaded(message: str) -> Problem:
     return Problem(ErrorKind.OVERLOADED, message, "Send it again after Retry-After.")
+
+
+def _over_quota(team: str) -> Problem:
+    message = f"The queue is crowded and team {team} holds its share of it."
+    return Problem(ErrorKind.QUOTA_EXCEEDED, message, "Send it again after Retry-After.")
--- a/apricotrail/policy/estimates.py
+++ b/apricotrail/policy/estimates.py
@@ -88,6 +88,10 @@
                 break
         return 2 * GROWTH**bucket / (1 + GROWTH)
 
+    def longest_ms(self, service: str, tasks: int, default_ms: float = 0.0) -> float:
+        """Return the median run time of the longest of `tasks` tasks, taken as independent."""
+        return self.percentile_ms(service, 0.5 ** (1 / max(1, tasks)), default_ms)
+
     def _weight(self, now_ms: float) -> float:
         if self._landmark_ms is None:
             self._landmark_ms = now_ms
--- a/apricotrail/policy/order.py
+++ b/apricotrail/policy/order.py
@@ -14,8 +14,9 @@
 
 __all__ = ["FairQueue", "QueuedJob", "Taken"]
 
-OVERTAKING_MS_PER_TASK = 20.0
+OVERTAKING_MS_PER_TASK = 10.0
 MIN_STALE_ENTRIES = 64
+MIN_SHARE = 1e-9
 
 
 class QueuedJob(NamedTuple):
@@ -82,6 +83,7 @@
 class _Team:
     def __init__(self) -> None:
         self.flows = FairFlows()
+        self.share = 1.0
         self.callers: dict[str, _Caller] = {}
         self.queued_tasks = 0
 
@@ -197,6 +199,24 @@
         record = self._teams.get(team)
         return record.queued_tasks if record else 0
 
+    def tasks_ahead(self, caller: str, team: str, share: float, tasks: int) -> float:
+        """Estimate how many queued tasks start before the last of `tasks` new ones of a caller.
+
+        While a job waits, the other callers with queued tasks get their shares too, and are taken
+        to send more; never counts less than what the caller itself has queued.
+        """
+        own = self._teams.get(team)
+        queued = own.callers[caller].queued_tasks if own and caller in own.callers else 0
+        needed = queued + tasks
+        callers = len(own.callers) if own else 0
+        others = callers - (1 if queued else 0)
+        team_needed = needed * (1 + others)
+        ahead = team_needed - tasks
+        for name, record in self._teams.items():
+            if name != team and record.queued_tasks:
+                ahead += team_needed * record.share / max(share, MIN_SHARE)
+        return ahead
+
     def _first(self, now_ms: float) -> _Job | None:
         while (team_name := self._flows.first()) is not None:
             team = self._teams[team_name]
@@ -247,6 +267,7 @@
         team.queued_tasks += change
         self._queued += change
         if change > 0:
+            team.share = queued.share
             self._flows.activate(queued.team, queued.share)
             team.flows.activate(queued.caller, 1.0)
             return
--- a/apricotrail/policy/tests/test_health.py
+++ b/apricotrail/policy/tests/test_health.py
@@ -13,6 +13,7 @@
     TargetHealth,
     backoff_ms,
 )
+from apricotrail.policy.admission import expected_response_ms
 from apricotrail.settings import Settings
 
 TARGETS = [f"t{n}" for n in range(10)]
@@ -101,6 +102,14 @@
     assert abs(times.percentile_ms("repair", share) / expected_ms - 1) < 0.06
 
 
+def test_longest_of_many_tasks():
+    times = RunTimes()
+    for number in range(1_000):
+        times.observe("repair", 4_000.0 if number % 50 == 0 else 100.0, number)
+    assert abs(times.longest_ms("repair", 1) / 100 - 1) < 0.06
+    assert abs(times.longest_ms("repair", 300) / 4_000 - 1) < 0.06
+
+
 def test_run_times_follow_a_change_and_survive_long_times():
     times = RunTimes()
     for now_ms in range(0, 60_000, 100):
@@ -138,6 +147,31 @@
     assert bool(admission.decide(request, state).map(lambda _: True).value_or(False)) is taken
 
 
+@params(
+    ("room left", 1_000, 900, True),
+    ("crowded, team within its share", 60_000, 9_000, True),
+    ("crowded, team beyond its share", 60_000, 11_000, False),
+)
+def test_quota_of_a_crowded_queue(_, queued, team_queued, taken):
+    state = ServiceState(queued, 88, 88, 1.0, team_queued, 0.1)
+    request = AdmissionRequest("repair", "shops", 10, 60_000.0, 0.0)
+    decision = Admission(Random(1)).decide(request, state)
+    assert taken or decision.failure().kind.value == "quota_exceeded"
+    assert decision.map(lambda _: True).value_or(False) is taken
+
+
+@params(
+    ("alone", ServiceState(0, 88, 0, 100.0), 100.0),
+    ("tail", ServiceState(0, 88, 0, 100.0, tail_ms=900.0), 900.0),
+    ("queue", ServiceState(88, 88, 88, 100.0), 300.0),
+    ("queue shared with other entries", ServiceState(44, 88, 44, 100.0, busy=88), 400.0),
+    ("other callers", ServiceState(44, 88, 88, 100.0, tasks_ahead=176.0), 400.0),
+    ("no slot", ServiceState(44, 0, 0, 100.0), 0.0),
+)
+def test_expected_response(_, state, expected_ms):
+    assert expected_response_ms(88, state) == expected_ms
+
+
 def test_retry_after_is_spread():
     admission = Admission(Random(1))
     request = AdmissionRequest("repair", "shops", 10, 5_000.0, 0.0)
