--- a/apricotrail/measure/_model_entry.py
+++ b/apricotrail/measure/_model_entry.py
@@ -260,7 +260,8 @@
 
     def _service_state(self, spec: JobSpec) -> ServiceState:
         live = [agent for agent in self.model.agents if agent.zone not in self.zones_out]
-        slots = self.model.shape.slots * len(live) // max(1, len(self.model.entries))
+        slots = self.model.shape.slots * len(live)
+        busy = slots - sum(max(0, self.known[agent.name].free) for agent in live)
         running = sum(len(known.sent) for known in self.known.values())
         mean_ms = self.times.mean_ms(spec.service)
         return ServiceState(
@@ -269,6 +270,7 @@
             running=running,
             mean_task_ms=mean_ms,
             tasks_ahead=self.queue.tasks_ahead(spec.caller, spec.team, 1.0, len(spec.tasks)),
+            busy=busy,
             tail_ms=self.times.longest_ms(spec.service, len(spec.tasks)),
         )
 
