Give the policy the run times of each target and the tasks ahead

Placement was told the service's mean run time for every target, so a target ten times slower got as much work as any other; the order charged one unit a task whatever it took; admission counted every slot of the service for each entry. The entry now passes what it learned.

--- a/apricotrail/entry/_admission.py
+++ b/apricotrail/entry/_admission.py
@@ -6,7 +6,7 @@
 from returns.result import Failure, Result
 
 from apricotrail.clocks import Clock
-from apricotrail.document import EffectiveConfiguration
+from apricotrail.document import EffectiveConfiguration, Team
 from apricotrail.entry._agents import AgentTable
 from apricotrail.entry._dispatch import Dispatcher
 from apricotrail.entry._submission import Submission
@@ -124,7 +124,8 @@
             parts.clock(),
         )
         slots = _list_slots(parts, service_id) if known is not None else []
-        state = _describe_service(parts, service_id, slots)
+        team = parts.configuration().team_of(submission.caller)
+        state = _describe_service(parts, service_id, slots, submission, team)
         return parts.admission.retry_after_ms(request, state)
 
     return retry_after_ms
@@ -154,7 +155,7 @@
     request = AdmissionRequest(
         service_id, team.id, len(submission.bodies), deadline_ms, parts.clock()
     )
-    state = _describe_service(parts, service_id, known_slots)
+    state = _describe_service(parts, service_id, known_slots, submission, team)
     admitted = Admitted(service_id, team.id, team.share, deadline_ms)
     return parts.admission.decide(request, state).map(lambda _: admitted)
 
@@ -167,14 +168,26 @@
 
 
 def _describe_service(
-    parts: AdmissionParts, service_id: str, known_slots: list[int]
+    parts: AdmissionParts,
+    service_id: str,
+    known_slots: list[int],
+    submission: Submission,
+    team: Team,
 ) -> ServiceState:
-    agents = [
-        parts.agents.by_target(target.id) for target in parts.configuration().targets_of(service_id)
-    ]
+    configuration, dispatcher = parts.configuration(), parts.dispatcher
+    found = (parts.agents.by_target(target.id) for target in configuration.targets_of(service_id))
+    agents = [agent for agent in found if agent is not None]
+    queue = dispatcher.queue_of(service_id)
+    tasks = len(submission.bodies)
+    shares = sum(known.share for known in configuration.teams.values()) or team.share
     return ServiceState(
-        queued_tasks=parts.dispatcher.count_queued(service_id),
+        queued_tasks=len(queue),
         slots=sum(known_slots),
-        running=sum(agent.open_count for agent in agents if agent is not None),
-        mean_task_ms=parts.dispatcher.run_times.mean_ms(service_id),
+        running=sum(agent.open_count for agent in agents),
+        mean_task_ms=dispatcher.run_times.mean_ms(service_id),
+        team_queued=queue.waiting_of_team(team.id),
+        team_share=min(1.0, team.share / shares),
+        tasks_ahead=queue.tasks_ahead(submission.caller, team.id, team.share, tasks),
+        tail_ms=dispatcher.run_times.longest_ms(service_id, tasks),
+        busy=sum(agent.slots - agent.count_free() for agent in agents),
     )
--- a/apricotrail/entry/_dispatch.py
+++ b/apricotrail/entry/_dispatch.py
@@ -58,6 +58,8 @@
     minimum=10,
 )
 REFUSAL_PAUSE_MS = 100
+MEDIAN = 0.5
+FIRST_RUN_MS = 100.0
 RESOLVE_CALL_MS = 2_000
 RESOLVE_TRIES = 5
 NO_SLOT_REASONS = frozenset({Reason.FULL})
@@ -176,7 +178,14 @@
             return
         queue.add(
             QueuedJob(
-                job.key, job.caller, job.team, job.share, tasks, self._clock(), job.deadline_ms
+                job.key,
+                job.caller,
+                job.team,
+                job.share,
+                tasks,
+                self._clock(),
+                job.deadline_ms,
+                self.run_times.mean_ms(job.service, FIRST_RUN_MS),
             )
         )
 
@@ -201,6 +210,10 @@
         """Return how many tasks of a service wait for a slot."""
         return len(self._queues[service])
 
+    def queue_of(self, service: str) -> FairQueue:
+        """Return the queue of a service."""
+        return self._queues[service]
+
     def count_all_queued(self) -> int:
         """Return how many tasks wait for a slot, over all services."""
         return sum(len(queue) for queue in self._queues.values())
@@ -318,7 +331,7 @@
             slots=agent.slots,
             queue_ahead=agent.open_count,
             latency_ms=agent.latency_ms,
-            service_ms=self.run_times.mean_ms(service),
+            service_ms=self.run_times.percentile_ms(agent.target, MEDIAN),
         )
 
     def _start(self, agent: AgentState, queue: FairQueue, count: int) -> None:
@@ -427,6 +440,8 @@
         job.settle(outcome.task, outcome.state, outcome.answer)
         if not failed:
             self.run_times.observe(job.service, run_ms, now_ms)
+            self.run_times.observe(agent.target, run_ms, now_ms)
+            self._queues[job.service].note_cost(job.key, run_ms)
             job.busy_ms += run_ms
             job.longest_ms = max(job.longest_ms, run_ms)
             return False
--- a/apricotrail/measure/commands.py
+++ b/apricotrail/measure/commands.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import json as json_format
+import sys
 from itertools import product
 
 from apricotrail.measure._faults import FAULTS
@@ -47,7 +48,10 @@
         RunPlan(size, name, policy, factor, seconds, seed, not one_process)
         for size, name, factor, policy in product(deployment, fault, load, placement)
     ]
-    rows = [(_describe(plan), asyncio.run(run_plan(plan))) for plan in plans]
+    rows = []
+    for plan in plans:
+        rows.append((_describe(plan), asyncio.run(run_plan(plan))))
+        print(*rows[-1], file=sys.stderr)
     print(_render_json(rows) if json else render_table(rows))
     return int(any(_breaks_promise(figures) for _, figures in rows))
 
