--- a/apricotrail/entry/_work.py
+++ b/apricotrail/entry/_work.py
@@ -13,6 +13,8 @@
 
 __all__ = ["Work"]
 
+FIRST_RUN_MS = 100.0
+
 
 class Work:
     """Jobs of one entry and their queues.
@@ -35,7 +37,7 @@
     queues : dict of str to FairQueue
         Queued tasks by service.
     run_times : RunTimes
-        Learned run times.
+        Learned run times, by service and by target.
     health : TargetHealth
         Which targets fail.
     retries : RetryBudget
@@ -63,7 +65,14 @@
             return
         queue.add(
             QueuedJob(
-                job.key, job.caller, job.team, job.share, listed, self.clock(), job.deadline_ms
+                job.key,
+                job.caller,
+                job.team,
+                job.share,
+                listed,
+                self.clock(),
+                job.deadline_ms,
+                self.run_times.mean_ms(job.service, FIRST_RUN_MS),
             )
         )
 
