Declare the settings that must agree: stops, retention, freshness

A stop deadline under the drain time, a ledger kept for less time than the claims, or a stale limit within two heartbeats were accepted and broke a promise later. They are refused when the file is read.

--- a/apricotrail/agent/_parameters.py
+++ b/apricotrail/agent/_parameters.py
@@ -4,8 +4,9 @@
 from typing import NamedTuple
 
 from apricotrail.agent._records import LedgerLimits, read_ledger_limits
+from apricotrail.application import STOP_MS
 from apricotrail.membership import CONFIG_STALE_MS
-from apricotrail.settings import Settings, declare_setting
+from apricotrail.settings import Settings, declare_constraint, declare_setting
 
 __all__ = ["GRANT_MS", "AgentParameters", "make_parameters"]
 
@@ -42,6 +43,12 @@
     unit="ms",
     minimum=1,
 )
+declare_constraint(
+    (STOP_DEADLINE_MS, STOP_MS),
+    lambda stop_deadline_ms, stop_ms: stop_deadline_ms < stop_ms,
+    "agent.stop_deadline_ms must be under process.stop_ms",
+    "Raise process.stop_ms, or lower agent.stop_deadline_ms.",
+)
 
 
 class AgentParameters(NamedTuple):
--- a/apricotrail/application.py
+++ b/apricotrail/application.py
@@ -4,8 +4,18 @@
 from collections.abc import Awaitable, Callable
 
 from apricotrail.events import Level, declare_event, emit
+from apricotrail.settings import declare_setting
 
-__all__ = ["Application"]
+__all__ = ["STOP_MS", "Application"]
+
+STOP_MS = declare_setting(
+    "process.stop_ms",
+    30_000,
+    "Longest time for a planned stop; what is unfinished then is cut off and reported.",
+    unit="ms",
+    minimum=100,
+    maximum=600_000,
+)
 
 STOP_HOOK_FAILED = declare_event(
     9001, "stop_hook_failed", Level.ERROR, "A clean-up step failed; the others still ran."
--- a/apricotrail/cli/_role.py
+++ b/apricotrail/cli/_role.py
@@ -13,24 +13,15 @@
 
 from returns.result import Failure
 
-from apricotrail.application import Application
+from apricotrail.application import STOP_MS, Application
 from apricotrail.cli._exit_codes import ExitCode
 from apricotrail.errors import ApricotrailError, ErrorKind, Problem
 from apricotrail.events import Level, declare_event, emit
 from apricotrail.logs import configure_logs
-from apricotrail.settings import Settings, declare_setting, load_settings
+from apricotrail.settings import Settings, load_settings
 
 __all__ = ["run_agent", "run_control", "run_entry", "run_role", "serve"]
 
-STOP_MS = declare_setting(
-    "process.stop_ms",
-    30_000,
-    "Longest time for a planned stop; what is unfinished then is cut off and reported.",
-    unit="ms",
-    minimum=100,
-    maximum=600_000,
-)
-
 ROLE_STARTED = declare_event(7001, "role_started", Level.INFO, "The role is up.")
 ROLE_STOPPING = declare_event(
     7002, "role_stopping", Level.INFO, "A signal came; the planned stop has begun."
--- a/apricotrail/entry/_application.py
+++ b/apricotrail/entry/_application.py
@@ -8,7 +8,8 @@
 from returns.result import Failure, Result, Success
 
 from apricotrail.agent import GRANT_MS, make_hosted_agent
-from apricotrail.application import Application
+from apricotrail.agent import RETENTION_S as LEDGER_RETENTION_S
+from apricotrail.application import STOP_MS, Application
 from apricotrail.clocks import monotonic_ms, wall_ms
 from apricotrail.entry._admission import (
     MAX_JOBS_OF_CALLER,
@@ -29,7 +30,7 @@
 from apricotrail.entry._operating import OperatingParts, make_operator_router
 from apricotrail.entry._ownership import OwnershipParts
 from apricotrail.entry._relay import ConfigurationRelay
-from apricotrail.entry._submission import Submission, read_limits
+from apricotrail.entry._submission import MAX_DEADLINE_MS, Submission, read_limits
 from apricotrail.entry._succession import SYNC_MS, ViewSuccession
 from apricotrail.entry._takeover import TakeOverParts, make_take_over
 from apricotrail.entry._uncertainty import Vouching
@@ -40,7 +41,7 @@
 from apricotrail.membership import CONFIG_STALE_MS, NEVER_CONFIRMED_AGE_MS
 from apricotrail.metrics import make_metrics, watch_loop_lag
 from apricotrail.policy import PLACEMENTS, Admission
-from apricotrail.settings import Settings, declare_setting
+from apricotrail.settings import Settings, declare_constraint, declare_setting
 from apricotrail.wire import KEY_FILE, KeyRing, Link, LinkEndpoint, parse_address
 from apricotrail.wire.generated import ttypes
 
@@ -68,6 +69,24 @@
 FINISH_MS = declare_setting(
     "entry.finish_ms", 20_000, "How long a stopping entry waits for its jobs.", unit="ms", minimum=0
 )
+declare_constraint(
+    (DRAIN_MS, FINISH_MS, STOP_MS),
+    lambda drain_ms, finish_ms, stop_ms: drain_ms + finish_ms < stop_ms,
+    "entry.drain_ms and entry.finish_ms together must be under process.stop_ms",
+    "Raise process.stop_ms, or lower entry.finish_ms.",
+)
+declare_constraint(
+    (MAX_DEADLINE_MS, RETENTION_S),
+    lambda max_deadline_ms, retention_s: max_deadline_ms < retention_s * 1_000,
+    "entry.max_deadline_ms must be under entry.retention_s",
+    "Lower entry.max_deadline_ms, or raise entry.retention_s.",
+)
+declare_constraint(
+    (RETENTION_S, LEDGER_RETENTION_S),
+    lambda retention_s, ledger_retention_s: retention_s <= ledger_retention_s,
+    "agent.retention_s must be at least entry.retention_s",
+    "Raise agent.retention_s: claims are rebuilt from the agents' ledgers.",
+)
 HTTP_OK = 200
 TICK_MS = 250
 POLL_MS = 20
--- a/apricotrail/membership/_freshness.py
+++ b/apricotrail/membership/_freshness.py
@@ -5,7 +5,8 @@
 """
 
 from apricotrail.clocks import Clock
-from apricotrail.settings import declare_setting
+from apricotrail.settings import declare_constraint, declare_setting
+from apricotrail.wire import HEARTBEAT_MS
 
 __all__ = ["CONFIG_STALE_MS", "NEVER_CONFIRMED_AGE_MS", "Freshness"]
 
@@ -17,6 +18,12 @@
     minimum=100,
     maximum=7_000,
 )
+declare_constraint(
+    (HEARTBEAT_MS, CONFIG_STALE_MS),
+    lambda heartbeat_ms, stale_ms: heartbeat_ms * 4 <= stale_ms,
+    "membership.config_stale_ms must be at least four times link.heartbeat_ms",
+    "Lower link.heartbeat_ms, or raise membership.config_stale_ms.",
+)
 NEVER_CONFIRMED_AGE_MS = 2**31 - 1
 
 
--- a/tools/capacity/memory.py
+++ b/tools/capacity/memory.py
@@ -97,7 +97,8 @@
 
 def _make_ledger(tasks: int) -> Callable[[int], object]:
     def make(count: int) -> object:
-        from apricotrail.agent._ledger import AttemptId, Ledger, LedgerLimits, Outcome
+        from apricotrail.agent._ledger import Ledger
+        from apricotrail.agent._records import AttemptId, LedgerLimits, Outcome
 
         ledger = Ledger(LedgerLimits(1e12, 0, 0, 10**9))
         for number in range(count // tasks):
--- a/tools/capacity/timing.py
+++ b/tools/capacity/timing.py
@@ -93,7 +93,8 @@
 
 def _gate(tasks: int) -> Callable[[], object]:
     from apricotrail.agent._gate import GateState, decide_starts
-    from apricotrail.agent._ledger import AttemptId, Ledger, LedgerLimits, Outcome
+    from apricotrail.agent._ledger import Ledger
+    from apricotrail.agent._records import AttemptId, LedgerLimits, Outcome
     from apricotrail.agent._slots import Slots
     from apricotrail.agent._standing import Standing
 
