--- a/apricotrail/agent/_gate.py
+++ b/apricotrail/agent/_gate.py
@@ -3,7 +3,8 @@
 from collections.abc import Sequence
 from typing import NamedTuple
 
-from apricotrail.agent._ledger import AttemptId, Ledger, Outcome
+from apricotrail.agent._ledger import Ledger
+from apricotrail.agent._records import AttemptId, Outcome
 from apricotrail.agent._slots import Slots
 from apricotrail.agent._standing import Standing
 from apricotrail.wire.generated.ttypes import Reason, StartTasks, TaskStart, TaskState
@@ -30,6 +31,9 @@
         Whether the agent is stopping.
     waiting : bool
         Whether the agent may not start tasks yet because an earlier host may still run some.
+    sender_in_view : bool
+        Whether the entry that sent the message is a member of the entry view, this very process.
+        One that left the view may have lost its jobs to another entry.
     """
 
     target: str
@@ -39,6 +43,7 @@
     leaving: bool = False
     stopping: bool = False
     waiting: bool = False
+    sender_in_view: bool = True
 
 
 class Decision(NamedTuple):
@@ -110,6 +115,8 @@
     closure = find_closure(state)
     if closure == Reason.NONE and message.budget_ms <= 0:
         closure = Reason.EXPIRED
+    if closure == Reason.NONE and not state.sender_in_view:
+        closure = Reason.FENCED
     decision = Decision([], [])
     for start, attempt_id in zip(message.tasks, attempt_ids, strict=True):
         known = ledger.find(message.job, attempt_id)
--- a/apricotrail/agent/_target_agent.py
+++ b/apricotrail/agent/_target_agent.py
@@ -3,23 +3,25 @@
 import asyncio
 import math
 from contextlib import suppress
-from typing import Any, NamedTuple
+from typing import Any
 
-from apricotrail.agent._agent import Agent, AgentRim
+from apricotrail.agent._agent import Agent
 from apricotrail.agent._client import run_task, stop_task
 from apricotrail.agent._follower import ConfigurationFollower
-from apricotrail.agent._gate import GateState
-from apricotrail.agent._ledger import LedgerLimits, Outcome
+from apricotrail.agent._gate import GateState, find_closure
+from apricotrail.agent._parameters import AgentParameters
+from apricotrail.agent._records import Outcome
+from apricotrail.agent._rim import AgentRim
 from apricotrail.agent._standing import UNKNOWN, Standing, read_standing
 from apricotrail.clocks import Clock
 from apricotrail.events import Level, declare_event, emit
 from apricotrail.http import ClientLimits, HttpClient
-from apricotrail.membership import NEVER_CONFIRMED_AGE_MS, read_view
+from apricotrail.membership import NEVER_CONFIRMED_AGE_MS, NO_VIEW, View, read_view
 from apricotrail.wire import Link, LinkEndpoint
 from apricotrail.wire.generated import ttypes
-from apricotrail.wire.generated.ttypes import Announcement, Heartbeat, ShareAnnouncements
+from apricotrail.wire.generated.ttypes import Announcement, Heartbeat, Reason, ShareAnnouncements
 
-__all__ = ["AgentParameters", "TargetAgent"]
+__all__ = ["TargetAgent"]
 
 STOP_CONNECTIONS = 8
 POLL_MS = 10
@@ -33,49 +35,6 @@
 )
 
 
-class AgentParameters(NamedTuple):
-    """What one agent is started with.
-
-    Attributes
-    ----------
-    target : str
-        Id of its target.
-    address : str
-        Target's HTTP server as ``host:port``.
-    slots, connections : int
-        Tasks and connections that the target takes at a time.
-    entries : tuple of str
-        Link addresses of the first entries; those of the view are added.
-    announces : bool
-        Whether it announces its target.
-    lease_ms : int
-        Lease of the announcement.
-    first_start_after_ms : float
-        Time after the start in which no task starts.
-    stop_deadline_ms, stop_task_ms : float
-        Time for a planned stop, and for one request that stops a task.
-    grant_ms, tick_ms, stale_ms : float
-        Reservation of a granted slot, time between clean-ups, age from which no task starts.
-    ledger : LedgerLimits
-        Bounds of the ledger.
-    """
-
-    target: str
-    address: str
-    slots: int
-    connections: int
-    entries: tuple[str, ...]
-    announces: bool
-    lease_ms: int
-    first_start_after_ms: float
-    stop_deadline_ms: float
-    stop_task_ms: float
-    grant_ms: float
-    tick_ms: float
-    stale_ms: float
-    ledger: LedgerLimits
-
-
 class TargetAgent:
     """An agent with its links.
 
@@ -99,6 +58,7 @@
         self._clock: Clock = clock
         self._may_start_ms = clock() + parameters.first_start_after_ms
         self._standing: Standing = UNKNOWN
+        self._view: View = NO_VIEW
         self._leaving = False
         self._stopping = False
         self._echoed_ms: dict[str, float] = {}
@@ -116,6 +76,7 @@
         slots = min(parameters.slots, connections)
         self.agent = Agent(rim, slots, parameters.grant_ms, parameters.ledger, clock)
         self._connect_handlers()
+        self._watch_metrics()
 
     async def start(self) -> None:
         """Dial the entries and begin."""
@@ -143,7 +104,7 @@
         self._beat()
         await self._wait_for_runs(limit_ms)
         cut_off = self.agent.slots.running
-        self.agent.stop_all()
+        self.agent.runs.stop_all(Reason.STOPPING)
         await self._wait_for_runs(self._parameters.stop_task_ms)
         await self._wait_for_echoes(max(until_ms, self._clock() + self._endpoint.silent_ms))
         await self._endpoint.stop()
@@ -151,6 +112,10 @@
         await self._stop_client.close()
         emit(AGENT_STOPPED, target=self._parameters.target, cut_off=cut_off)
 
+    def is_ready(self) -> bool:
+        """Return whether tasks may start here now."""
+        return find_closure(self._gate_state()) == Reason.NONE
+
     def set_leaving(self, leaving: bool) -> None:
         """Note whether the target announces that it leaves; a leaving one gets no starts."""
         self._leaving = leaving
@@ -200,8 +165,8 @@
         endpoint.state_heartbeat = self._state_heartbeat
         endpoint.receive_heartbeat = self._receive_heartbeat
         endpoint.on_up(self._link_up)
-        endpoint.on_down(lambda link: agent.forget_entry(link.peer.name))
-        endpoint.on(ttypes.StartTasks, lambda link, m: agent.start_tasks(link.peer.name, m))
+        endpoint.on_down(self._link_down)
+        endpoint.on(ttypes.StartTasks, self._receive_start)
         endpoint.on(
             ttypes.ResolveAttempts, lambda link, m: agent.resolve_attempts(link.peer.name, m)
         )
@@ -212,6 +177,10 @@
         endpoint.on(ttypes.ConfigurationChange, self._receive_change)
         endpoint.on(ShareAnnouncements, self._receive_announcements)
 
+    def _receive_start(self, link: Link, message: ttypes.StartTasks) -> None:
+        in_view = self._view.has(link.peer.name, link.peer.incarnation)
+        self.agent.start_tasks(link.peer.name, message, in_view)
+
     def _link_up(self, link: Link) -> None:
         self.agent.forget_entry(link.peer.name)
         self._echoed_ms.pop(link.peer.name, None)
@@ -219,6 +188,10 @@
             link.send(self._announcement())
         link.beat()
 
+    def _link_down(self, link: Link) -> None:
+        self.agent.forget_entry(link.peer.name)
+        self.agent.metrics.links_lost.add()
+
     def _state_heartbeat(self, link: Link) -> Heartbeat:
         version = self._follower.configuration.version
         age_ms = math.ceil(min(self._follower.freshness.age_ms(), NEVER_CONFIRMED_AGE_MS))
@@ -246,7 +219,8 @@
 
     def _apply_items(self, items: dict[str, bytes]) -> None:
         self._standing = read_standing(items, self._parameters.target)
-        members = {member.address for member in read_view(items.get("view")).members}
+        self._view = read_view(items.get("view"))
+        members = {member.address for member in self._view.members}
         wanted = members | set(self._parameters.entries)
         for address in wanted - set(self._endpoint.dialed()):
             self._endpoint.dial(address)
@@ -285,6 +259,16 @@
 
     # ---- internals ----
 
+    def _watch_metrics(self) -> None:
+        metrics, agent = self.agent.metrics, self.agent
+        metrics.links.watch(self._endpoint.links.__len__)
+        metrics.config_version.watch(lambda: self._follower.configuration.version)
+        metrics.config_age_ms.watch(self._follower.freshness.age_ms)
+        metrics.slots.watch(lambda: agent.slots.count)
+        metrics.free_slots.watch(agent.slots.free)
+        metrics.running_tasks.watch(lambda: agent.slots.running)
+        metrics.ledger_records.watch(agent.ledger.__len__)
+
     def _entry_links(self) -> list[Link]:
         return [link for link in self._endpoint.links.values() if link.peer.role == "entry"]
 
@@ -303,7 +287,7 @@
     async def _wait_for_runs(self, limit_ms: float) -> None:
         with suppress(TimeoutError):
             async with asyncio.timeout(max(0.0, limit_ms) / 1000):
-                await self.agent.wait_until_idle()
+                await self.agent.runs.wait_until_idle()
 
     async def _wait_for_echoes(self, until_ms: float) -> None:
         """Wait until each entry has answered a heartbeat sent after the last outcome."""
--- a/apricotrail/document/_configuration.py
+++ b/apricotrail/document/_configuration.py
@@ -3,10 +3,11 @@
 The entry view is read by `apricotrail.membership`.
 """
 
-import json
 from collections.abc import Callable, Iterable, Mapping
+from sys import intern
 from typing import NamedTuple
 
+from orjson import loads
 from returns.result import Failure, Result
 
 from apricotrail.document._model import (
@@ -61,7 +62,8 @@
 
 
 def _read_target(item_id: str, value: dict) -> Target:
-    return _read_fields(Target, value, id=item_id)
+    service, zone = intern(value["service"]), intern(value["zone"])
+    return _read_fields(Target, value, id=item_id, service=service, zone=zone)
 
 
 def _read_team(item_id: str, value: dict) -> Team:
@@ -145,7 +147,7 @@
         self._zone_states: Mapping[str, bool] = self._section("zone-state")
         self._target_states: Mapping[str, bool] = self._section("target-state")
         self._tables: dict[str, NameTable] = {}
-        self._targets_by_service: dict[str, tuple[str, ...]] | None = None
+        self._targets_by_service: dict[str, tuple[Target, ...]] | None = None
         self._teams_by_caller: dict[str, Team] | None = None
 
     def apply(self, changes: Mapping[str, bytes | None]) -> "EffectiveConfiguration":
@@ -161,10 +163,10 @@
                 if value is None:
                     section.pop(item_id, None)
                 else:
-                    section[item_id] = _READERS[kind](item_id, json.loads(value))
+                    section[item_id] = _READERS[kind](item_id, loads(value))
             sections[kind] = section
         configuration = EffectiveConfiguration(sections)
-        configuration._share_indexes(self, grouped.keys())
+        configuration._share_indexes(self, grouped)
         return configuration
 
     def is_zone_in_service(self, zone_id: str) -> bool:
@@ -175,8 +177,8 @@
         """Return whether operators told the target to leave."""
         return self._target_states.get(target_id, False)
 
-    def targets_of(self, service_id: str) -> tuple[str, ...]:
-        """Return the ids of a service's targets."""
+    def targets_of(self, service_id: str) -> tuple[Target, ...]:
+        """Return the targets of a service."""
         if self._targets_by_service is None:
             self._targets_by_service = _index_targets(self.targets.values())
         return self._targets_by_service.get(service_id, ())
@@ -214,16 +216,29 @@
             table = self._tables[kind] = NameTable(kind, self.schemes, names)
         return table
 
-    def _share_indexes(self, other: "EffectiveConfiguration", changed: Iterable[str]) -> None:
+    def _share_indexes(
+        self, other: "EffectiveConfiguration", changed: Mapping[str, Mapping[str, object]]
+    ) -> None:
         if "schemes" not in changed:
-            self._tables = {
-                kind: table for kind, table in other._tables.items() if kind not in changed
-            }
+            for kind, table in other._tables.items():
+                if self._has_names_of(other, kind, changed.get(kind, {})):
+                    self._tables[kind] = table
         if "target" not in changed:
             self._targets_by_service = other._targets_by_service
         if "team" not in changed:
             self._teams_by_caller = other._teams_by_caller
 
+    def _has_names_of(
+        self, other: "EffectiveConfiguration", kind: str, item_ids: Iterable[str]
+    ) -> bool:
+        present, former = self._section(kind), other._section(kind)
+        return all(
+            item_id in present
+            and item_id in former
+            and present[item_id].names == former[item_id].names
+            for item_id in item_ids
+        )
+
 
 def read_items(items: Mapping[str, bytes]) -> EffectiveConfiguration:
     """Return the typed configuration of JSON items by key; items of unknown kinds are skipped."""
@@ -241,8 +256,8 @@
     return grouped
 
 
-def _index_targets(targets: Iterable[Target]) -> dict[str, tuple[str, ...]]:
-    index: dict[str, list[str]] = {}
+def _index_targets(targets: Iterable[Target]) -> dict[str, tuple[Target, ...]]:
+    index: dict[str, list[Target]] = {}
     for target in targets:
-        index.setdefault(target.service, []).append(target.id)
+        index.setdefault(target.service, []).append(target)
     return {service: tuple(members) for service, members in index.items()}
--- a/apricotrail/entry/_application.py
+++ b/apricotrail/entry/_application.py
@@ -8,7 +8,8 @@
 from returns.result import Failure, Result, Success
 
 from apricotrail.agent import GRANT_MS, make_hosted_agent
-from apricotrail.application import Application
+from apricotrail.agent import RETENTION_S as LEDGER_RETENTION_S
+from apricotrail.application import STOP_MS, Application
 from apricotrail.clocks import monotonic_ms, wall_ms
 from apricotrail.entry._admission import (
     MAX_JOBS_OF_CALLER,
@@ -27,19 +28,22 @@
 from apricotrail.entry._hosting import Hosting, HostingParts
 from apricotrail.entry._job import Job, JobResult
 from apricotrail.entry._operating import OperatingParts, make_operator_router
+from apricotrail.entry._ownership import OwnershipParts
+from apricotrail.entry._placer import Placer
 from apricotrail.entry._relay import ConfigurationRelay
-from apricotrail.entry._submission import Submission, read_limits
+from apricotrail.entry._submission import MAX_DEADLINE_MS, Submission, read_limits
 from apricotrail.entry._succession import SYNC_MS, ViewSuccession
 from apricotrail.entry._takeover import TakeOverParts, make_take_over
 from apricotrail.entry._uncertainty import Vouching
-from apricotrail.entry.pipeline import Pipeline, PipelineParts
+from apricotrail.entry._work import Work
+from apricotrail.entry.pipeline import Pipeline
 from apricotrail.errors import ErrorKind, Problem
 from apricotrail.events import Level, declare_event, emit
 from apricotrail.http import HttpServer, Router, read_server_limits
 from apricotrail.membership import CONFIG_STALE_MS, NEVER_CONFIRMED_AGE_MS
 from apricotrail.metrics import make_metrics, watch_loop_lag
 from apricotrail.policy import PLACEMENTS, Admission
-from apricotrail.settings import Settings, declare_setting
+from apricotrail.settings import Settings, declare_constraint, declare_setting
 from apricotrail.wire import KEY_FILE, KeyRing, Link, LinkEndpoint, parse_address
 from apricotrail.wire.generated import ttypes
 
@@ -67,6 +71,24 @@
 FINISH_MS = declare_setting(
     "entry.finish_ms", 20_000, "How long a stopping entry waits for its jobs.", unit="ms", minimum=0
 )
+declare_constraint(
+    (DRAIN_MS, FINISH_MS, STOP_MS),
+    lambda drain_ms, finish_ms, stop_ms: drain_ms + finish_ms < stop_ms,
+    "entry.drain_ms and entry.finish_ms together must be under process.stop_ms",
+    "Raise process.stop_ms, or lower entry.finish_ms.",
+)
+declare_constraint(
+    (MAX_DEADLINE_MS, RETENTION_S),
+    lambda max_deadline_ms, retention_s: max_deadline_ms < retention_s * 1_000,
+    "entry.max_deadline_ms must be under entry.retention_s",
+    "Lower entry.max_deadline_ms, or raise entry.retention_s.",
+)
+declare_constraint(
+    (RETENTION_S, LEDGER_RETENTION_S),
+    lambda retention_s, ledger_retention_s: retention_s <= ledger_retention_s,
+    "agent.retention_s must be at least entry.retention_s",
+    "Raise agent.retention_s: claims are rebuilt from the agents' ledgers.",
+)
 HTTP_OK = 200
 TICK_MS = 250
 POLL_MS = 20
@@ -133,7 +155,7 @@
             self.member_links,
             lambda: {member.name for member in self.succession.view.members},
         )
-        self.pipeline = Pipeline(self._pipeline_parts())
+        self.pipeline = Pipeline(self._ownership_parts(), self._observe_job)
         limits = read_server_limits(settings)
         self.server = HttpServer(self._make_router(), limits)
         self.operators = HttpServer(make_operator_router(self._operating_parts()), limits)
@@ -245,9 +267,7 @@
         agent.config_version = heartbeat.config_version or 0
         for load in heartbeat.loads or ():
             agent.report(load)
-        service = self.service_of(agent.target)
-        if service is not None:
-            self.dispatcher.mark(service)
+        self.dispatcher.placer.mark_target(agent.target)
 
     def _link_up(self, link: Link) -> None:
         if link.peer.role != "agent":
@@ -284,7 +304,7 @@
             self._begin_new_incarnation()
         self._was_member = view.has(*self.identity())
         self.application.spawn(self._follow_view())
-        self.dispatcher.mark_all()
+        self.dispatcher.placer.mark_all()
 
     async def _follow_view(self) -> None:
         await self.succession.follow(self.relay.view)
@@ -329,19 +349,17 @@
         self.application.on_stop(self._stop)
 
     def _make_dispatcher(self) -> Dispatcher:
-        placement = PLACEMENTS[self.settings.get(PLACEMENT)](self.random)
-        return Dispatcher(
+        work = Work(self.agents, monotonic_ms, self.random, self.metrics)
+        placer = Placer(
+            work,
             lambda: self.endpoint.identity.name,
-            self.agents,
             self.usable_targets,
             self.service_of,
             self.relay.freshness.is_fresh,
-            placement,
-            monotonic_ms,
-            self.random,
-            self.metrics,
-            self.settings.get(AGENT_LOST_MS),
-            self.settings.get(STOP_GRACE_MS),
+            PLACEMENTS[self.settings.get(PLACEMENT)](self.random),
+        )
+        return Dispatcher(
+            work, placer, self.settings.get(AGENT_LOST_MS), self.settings.get(STOP_GRACE_MS)
         )
 
     def _hosting_parts(self) -> HostingParts:
@@ -381,7 +399,7 @@
             monotonic_ms,
         )
 
-    def _pipeline_parts(self) -> PipelineParts:
+    def _ownership_parts(self) -> OwnershipParts:
         take_over = make_take_over(
             TakeOverParts(
                 self.agents,
@@ -391,7 +409,7 @@
                 monotonic_ms,
             )
         )
-        return PipelineParts(
+        return OwnershipParts(
             self.identity,
             self.table,
             self.succession,
@@ -406,7 +424,6 @@
             self.stale_ms,
             self.settings.get(CLAIM_CALL_MS),
             self.settings.get(CLAIM_HEDGE_MS),
-            self._observe_job,
         )
 
     def _operating_parts(self) -> OperatingParts:
@@ -458,7 +475,7 @@
         metrics.free_slots.watch(
             lambda: sum(agent.count_free() for agent in self.agents.connected())
         )
-        metrics.targets_ejected.watch(lambda: len(self.dispatcher.health.ejected()))
+        metrics.targets_ejected.watch(lambda: len(self.dispatcher.work.health.ejected()))
         metrics.claims.watch(self.table.__len__)
         metrics.view_epoch.watch(lambda: self.succession.view.epoch)
 
--- a/apricotrail/operators/tests/test_operators.py
+++ b/apricotrail/operators/tests/test_operators.py
@@ -7,7 +7,7 @@
 from returns.result import Failure
 
 from apricotrail.errors import ErrorKind, Problem
-from apricotrail.operators import LiveTarget, TokenFile
+from apricotrail.operators import LiveTarget, TokenFile, make_operator_routes
 from apricotrail.operators.tests.fakes import TEXT, TOKEN, FakeControl, call, make_router
 
 
@@ -64,6 +64,18 @@
         self.assertEqual(self.control.commands, [])
 
 
+class TestPage(TestCase):
+    """The page lists every call."""
+
+    def test_every_call_is_on_the_page(self):
+        page = (Path(__file__).parents[3] / "docs" / "operators.md").read_text()
+        for _, pattern, _ in make_operator_routes(None):
+            path = pattern.removeprefix("/v1/admin")
+            parts = [part.strip("{}").upper() if "{" in part else part for part in path.split("/")]
+            last = f"/{parts[-1]}"
+            self.assertTrue("/".join(parts) in page or f"`{last}`" in page, path)
+
+
 class TestTokenFile(TestCase):
     """Files that cannot be used."""
 
@@ -93,10 +105,18 @@
                 self.assertEqual(set(states.values()), {True})
 
     async def test_unconfirmed_change_is_answered_at_the_stale_limit(self):
-        self.control.forced = False
-        answer = await self.call("POST", "/zones/Pipa/out")
-        self.assertEqual(answer.value["in_force"], "stale_limit")
-        self.assertGreaterEqual(self.control.clock(), 3_000)
+        table = (
+            ({"in_force": False, "how": "unknown_version", "behind": []}, [], 3_000),
+            ({"in_force": True, "how": "stale_limit", "behind": ["entry-2"]}, ["entry-2"], 0),
+            ("?", [], 3_000),
+        )
+        for number, (force, behind, least_ms) in enumerate(table):
+            self.control.force = force
+            started_ms = self.control.clock()
+            answer = await self.call("POST", "/zones/Pipa/out", apricotrail_request_id=str(number))
+            self.assertEqual(answer.value["in_force"], "stale_limit")
+            self.assertEqual(answer.value["behind"], behind)
+            self.assertGreaterEqual(self.control.clock() - started_ms, least_ms)
 
     async def test_resend_gets_the_first_answer(self):
         self.control.lose = 1
@@ -134,14 +154,16 @@
             )
             self.assertEqual(answer.value["target"]["id"], "natal-1")
             listed = (await self.call("GET", "/targets")).value["targets"]
-            self.assertEqual(listed[0]["state"], state)
-            self.assertEqual({row["state"] for row in listed[1:]}, {"not_announced"})
+            states = {row["id"]: row["state"] for row in listed}
+            self.assertEqual(states.pop("natal-1"), state)
+            self.assertEqual(set(states.values()), {"not_announced"})
+            self.assertEqual(list(states), sorted(states))
 
     async def test_lists_give_names_and_unknown_targets(self):
         self.control.live.append(LiveTarget("intruder", "h:2", 8, 64, 1, False))
         answer = await self.call("GET", "/targets")
         self.assertEqual([row["reference"] for row in answer.value["unknown"]], ["intruder"])
-        self.assertEqual(answer.value["targets"][0]["zone"]["names"]["booking"], "NAT")
+        self.assertEqual(answer.value["targets"][-1]["zone"]["names"]["booking"], "PIP")
         answer = await self.call("GET", "/targets", query={"zone": "PIP", "service": "RPC"})
         self.assertEqual(len(answer.value["targets"]), 3)
         service = (await self.call("GET", "/services/svc-repair")).value
--- a/apricotrail/settings/_files.py
+++ b/apricotrail/settings/_files.py
@@ -41,9 +41,11 @@
     "metrics",
     "node",
     "operators",
+    "operators",
     "policy",
     "process",
     "report",
+    "reports",
 )
 
 _TYPE_NAMES = {bool: "true or false", int: "a whole number", float: "a number", str: "a string"}
