Count control's work in metrics; stop wholly on a failed disk; keep removed replicas out

Cause: a replica whose disk failed still stated heartbeats, and one removed by operators would have joined again by itself.

--- a/apricotrail/control/_answers.py
+++ b/apricotrail/control/_answers.py
@@ -1,6 +1,7 @@
 """Answers questions about control: status, history, a document, whether a version is in force."""
 
 import asyncio
+from collections.abc import Callable
 from typing import Any
 
 from returns.result import Success
@@ -29,10 +30,13 @@
     ----------
     service : ControlService
         Replica and links.
+    render_metrics : callable
+        Gives the metrics as text.
     """
 
-    def __init__(self, service: ControlService) -> None:
+    def __init__(self, service: ControlService, render_metrics: Callable[[], bytes]) -> None:
         self._service = service
+        self._render_metrics = render_metrics
 
     async def answer(self, link: Link, request: StatusRequest) -> StatusReply:
         """Answer here, or by the leader where its newer state matters."""
@@ -46,6 +50,8 @@
     async def _answer_here(self, request: StatusRequest) -> bytes:
         if request.what == "status":
             return encode_json(self.describe())
+        if request.what == "metrics":
+            return self._render_metrics()
         if request.what == FORMATION_QUESTION:
             return encode_json({"formed": self._service.node.is_formed})
         if request.what == "history":
@@ -55,7 +61,7 @@
             return self._find_document(request.number or 0)
         if request.what == "forced":
             return encode_json(await self._wait_in_force(request.number or 0))
-        remedy = "Ask for status, history, document or forced."
+        remedy = "Ask for status, history, document, forced or metrics."
         problem = {"kind": "malformed", "message": "Unknown question.", "remedy": remedy}
         return encode_json(problem)
 
--- a/apricotrail/control/_application.py
+++ b/apricotrail/control/_application.py
@@ -12,6 +12,7 @@
 from apricotrail.control._files import make_file_layer
 from apricotrail.control._formation import found_group
 from apricotrail.control._members import replica_name
+from apricotrail.control._meters import time_syncs, watch_service
 from apricotrail.control._node import Limits, Node, Setup
 from apricotrail.control._proposals import PROPOSE_MS, ProposalRouter
 from apricotrail.control._replica import Timing
@@ -19,6 +20,7 @@
 from apricotrail.document import check_succession, make_items, parse_document
 from apricotrail.errors import ApricotrailError, ErrorKind, Problem
 from apricotrail.membership import CONFIG_STALE_MS
+from apricotrail.metrics import make_metrics, watch_loop_lag
 from apricotrail.settings import Settings, declare_constraint, declare_setting
 from apricotrail.wire import KEY_FILE, KeyRing, LinkEndpoint, parse_address
 from apricotrail.wire.generated.ttypes import Identity, Propose, StatusRequest
@@ -88,6 +90,7 @@
         self.settings = settings
         self.application = Application("control")
         self.service: ControlService | None = None
+        self.metrics = make_metrics("control")
         self._peers = _read_peers(settings.get(PEERS), settings.get(NAME))
         self.application.on_start(self._start)
         self.application.on_stop(self._stop)
@@ -113,6 +116,7 @@
         self.application.spawn(self.service.tick_forever())
         self.application.spawn(self.service.oversee_forever())
         self.application.spawn(found_group(self.service))
+        self.application.spawn(watch_loop_lag(self.metrics.loop_lag_ms))
 
     async def _form_if_single(self, service: ControlService) -> None:
         if len(self._peers) == 1:
@@ -141,10 +145,11 @@
 
     def _open_node(self) -> Node:
         settings = self.settings
+        files = make_file_layer(Path(settings.get(DATA_FOLDER)))
         return Node(
             Setup(
                 name=settings.get(NAME),
-                files=make_file_layer(Path(settings.get(DATA_FOLDER))),
+                files=time_syncs(files, self.metrics.sync_ms.observe, monotonic_ms),
                 documents=DocumentFunctions(parse_document, check_succession, make_items),
                 clock=monotonic_ms,
                 random=Random(),
@@ -169,6 +174,7 @@
             self._peers,
             float(settings.get(ENTRY_SILENT_MS)),
             float(settings.get(CONFIG_STALE_MS)),
+            self.metrics,
         )
 
     def _connect(self, service: ControlService) -> None:
@@ -180,8 +186,9 @@
         )
         router = ProposalRouter(service, promotion, float(settings.get(PROPOSE_MS)))
         service.connect()
+        watch_service(self.metrics, service)
         service.endpoint.on(Propose, router.answer)
-        service.endpoint.on(StatusRequest, StatusRouter(service).answer)
+        service.endpoint.on(StatusRequest, StatusRouter(service, self.metrics.render).answer)
 
 
 def make_control(settings: Settings) -> Application:
--- a/apricotrail/control/_proposals.py
+++ b/apricotrail/control/_proposals.py
@@ -28,6 +28,7 @@
 )
 RETRY_MS = 50
 MAX_REQUEST_ID = 200
+_PROPOSERS = frozenset({"control", "entry"})
 _RETRIED_KINDS = frozenset({ErrorKind.NO_QUORUM.value})
 
 
@@ -51,6 +52,9 @@
 
     async def answer(self, link: Link, message: Propose) -> ProposeReply:
         """Carry out a command here or on the leader; retried only while nothing was recorded."""
+        if link.peer.role not in _PROPOSERS:
+            remedy = "Propose through an entry."
+            return self._refuse(Problem(ErrorKind.UNAUTHORISED, "This link may not.", remedy))
         problem = _check_command(message.command)
         if problem is not None:
             return self._refuse(problem)
--- a/apricotrail/control/_repair.py
+++ b/apricotrail/control/_repair.py
@@ -16,7 +16,7 @@
 
 
 def decide_member_change(
-    replica: ReplicaState, linked: Mapping[str, Member], peers: Mapping[str, str]
+    replica: ReplicaState, linked: Mapping[str, str], peers: Mapping[str, str]
 ) -> ChangeMember | None:
     """Return the next change, or None.
 
@@ -25,7 +25,7 @@
     replica : ReplicaState
         State of the leader.
     linked : dict
-        Replicas linked now, by id.
+        Addresses of the replicas linked now, by id.
     peers : dict
         Addresses by name of the replicas that the settings list.
     """
@@ -37,7 +37,7 @@
         if name not in peers:
             continue
         if replica_id not in members:
-            return _change(replica_id, linked[replica_id].address, "add_learner")
+            return _change(replica_id, linked[replica_id], "add_learner")
         if members[replica_id].voter or not _is_caught_up(replica, replica_id):
             continue
         lost = _find_lost(members, linked, replica_id)
@@ -55,7 +55,7 @@
 
 
 def _find_lost(
-    members: Mapping[str, Member], linked: Mapping[str, Member], replica_id: str
+    members: Mapping[str, Member], linked: Mapping[str, str], replica_id: str
 ) -> str | None:
     same_name = [key for key in members if replica_name(key) == replica_name(replica_id)]
     lost = [key for key in same_name if key != replica_id and key not in linked]
--- a/apricotrail/control/_service.py
+++ b/apricotrail/control/_service.py
@@ -9,15 +9,14 @@
 from apricotrail.clocks import monotonic_ms, wall_ms
 from apricotrail.control._entries import EntryTable
 from apricotrail.control._files import StorageError
-from apricotrail.control._members import Member, replica_name
+from apricotrail.control._members import replica_name
 from apricotrail.control._node import Node
-from apricotrail.control._overseer import Observation, decide_view
 from apricotrail.control._protocol import MESSAGE_TYPES
-from apricotrail.control._repair import decide_member_change
 from apricotrail.control._requests import Outcome
+from apricotrail.control._upkeep import Upkeep, decide_upkeep
 from apricotrail.errors import Problem
 from apricotrail.events import Level, declare_event, emit
-from apricotrail.membership import read_view
+from apricotrail.metrics import ControlMetrics
 from apricotrail.wire import Link, LinkEndpoint
 from apricotrail.wire.generated.ttypes import (
     Command,
@@ -35,10 +34,6 @@
 CONTROL_STOPPED = declare_event(
     3001, "control_storage_failed", Level.ERROR, "The disk failed; this replica has stopped."
 )
-VIEW_PROPOSED = declare_event(3002, "view_proposed", Level.INFO, "A new entry view was proposed.")
-MEMBER_PROPOSED = declare_event(
-    3003, "member_change_proposed", Level.WARNING, "A change of the control replicas was proposed."
-)
 LEADER_CHANGED = declare_event(
     3004, "leader_changed", Level.INFO, "This replica follows another leader, or none, or leads."
 )
@@ -65,6 +60,8 @@
         Silence after which an entry leaves the view.
     stale_ms : float
         Age from which a node starts no task.
+    metrics : ControlMetrics
+        Instruments of this replica.
     """
 
     endpoint: LinkEndpoint
@@ -72,6 +69,7 @@
     peers: dict[str, str]
     entry_silent_ms: float
     stale_ms: float
+    metrics: ControlMetrics
 
 
 class ControlService:
@@ -104,6 +102,7 @@
         self._proposing = False
         self._leader = ""
         self._leading_since_ms: float | None = None
+        self._closing: asyncio.Future | None = None
 
     def connect(self) -> None:
         """Register the handlers of the links."""
@@ -140,10 +139,13 @@
         self._flush_due = False
         if self.failed.is_set():
             return
+        applied, snapshot = self.node.applied_index, self.node.snapshot_index
         try:
             self.node.flush()
         except StorageError as error:
             self.fail(error)
+        self.parts.metrics.commits.add(self.node.applied_index - applied)
+        self.parts.metrics.snapshots.add(int(self.node.snapshot_index > snapshot))
         self._note_leader()
 
     def fail(self, error: StorageError) -> None:
@@ -151,8 +153,7 @@
         emit(CONTROL_STOPPED, problem=str(error.problem))
         self.failed.set()
         self.node.abandon()
-        for link in list(self.endpoint.links.values()):
-            link.close()
+        self._closing = asyncio.ensure_future(self.endpoint.stop())
 
     async def propose(self, command: Command) -> Result[Outcome, Problem]:
         """Log a command on this replica, which must lead, and wait for its outcome."""
@@ -163,9 +164,12 @@
                 future.set_result(result)
 
         command.wall_ms = wall_ms()
+        started_ms = monotonic_ms()
         self.node.propose(command, done)
         self.flush_soon()
-        return await future
+        result = await future
+        self.parts.metrics.commit_ms.observe(monotonic_ms() - started_ms)
+        return result
 
     def on_change(self) -> None:
         """Note the commit time and push what changed to every entry."""
@@ -184,6 +188,20 @@
         """Return the links to entries."""
         return [link for link in self.endpoint.links.values() if link.peer.role == "entry"]
 
+    def upkeep(self) -> Upkeep:
+        """Return what the leader's next own command depends on."""
+        links = self.endpoint.links.items()
+        now_ms = monotonic_ms()
+        since_ms = self._leading_since_ms
+        silent_ms = self.parts.entry_silent_ms
+        return Upkeep(
+            self.node,
+            {key: link.peer.address for key, link in links if link.peer.role == "control"},
+            self.parts.peers,
+            self.entries.heard_within(now_ms, silent_ms),
+            since_ms is not None and now_ms - since_ms >= silent_ms,
+        )
+
     # ---- loops ----
 
     async def tick_forever(self) -> None:
@@ -212,6 +230,7 @@
         replica = self.node.replica
         if replica.is_leader and self._leading_since_ms is None:
             self._leading_since_ms = monotonic_ms()
+            self.parts.metrics.elections.add("won")
         if not replica.is_leader:
             self._leading_since_ms = None
         if replica.leader != self._leader:
@@ -221,31 +240,11 @@
     def _oversee(self) -> None:
         self._dial_members()
         if self.node.replica.is_leader and not self._proposing:
-            command = self._decide_command()
+            command = decide_upkeep(self.upkeep())
             if command is not None:
                 self._proposing = True
                 self.endpoint.spawn(self._propose_own(command))
 
-    def _decide_command(self) -> Command | None:
-        change = decide_member_change(self.node.replica, self._linked_replicas(), self.parts.peers)
-        if change is not None:
-            emit(MEMBER_PROPOSED, name=change.name, action=change.action)
-            return Command("", self.node.replica_id, change_member=change)
-        view = decide_view(self._observe())
-        if view is not None:
-            emit(VIEW_PROPOSED, epoch=view.epoch, members=[it.name for it in view.members])
-            return Command("", self.node.replica_id, install_view=view)
-        return None
-
-    def _observe(self) -> Observation:
-        now_ms = monotonic_ms()
-        silent_ms = self.parts.entry_silent_ms
-        since_ms = self._leading_since_ms
-        settled = since_ms is not None and now_ms - since_ms >= silent_ms
-        view = read_view(self.node.machine.configuration.find("view"))
-        heard = self.entries.heard_within(now_ms, silent_ms)
-        return Observation(view, heard, settled, wall_ms())
-
     async def _propose_own(self, command: Command) -> None:
         try:
             async with asyncio.timeout(self.parts.stale_ms / 1000):
@@ -257,14 +256,6 @@
 
     # ---- links ----
 
-    def _linked_replicas(self) -> dict[str, Member]:
-        links = self.endpoint.links.items()
-        return {
-            name: Member(link.peer.address, False)
-            for name, link in links
-            if link.peer.role == "control"
-        }
-
     def _dial_members(self) -> None:
         own = replica_name(self.node.replica_id)
         addresses = dict(self.parts.peers)
--- a/apricotrail/control/_state.py
+++ b/apricotrail/control/_state.py
@@ -26,7 +26,12 @@
 from apricotrail.errors import ErrorKind, Problem
 from apricotrail.membership import Configuration
 from apricotrail.wire import decode_message, encode_message
-from apricotrail.wire.generated.ttypes import Command, ConfigurationChange, ConfigurationItem
+from apricotrail.wire.generated.ttypes import (
+    ChangeMember,
+    Command,
+    ConfigurationChange,
+    ConfigurationItem,
+)
 
 __all__ = [
     "MAX_DOCUMENT_TEXTS",
@@ -38,6 +43,7 @@
 
 MAX_HISTORY = 1_000
 MAX_DOCUMENT_TEXTS = 16
+MAX_REMOVED = 256
 MAX_TEXT_BYTES = 8 * 1024 * 1024
 EMPTY_ANSWER = Outcome(True, 0, b"{}")
 
@@ -62,6 +68,8 @@
         Accepted documents, oldest first, at most `MAX_HISTORY`.
     texts : dict of int to bytes
         Exact bytes of the last `MAX_DOCUMENT_TEXTS` documents by number.
+    removed : list of str
+        Replicas removed last, at most `MAX_REMOVED`; they don't join again by themselves.
     log_ms : int
         Highest wall time of any command.
     """
@@ -69,6 +77,7 @@
     def __init__(self, documents: DocumentFunctions, members: Members | None = None) -> None:
         self.documents = documents
         self.members: Members = dict(members or {})
+        self.removed: list[str] = []
         self.configuration = Configuration()
         self.history: deque[DocumentRecord] = deque(maxlen=MAX_HISTORY)
         self.texts: dict[int, bytes] = {}
@@ -122,6 +131,7 @@
             "log_ms": self.log_ms,
             "items": {key: value.decode() for key, value in sorted(items.items())},
             "members": {key: list(member) for key, member in sorted(self.members.items())},
+            "removed": self.removed,
             "history": [list(record) for record in self.history],
             "texts": [[number, b64encode(text).decode()] for number, text in self.texts.items()],
             "last_changes": {key: list(it) for key, it in sorted(self.last_changes.items())},
@@ -136,6 +146,7 @@
         self.configuration = Configuration()
         self.configuration.apply(ConfigurationChange(0, state["version"], items))
         self.members = _read_members(state)
+        self.removed = state["removed"]
         self.history = deque((DocumentRecord(*row) for row in state["history"]), MAX_HISTORY)
         self.texts = {number: b64decode(text) for number, text in state["texts"]}
         self.log_ms = state["log_ms"]
@@ -146,7 +157,7 @@
 
     def _carry_out(self, command: Command) -> Outcome:
         if command.change_member is not None:
-            self.members = apply_member_change(self.members, command.change_member)
+            self._change_members(command.change_member)
             return Outcome(True, self.version, encode_json({"version": self.version}))
         result = decide_command(self, command)
         if not isinstance(result, Success):
@@ -163,6 +174,12 @@
             answer["document"] = self.read_item("document")
         return Outcome(True, self.version, encode_json(answer))
 
+    def _change_members(self, change: ChangeMember) -> None:
+        before = self.members
+        self.members = apply_member_change(before, change)
+        gone = [key for key in before if key not in self.members]
+        self.removed = [*self.removed, *gone][-MAX_REMOVED:]
+
     def _put_items(self, items: dict[str, bytes | None]) -> bool:
         find = self.configuration.find
         changed = [
--- a/apricotrail/control/tests/simulation.py
+++ b/apricotrail/control/tests/simulation.py
@@ -267,7 +267,7 @@
         if not node.replica.is_leader:
             return
         running = [it.node for it in self.replicas.values() if it.node is not None]
-        linked = {it.replica_id: Member(replica_name(it.replica_id), False) for it in running}
+        linked = {it.replica_id: replica_name(it.replica_id) for it in running}
         peers = {name: name for name in self.replicas}
         change = decide_member_change(node.replica, linked, peers)
         if change is not None:
--- a/apricotrail/control/tests/test_process.py
+++ b/apricotrail/control/tests/test_process.py
@@ -168,6 +168,21 @@
         answer = await entry.ask("forced", version)
         self.assertEqual((answer["how"], answer["behind"]), ("stale_limit", ["entry-1"]))
 
+    async def test_a_failed_disk_stops_the_replica_without_an_answer(self):
+        control = await self.start_control("a")
+        entry = await self.start_entry(control.address)
+
+        def fail(name):
+            raise OSError("no space left")
+
+        storage = control.service.node.storage
+        storage._files = storage._files._replace(sync=fail)
+        link = next(iter(entry.endpoint.links.values()))
+        answer = await link.call(take_out("one"), 10_000)
+        self.assertEqual(answer.failure().kind, "unknown_outcome")
+        await wait_until(lambda: not entry.endpoint.links)
+        self.assertTrue(control.service.failed.is_set())
+
 
 class TestThreeReplicas(ControlCase):
     async def test_leader_stops_disk_is_lost_and_the_group_goes_on(self):
