Hand hosted agents over at a planned stop

Cause: after a planned stop of an entry the targets it hosted stayed without a start for the whole stale limit, though the former host had certainly ended. Also: the relay applies a change to the typed configuration instead of reading all items again.

--- a/apricotrail/control/_commands.py
+++ b/apricotrail/control/_commands.py
@@ -172,10 +172,13 @@
         message = f"Entry {host.entry!r} with this incarnation is not in the view."
         return _refuse(ErrorKind.NOT_READY, message, "Wait until the entry has joined the view.")
     holder = (present["entry"], present["incarnation"]) if present is not None else None
-    if holder in members and holder != proposer:
+    released = holder is not None and holder == (host.released_by, host.released_by_incarnation)
+    if holder in members and holder != proposer and not released:
         message = f"Entry {holder[0]!r} hosts {host.target!r}."
         return _refuse(ErrorKind.CONFLICT, message, "Wait until that entry has left the view.")
     value = {"entry": host.entry, "incarnation": host.incarnation, "epoch": host.epoch}
+    if released:
+        value["released"] = True
     return Success(Change({key: encode_json(value)}))
 
 
--- a/apricotrail/document/_configuration.py
+++ b/apricotrail/document/_configuration.py
@@ -30,11 +30,24 @@
 
 
 class Host(NamedTuple):
-    """The entry that hosts the agent of a target."""
+    """The entry that hosts the agent of a target.
+
+    Attributes
+    ----------
+    entry : str
+        Name of the entry.
+    incarnation : int
+        Its incarnation.
+    epoch : int
+        Grows with each assignment.
+    released : bool
+        Whether the former host stopped its agent before this assignment.
+    """
 
     entry: str
     incarnation: int
     epoch: int
+    released: bool = False
 
 
 class DocumentRecord(NamedTuple):
--- a/apricotrail/entry/_application.py
+++ b/apricotrail/entry/_application.py
@@ -25,7 +25,7 @@
 from apricotrail.entry._claims import MAX_ANSWERS_BYTES, MAX_CLAIMS, RETENTION_S, ClaimTable
 from apricotrail.entry._control_client import CONTROL_CALL_MS, ControlClient
 from apricotrail.entry._dispatch import AGENT_LOST_MS, STOP_GRACE_MS, Dispatcher
-from apricotrail.entry._hosting import Hosting, HostingParts
+from apricotrail.entry._hosting import REBALANCE_MS, Hosting, HostingParts
 from apricotrail.entry._job import Job, JobResult
 from apricotrail.entry._operating import OperatingParts, make_operator_router
 from apricotrail.entry._ownership import OwnershipParts
@@ -372,6 +372,7 @@
             self._make_hosted_agent,
             monotonic_ms,
             self.stale_ms,
+            self.settings.get(REBALANCE_MS),
         )
 
     def _make_hosted_agent(
--- a/apricotrail/entry/_hosting.py
+++ b/apricotrail/entry/_hosting.py
@@ -4,21 +4,31 @@
 follows another host starts nothing until the former host's configuration is certainly stale.
 """
 
+import asyncio
 from collections.abc import Awaitable, Callable
 from hashlib import sha256
 from typing import NamedTuple, Protocol
 
 from apricotrail.clocks import Clock
-from apricotrail.document import EffectiveConfiguration
+from apricotrail.document import EffectiveConfiguration, Host
 from apricotrail.entry._announcements import AnnouncementTable
 from apricotrail.events import Level, declare_event, emit
 from apricotrail.membership import View, ViewMember
+from apricotrail.settings import declare_setting
 from apricotrail.wire.generated.ttypes import Announcement, AssignHost
 
-__all__ = ["HostedAgent", "Hosting", "HostingParts", "choose_host"]
+__all__ = ["REBALANCE_MS", "HostedAgent", "Hosting", "HostingParts", "choose_host"]
 
 PROPOSAL_PAUSE_MS = 1_000
 
+REBALANCE_MS = declare_setting(
+    "entry.rebalance_ms",
+    10_000,
+    "Least time between two hosted agents that an entry hands to a better placed one.",
+    unit="ms",
+    minimum=100,
+)
+
 HOST_STARTED = declare_event(
     4301, "host_started", Level.INFO, "This entry now hosts the agent of a target."
 )
@@ -58,6 +68,8 @@
         Monotonic time in milliseconds.
     stale_ms : float
         Age from which a former host starts nothing.
+    rebalance_ms : float
+        Least time between two handovers to a better placed entry.
     """
 
     identity: Callable[[], tuple[str, int]]
@@ -68,6 +80,7 @@
     make_agent: Callable[[str, Announcement, float], HostedAgent]
     clock: Clock
     stale_ms: float
+    rebalance_ms: float
 
 
 class _Running(NamedTuple):
@@ -100,6 +113,8 @@
         self._parts = parts
         self._running: dict[str, _Running] = {}
         self._proposed_ms: dict[str, float] = {}
+        self._moving: dict[str, asyncio.Task] = {}
+        self._moved_ms = parts.clock()
 
     def hosted(self) -> list[str]:
         """Return the targets hosted here."""
@@ -111,29 +126,73 @@
             return
         live = self._parts.announcements.live()
         for target in [target for target in self._running if not self._should_run(target, live)]:
-            await self._stop(target)
+            self._move(target, self._stop(target))
         for target, announcement in live.items():
-            await self._update_target(target, announcement)
+            if target not in self._moving:
+                await self._update_target(target, announcement)
+        self._rebalance()
 
     async def stop(self) -> None:
-        """Stop all hosted agents once what runs there has ended."""
+        """Hand every hosted agent to another entry once what runs there has ended."""
         self.stopping = True
-        for target in list(self._running):
-            await self._stop(target)
+        await asyncio.gather(*self._moving.values(), return_exceptions=True)
+        await asyncio.gather(*(self._hand_over(target) for target in list(self._running)))
+
+    def _move(self, target: str, work: Awaitable[None]) -> None:
+        if target in self._moving:
+            work.close()
+            return
+        task = asyncio.ensure_future(work)
+        self._moving[target] = task
+        task.add_done_callback(lambda _: self._moving.pop(target, None))
+
+    def _rebalance(self) -> None:
+        """Hand one agent to the entry that should host it, if that is another one."""
+        now_ms = self._parts.clock()
+        if now_ms - self._moved_ms < self._parts.rebalance_ms:
+            return
+        for target in self._running:
+            chosen = self._choose(target)
+            if chosen is not None and (chosen.name, chosen.incarnation) != self._parts.identity():
+                self._moved_ms = now_ms
+                self._move(target, self._hand_over(target))
+                return
+
+    async def _hand_over(self, target: str) -> None:
+        """Stop a hosted agent, then assign the target to another member of the view."""
+        host = self._parts.configuration().hosts.get(target)
+        await self._stop(target)
+        chosen = self._choose(target)
+        if chosen is None or host is None:
+            return
+        name, incarnation = self._parts.identity()
+        request_id = f"host/{target}/{host.epoch + 1}/{chosen.name}/{chosen.incarnation}"
+        assignment = AssignHost(
+            target, chosen.name, chosen.incarnation, host.epoch + 1, name, incarnation
+        )
+        await self._parts.propose(request_id, assignment)
+
+    def _choose(self, target: str) -> ViewMember | None:
+        known = self._parts.configuration().targets.get(target)
+        members = self._parts.view().members
+        if self.stopping:
+            own = self._parts.identity()
+            members = tuple(m for m in members if (m.name, m.incarnation) != own)
+        return choose_host(target, known.zone, members) if known is not None else None
 
     async def _update_target(self, target: str, announcement: Announcement) -> None:
         configuration = self._parts.configuration()
-        known = configuration.targets.get(target)
-        if announcement.has_agent or announcement.leaving or known is None:
+        if announcement.has_agent or announcement.leaving:
+            return
+        if target not in configuration.targets:
             return
         host = configuration.hosts.get(target)
         if host is not None and (host.entry, host.incarnation) == self._parts.identity():
-            await self._ensure_running(target, announcement, host.epoch)
+            await self._ensure_running(target, announcement, host)
             return
-        view = self._parts.view()
-        if host is not None and view.has(host.entry, host.incarnation):
+        if host is not None and self._parts.view().has(host.entry, host.incarnation):
             return
-        chosen = choose_host(target, known.zone, view.members)
+        chosen = self._choose(target)
         if chosen is None or (chosen.name, chosen.incarnation) != self._parts.identity():
             return
         await self._propose(target, host.epoch + 1 if host is not None else 1)
@@ -147,17 +206,18 @@
         request_id = f"host/{target}/{epoch}/{name}/{incarnation}"
         await self._parts.propose(request_id, AssignHost(target, name, incarnation, epoch))
 
-    async def _ensure_running(self, target: str, announcement: Announcement, epoch: int) -> None:
+    async def _ensure_running(self, target: str, announcement: Announcement, host: Host) -> None:
         running = self._running.get(target)
         if running is not None and _is_same_target(running.announcement, announcement):
             return
         if running is not None:
-            await self._stop(target)
-        wait_ms = self._parts.stale_ms if epoch > 1 else 0.0
+            self._move(target, self._stop(target))
+            return
+        wait_ms = 0.0 if host.epoch == 1 or host.released else self._parts.stale_ms
         agent = self._parts.make_agent(target, announcement, wait_ms)
         self._running[target] = _Running(agent, announcement)
         await agent.start()
-        emit(HOST_STARTED, target=target, epoch=epoch, first_start_after_ms=wait_ms)
+        emit(HOST_STARTED, target=target, epoch=host.epoch, first_start_after_ms=wait_ms)
 
     async def _stop(self, target: str) -> None:
         running = self._running.pop(target)
--- a/apricotrail/entry/_relay.py
+++ b/apricotrail/entry/_relay.py
@@ -130,9 +130,7 @@
             return
         if self.configuration.version == before:
             return
-        items = self.configuration.items()
-        self.effective = read_items(items)
-        self.view = read_view(items.get("view"))
+        self._read(change)
         self.freshness.advance(self.configuration.version)
         emit(CONFIGURATION_APPLIED, version=self.configuration.version, items=len(change.items))
         for agent in self._agents.connected():
@@ -140,6 +138,15 @@
         for hook in self.on_applied:
             hook()
 
+    def _read(self, change: ConfigurationChange) -> None:
+        changed = {item.key: item.value for item in change.items}
+        if change.base_version == 0:
+            self.effective = read_items(self.configuration.items())
+        else:
+            self.effective = self.effective.apply(changed)
+        if "view" in changed:
+            self.view = read_view(changed["view"])
+
     def _changes_for(self, link: Link, since: int) -> ConfigurationChange:
         change = self.configuration.changes_since(since)
         if link.peer.role != "agent":
--- a/apricotrail/wire/messages.thrift
+++ b/apricotrail/wire/messages.thrift
@@ -400,6 +400,8 @@
   2: string entry,
   3: i64 incarnation,
   4: i64 epoch,               // must be the present host epoch + 1
+  5: optional string released_by,            // the present host, which has stopped its agent
+  6: optional i64 released_by_incarnation,
 }
 
 struct ChangeMember {
