--- a/apricotrail/control/_answers.py
+++ b/apricotrail/control/_answers.py
@@ -86,6 +86,14 @@
             "zones_out": _list_states(machine.configuration.items(), "zone-state/"),
             "targets_leaving": _list_states(machine.configuration.items(), "target-state/"),
             "members": [self._describe_member(key) for key in sorted(replica.log.members)],
+            "links": [
+                {
+                    "name": link.peer.name,
+                    "sent_bytes": link.sent_bytes,
+                    "received_bytes": link.received_bytes,
+                }
+                for link in self._service.endpoint.links.values()
+            ],
             "entries": [
                 entry._replace(heard_ms=now_ms - entry.heard_ms)._asdict()
                 for entry in self._service.entries.heard_within(now_ms, STATUS_ENTRIES_MS)
--- a/apricotrail/control/_application.py
+++ b/apricotrail/control/_application.py
@@ -1,6 +1,7 @@
 """The control role: one replica with real files, clocks and links."""
 
 import asyncio
+from collections.abc import Callable
 from pathlib import Path
 from random import Random
 
@@ -9,7 +10,7 @@
 from apricotrail.control._acceptance import PROMOTION_KEY_FILE, TRIAL_ENVIRONMENT, Promotion
 from apricotrail.control._answers import StatusRouter
 from apricotrail.control._changes import DocumentFunctions
-from apricotrail.control._files import make_file_layer
+from apricotrail.control._files import FileLayer, make_file_layer
 from apricotrail.control._formation import found_group
 from apricotrail.control._members import replica_name
 from apricotrail.control._meters import time_syncs, watch_service
@@ -20,7 +21,7 @@
 from apricotrail.document import check_succession, make_items, parse_document
 from apricotrail.errors import ApricotrailError, ErrorKind, Problem
 from apricotrail.membership import CONFIG_STALE_MS
-from apricotrail.metrics import make_metrics, watch_loop_lag
+from apricotrail.metrics import make_metrics
 from apricotrail.settings import Settings, declare_constraint, declare_setting
 from apricotrail.wire import KEY_FILE, KeyRing, LinkEndpoint, parse_address
 from apricotrail.wire.generated.ttypes import Identity, Propose, StatusRequest
@@ -77,6 +78,8 @@
     ----------
     settings : Settings
         Values of ``control.*``, ``link.*`` and ``membership.config_stale_ms``.
+    alter_files : callable, optional
+        Gives the file operations to use for those of the data folder.
 
     Attributes
     ----------
@@ -86,8 +89,11 @@
         The running replica, once started.
     """
 
-    def __init__(self, settings: Settings) -> None:
+    def __init__(
+        self, settings: Settings, alter_files: Callable[[FileLayer], FileLayer] = lambda it: it
+    ) -> None:
         self.settings = settings
+        self._alter_files = alter_files
         self.application = Application("control")
         self.service: ControlService | None = None
         self.metrics = make_metrics("control")
@@ -116,7 +122,6 @@
         self.application.spawn(self.service.tick_forever())
         self.application.spawn(self.service.oversee_forever())
         self.application.spawn(found_group(self.service))
-        self.application.spawn(watch_loop_lag(self.metrics.loop_lag_ms))
 
     async def _form_if_single(self, service: ControlService) -> None:
         if len(self._peers) == 1:
@@ -145,7 +150,7 @@
 
     def _open_node(self) -> Node:
         settings = self.settings
-        files = make_file_layer(Path(settings.get(DATA_FOLDER)))
+        files = self._alter_files(make_file_layer(Path(settings.get(DATA_FOLDER))))
         return Node(
             Setup(
                 name=settings.get(NAME),
--- a/apricotrail/control/_protocol.py
+++ b/apricotrail/control/_protocol.py
@@ -21,7 +21,10 @@
 from apricotrail.control._transfer import receive_chunk, receive_chunk_reply
 from apricotrail.wire.generated import ttypes
 
-__all__ = ["MESSAGE_TYPES", "note_synced", "receive", "send_due", "tick"]
+__all__ = ["MESSAGE_TYPES", "note_synced", "receive", "send_due", "tick", "wait_ms"]
+
+MIN_TICK_MS = 2.0
+TRANSFER_TICK_MS = 20.0
 
 _RECEIVERS: dict[type, Callable[[ReplicaState, str, Any], None]] = {
     ttypes.Vote: receive_vote,
@@ -41,8 +44,16 @@
     _RECEIVERS[type(message)](state, sender, message)
 
 
+def wait_ms(state: ReplicaState, now_ms: float) -> float:
+    """Return the time until the next tick is due, at most one round."""
+    due_ms = state.next_round_ms if state.is_leader else state.deadline_ms
+    if state.transfer is not None:
+        due_ms = now_ms + TRANSFER_TICK_MS
+    return min(max(due_ms - now_ms, MIN_TICK_MS), state.timing.round_ms)
+
+
 def tick(state: ReplicaState, now_ms: float) -> None:
-    """Do what has become due; call it several times in each round."""
+    """Do what has become due."""
     state.now_ms = now_ms
     if not state.is_leader:
         check_election(state)
--- a/apricotrail/control/_service.py
+++ b/apricotrail/control/_service.py
@@ -11,7 +11,7 @@
 from apricotrail.control._files import StorageError
 from apricotrail.control._members import replica_name
 from apricotrail.control._node import Node
-from apricotrail.control._protocol import MESSAGE_TYPES
+from apricotrail.control._protocol import MESSAGE_TYPES, wait_ms
 from apricotrail.control._requests import Outcome
 from apricotrail.control._upkeep import Upkeep, decide_upkeep
 from apricotrail.errors import Problem
@@ -27,8 +27,7 @@
 
 __all__ = ["ControlService", "ServiceParts"]
 
-TICK_MS = 50
-OVERSEE_MS = 200
+OVERSEE_MS = 250
 MAX_COMMIT_TIMES = 1_024
 
 CONTROL_STOPPED = declare_event(
@@ -208,7 +207,10 @@
         """Drive the protocol's times."""
         while not self.failed.is_set():
             self._run_step(self._tick)
-            await asyncio.sleep(TICK_MS / 1000)
+            pause_ms = wait_ms(self.node.replica, monotonic_ms())
+            due_ms = monotonic_ms() + pause_ms
+            await asyncio.sleep(pause_ms / 1000)
+            self.parts.metrics.loop_lag_ms.observe(monotonic_ms() - due_ms)
 
     async def oversee_forever(self) -> None:
         """Keep the entry view and the replicas as they should be, on the leader."""
--- a/apricotrail/control/tests/simulation.py
+++ b/apricotrail/control/tests/simulation.py
@@ -10,6 +10,7 @@
 from apricotrail.control._changes import DocumentFunctions
 from apricotrail.control._members import Member, replica_name
 from apricotrail.control._node import Limits, Node, Setup
+from apricotrail.control._protocol import wait_ms
 from apricotrail.control._repair import decide_member_change
 from apricotrail.control._replica import Timing
 from apricotrail.control.tests.disk import Crash, MemoryDisk
@@ -124,7 +125,8 @@
         if node is None or node is not self.node:
             return
         self._when_free(node, work)
-        self.world.at(TICK_MS, lambda: self._tick(node))
+        pause_ms = wait_ms(node.replica, self.clock())
+        self.world.at(pause_ms, lambda: self._tick(node))
 
     def _note_sync(self) -> None:
         self.lag_ms += self.sync_ms
