Judge a takeover's ledgers by their age; test entries cut off and lost together

Cause: whether an agent's ledger covers a job was read from its incarnation, a wall clock of another machine, with a margin of 5 s: jobs submitted within 5 s of an agent's start could not go on.

--- a/apricotrail/agent/_agent.py
+++ b/apricotrail/agent/_agent.py
@@ -165,8 +165,7 @@
         """Return the jobs of the ledger for the rebuilding of claims."""
         state = self._rim.gate_state()
         jobs = [LedgerJob(job, owner, epoch) for job, owner, epoch in self.ledger.jobs()]
-        age_ms = int(self._clock() - self._kept_since_ms)
-        return LedgerMessage(state.target, state.incarnation, age_ms, jobs)
+        return LedgerMessage(state.target, state.incarnation, self._ledger_age_ms(), jobs)
 
     # ---- other events ----
 
@@ -212,7 +211,10 @@
     def _state_attempts(self, job: str, states: list[tuple[AttemptId, Outcome]]) -> AttemptStates:
         state = self._rim.gate_state()
         outcomes = [make_task_outcome(attempt_id, outcome) for attempt_id, outcome in states]
-        return AttemptStates(job, state.target, state.incarnation, outcomes)
+        return AttemptStates(job, state.target, state.incarnation, outcomes, self._ledger_age_ms())
+
+    def _ledger_age_ms(self) -> int:
+        return int(self._clock() - self._kept_since_ms)
 
     def _make_load(self, entry: str, state: GateState) -> Load:
         slots = self.slots
--- a/apricotrail/entry/_application.py
+++ b/apricotrail/entry/_application.py
@@ -408,6 +408,7 @@
                 lambda: list(self.relay.effective.targets),
                 self.identity,
                 monotonic_ms,
+                self.settings.get(CLAIM_CALL_MS),
             )
         )
         return OwnershipParts(
--- a/apricotrail/entry/_takeover.py
+++ b/apricotrail/entry/_takeover.py
@@ -6,13 +6,12 @@
 
 from returns.result import Result, Success
 
-from apricotrail.clocks import Clock, wall_ms
+from apricotrail.clocks import Clock
 from apricotrail.entry._admission import Admitted
 from apricotrail.entry._agents import AgentState, AgentTable
 from apricotrail.entry._dispatch import Dispatcher
 from apricotrail.entry._job import Attempt, Job, JobResult
 from apricotrail.entry._submission import Submission
-from apricotrail.entry._uncertainty import CLOCK_MARGIN_MS
 from apricotrail.errors import ErrorKind, Problem
 from apricotrail.events import Level, declare_event, emit
 from apricotrail.wire.generated.ttypes import (
@@ -53,6 +52,8 @@
         Gives (name, incarnation) of this entry.
     clock : callable
         Monotonic time in milliseconds.
+    claim_call_ms : float
+        Time for one member to answer a claim.
     """
 
     agents: AgentTable
@@ -60,6 +61,7 @@
     list_targets: Callable[[], list[str]]
     identity: Callable[[], tuple[str, int]]
     clock: Clock
+    claim_call_ms: float
 
 
 class _Fenced(NamedTuple):
@@ -110,9 +112,13 @@
 
 
 def _is_complete(parts: TakeOverParts, record: ClaimRecord, fenced: list[_Fenced]) -> bool:
-    """Return whether the fenced ledgers include every start the former owner can have made."""
-    claimed_wall_ms = wall_ms() - (record.age_ms or 0) - CLOCK_MARGIN_MS
-    covering = {f.agent.target for f in fenced if f.agent.incarnation < claimed_wall_ms}
+    """Return whether the fenced ledgers include every start the former owner can have made.
+
+    Ages are compared, never clocks of two machines. A member may have recorded the claim up to one
+    call later than the first one did.
+    """
+    needed_ms = (record.age_ms or 0) + parts.claim_call_ms
+    covering = {f.agent.target for f in fenced if (f.states.ledger_age_ms or 0) >= needed_ms}
     return covering.issuperset(parts.list_targets())
 
 
--- a/apricotrail/entry/tests/system.py
+++ b/apricotrail/entry/tests/system.py
@@ -29,6 +29,7 @@
     "control.entry_silent_ms": 300,
     "entry.drain_ms": 0,
     "entry.agent_lost_ms": 1_500,
+    "entry.claim_call_ms": 300,
 }
 DOCUMENT = """
 schemes = ["booking", "legacy", "yard"]
@@ -104,6 +105,7 @@
         self.control = None
         self.control_address = ""
         self._entry_count = entries
+        self._link_ports: dict[str, int] = {}
         self._beside = beside
         self._renewals: asyncio.Task | None = None
 
@@ -150,12 +152,13 @@
         await self.control.start()
 
     async def start_entry(self, name: str, zone: str) -> Entry:
+        port = self._link_ports.setdefault(name, find_free_port())
         values = self.settings | {
             "entry.name": name,
             "entry.zone": zone,
             "entry.environment": "trial",
             "entry.listen": "127.0.0.1:0",
-            "entry.link_listen": "127.0.0.1:0",
+            "entry.link_listen": f"127.0.0.1:{port}",
             "entry.operators_listen": "127.0.0.1:0",
             "control.addresses": [self.control_address],
         }
@@ -286,3 +289,29 @@
     with socket.socket() as probe:
         probe.bind(("127.0.0.1", 0))
         return probe.getsockname()[1]
+
+
+def cut_off(entry: Entry) -> None:
+    """Drop every link of an entry, and of the agents that it hosts, and let no new one in."""
+    for endpoint in _endpoints(entry):
+        endpoint.cut_addresses = endpoint.dialed()
+        endpoint.dial = lambda address: None
+        for address in endpoint.cut_addresses:
+            endpoint.undial(address)
+        endpoint._max_links = 0
+        for link in list(endpoint.links.values()):
+            link.close()
+
+
+def reconnect(entry: Entry) -> None:
+    """Let a cut off entry dial and accept links again."""
+    for endpoint in _endpoints(entry):
+        del endpoint.dial
+        endpoint._max_links = 1_000
+        for address in endpoint.cut_addresses:
+            endpoint.dial(address)
+
+
+def _endpoints(entry: Entry) -> list:
+    hosted = [running.agent._endpoint for running in entry.hosting._running.values()]
+    return [entry.endpoint, *hosted]
--- a/apricotrail/wire/messages.thrift
+++ b/apricotrail/wire/messages.thrift
@@ -168,6 +168,7 @@
   2: string target,
   3: i64 agent_incarnation,
   4: list<TaskOutcome> outcomes,
+  5: optional i64 ledger_age_ms,  // how long the answering ledger has been kept
 }
 
 // Raises the lowest epoch that the agent accepts for the job and asks for all it knows of the job.
