--- a/apricotrail/control/tests/simulation.py
+++ b/apricotrail/control/tests/simulation.py
@@ -62,6 +62,7 @@
             lambda: None,
             TIMING,
             LIMITS,
+            lambda: f"{world.random.getrandbits(48):012x}",
         )
         self.run(lambda: self._open(setup))
         world.at(world.random.uniform(0, TICK_MS), lambda: self._tick(self.node))
@@ -266,7 +267,7 @@
         if not node.replica.is_leader:
             return
         running = [it.node for it in self.replicas.values() if it.node is not None]
-        linked = {it.replica_id: Member(replica_name(it.replica_id), False) for it in running}
+        linked = {it.replica_id: replica_name(it.replica_id) for it in running}
         peers = {name: name for name in self.replicas}
         change = decide_member_change(node.replica, linked, peers)
         if change is not None:
