--- a/apricotrail/entry/_admission.py
+++ b/apricotrail/entry/_admission.py
@@ -190,4 +190,5 @@
         tasks_ahead=queue.tasks_ahead(submission.caller, team.id, team.share, tasks),
         tail_ms=dispatcher.run_times.longest_ms(service_id, tasks),
         busy=sum(agent.slots - agent.count_free() for agent in agents),
+        entries=len(configuration.view.members),
     )
--- a/apricotrail/entry/_dispatch.py
+++ b/apricotrail/entry/_dispatch.py
@@ -23,6 +23,7 @@
     RunTimes,
     TargetHealth,
     backoff_ms,
+    list_worth_asking,
 )
 from apricotrail.settings import declare_setting
 from apricotrail.wire import Link
@@ -58,7 +59,6 @@
     minimum=10,
 )
 REFUSAL_PAUSE_MS = 100
-MEDIAN = 0.5
 FIRST_RUN_MS = 100.0
 RESOLVE_CALL_MS = 2_000
 RESOLVE_TRIES = 5
@@ -303,10 +303,13 @@
         room = sum(c.free_slots + c.granted for c in open_slots)
         count = min(len(queue), room)
         if count:
-            for assignment in self._placement(open_slots, count):
-                self._start(agents[assignment.name], queue, assignment.count)
+            assignments = self._placement(open_slots, count)
+            left = len(queue) - sum(assignment.count for assignment in assignments)
+            for assignment in assignments:
+                self._start(agents[assignment.name], queue, assignment.count, left)
         if len(queue):
-            self._state_wants(list(agents.values()), len(queue))
+            asked = list_worth_asking(candidates, len(queue))
+            self._state_wants([agents[candidate.name] for candidate in asked], len(queue))
 
     def _list_usable(self, service: str) -> dict[str, AgentState]:
         now_ms = self._clock()
@@ -322,7 +325,9 @@
     def _describe(self, agent: AgentState, service: str) -> Candidate:
         granted = agent.count_granted()
         free_slots = agent.count_free()
-        usable = self.health.slots_to_use(agent.target, free_slots + granted, self._clock())
+        now_ms = self._clock()
+        usable = self.health.slots_to_use(agent.target, free_slots + granted, now_ms)
+        mean_ms = self.run_times.mean_ms(service, FIRST_RUN_MS)
         return Candidate(
             name=agent.name,
             zone=agent.link.peer.zone,
@@ -331,16 +336,17 @@
             slots=agent.slots,
             queue_ahead=agent.open_count,
             latency_ms=agent.latency_ms,
-            service_ms=self.run_times.percentile_ms(agent.target, MEDIAN),
+            service_ms=mean_ms * self.health.slowness(agent.target, now_ms),
         )
 
-    def _start(self, agent: AgentState, queue: FairQueue, count: int) -> None:
+    def _start(self, agent: AgentState, queue: FairQueue, count: int, left: int) -> None:
+        """Start the next tasks at an agent; `left` tasks stay queued after this round."""
         now_ms = self._clock()
         for taken in queue.take(count, now_ms):
             job = self.jobs.get(taken.job)
             if job is None:
                 continue
-            self._send_start(agent, job, list(taken.tasks), len(queue), now_ms)
+            self._send_start(agent, job, list(taken.tasks), left, now_ms)
 
     def _send_start(
         self, agent: AgentState, job: Job, tasks: list[int], queued: int, now_ms: float
@@ -440,7 +446,6 @@
         job.settle(outcome.task, outcome.state, outcome.answer)
         if not failed:
             self.run_times.observe(job.service, run_ms, now_ms)
-            self.run_times.observe(agent.target, run_ms, now_ms)
             self._queues[job.service].note_cost(job.key, run_ms)
             job.busy_ms += run_ms
             job.longest_ms = max(job.longest_ms, run_ms)
--- a/apricotrail/measure/_model.py
+++ b/apricotrail/measure/_model.py
@@ -4,10 +4,12 @@
 its results are called model figures.
 """
 
-from collections import Counter, deque
+from collections import Counter, OrderedDict
 from collections.abc import Callable, Sequence
+from functools import partial
 from heapq import heappop, heappush
 from itertools import count
+from math import inf
 from random import Random
 from typing import NamedTuple
 
@@ -101,14 +103,19 @@
         self.incarnation = 1
         self.running: dict[tuple[str, int], Running] = {}
         self.granted: Counter[str] = Counter()
-        self.wants: dict[str, ModelEntry] = {}
-        self.turn: deque[str] = deque()
+        self.wants: OrderedDict[str, int] = OrderedDict()
+        self.grants_used: Counter[str] = Counter()
+        self.start_times_ms: list[float] = []
+
+    def first_start_after(self, at_ms: float) -> float:
+        """Return the moment of the first start from `at_ms` on, infinity if there is none."""
+        return next((moment for moment in self.start_times_ms if moment >= at_ms), inf)
 
     def free(self) -> int:
         """Return the slots that are neither running nor granted."""
         return self.model.shape.slots - len(self.running) - sum(self.granted.values())
 
-    def start(self, entry: ModelEntry, job: str, tasks: dict[int, float], want: bool) -> None:
+    def start(self, entry: ModelEntry, job: str, tasks: dict[int, float], want: int) -> None:
         """Receive a message that starts tasks with their run times."""
         if self.mode == "dead":
             return
@@ -118,25 +125,27 @@
                 refused.append(task)
                 continue
             self._run(Running(entry, job, task), run_ms)
-        if want and self.model.shape.offers:
-            self.want(entry)
+        if self.model.shape.offers:
+            self.want(entry, want)
         if refused:
             self.model.wasted += 2
             reason = "full" if self.in_service else "zone_out"
             self.reply(entry, job, [(task, "not_run", 0.0) for task in refused], reason)
 
-    def want(self, entry: ModelEntry) -> None:
-        """Register an entry for the next free slot."""
-        if self.mode != "dead" and entry.name not in self.wants:
-            self.wants[entry.name] = entry
-            self.turn.append(entry.name)
-            self._offer()
+    def want(self, entry: ModelEntry, number: int) -> None:
+        """Register how many more slots an entry could use; 0 withdraws."""
+        if self.mode == "dead":
+            return
+        self.wants.pop(entry.name, None)
+        if number > 0:
+            self.wants[entry.name] = number
+        self.offer()
 
     def stop(self, job: str) -> None:
         """Receive a message that stops the running tasks of a job."""
         for key in [key for key in self.running if key[0] == job]:
             del self.running[key]
-        self._offer()
+        self.offer()
 
     def die(self) -> None:
         """Crash; what ran may have run."""
@@ -144,21 +153,22 @@
         self.running.clear()
         self.granted.clear()
         self.wants.clear()
-        self.turn.clear()
+        self.grants_used.clear()
         self.incarnation += 1
 
     def reply(self, entry: ModelEntry, job: str, outcomes: list, reason: str = "") -> None:
-        """Send outcomes with the present load."""
-        granted = 0
-        if self.free() > 0 and self.in_service and entry.name in self.wants:
-            granted = self._grant(entry)
-        self.model.send(lambda: entry.receive(self, job, outcomes, self.free(), granted, reason))
+        """Send outcomes with the present load and what is granted to the receiver meanwhile."""
+        granted = self._grant_in_turn()
+        own = granted.pop(entry.name, 0)
+        self.model.send(lambda: entry.receive(self, job, outcomes, self.free(), own, reason))
+        self._send_offers(granted)
 
     def _take_slot(self, entry: ModelEntry) -> bool:
         if not self.in_service:
             return False
         if self.granted[entry.name] > 0:
             self.granted[entry.name] -= 1
+            self.grants_used[entry.name] += 1
             return True
         return self.free() > 0
 
@@ -166,6 +176,7 @@
         key = (running.job, running.task)
         self.running[key] = running
         self.model.starts[key] += 1
+        self.start_times_ms.append(self.model.schedule.now_ms)
         if not self.in_service:
             self.model.starts_out_of_service += 1
         if self.mode == "stall":
@@ -186,33 +197,44 @@
         del self.running[key]
         if state == "done":
             self.model.work_ms += run_ms
+            self.model.work_done.append((self.model.schedule.now_ms, run_ms))
         self.reply(running.entry, running.job, [(running.task, state, took_ms)])
-        self._offer()
 
-    def _offer(self) -> None:
-        while self.turn and self.free() > 0 and self.in_service:
-            entry = self.wants[self.turn[0]]
-            granted = self._grant(entry)
-            self.model.messages += 1
+    def offer(self) -> None:
+        """Grant free slots to the entries that want them."""
+        self._send_offers(self._grant_in_turn())
+
+    def _send_offers(self, granted: dict[str, int]) -> None:
+        for name, number in granted.items():
+            entry = self.model.find_entry(name)
             self.model.send(
-                lambda entry=entry, granted=granted: entry.receive(
-                    self, "", [], self.free(), granted, ""
+                lambda entry=entry, number=number: entry.receive(
+                    self, "", [], self.free(), number, ""
                 )
             )
 
-    def _grant(self, entry: ModelEntry) -> int:
-        self.turn.remove(entry.name)
-        del self.wants[entry.name]
-        self.granted[entry.name] += 1
-        incarnation = self.incarnation
-        self.model.schedule.after(GRANT_MS, lambda: self._expire(entry, incarnation))
-        return 1
-
-    def _expire(self, entry: ModelEntry, incarnation: int) -> None:
-        if incarnation == self.incarnation and self.granted[entry.name] > 0:
-            self.granted[entry.name] -= 1
-            self.model.wasted += 1
-            self._offer()
+    def _grant_in_turn(self) -> dict[str, int]:
+        granted: Counter[str] = Counter()
+        while self.wants and self.free() > 0 and self.in_service:
+            name, wanted = self.wants.popitem(last=False)
+            if wanted > 1:
+                self.wants[name] = wanted - 1
+            self.granted[name] += 1
+            granted[name] += 1
+        for name, number in granted.items():
+            expire = partial(self._expire, name, number, self.incarnation)
+            self.model.schedule.after(GRANT_MS, expire)
+        return granted
+
+    def _expire(self, name: str, number: int, incarnation: int) -> None:
+        used = min(number, self.grants_used[name])
+        self.grants_used[name] -= used
+        left = min(number - used, self.granted[name])
+        if incarnation != self.incarnation or left <= 0:
+            return
+        self.granted[name] -= left
+        self.model.wasted += left
+        self.offer()
 
 
 class Model:
@@ -227,6 +249,7 @@
         self.messages = 0
         self.wasted = 0
         self.work_ms = 0.0
+        self.work_done: list[tuple[float, float]] = []
         self.results: list[JobResult] = []
         self.agents = [
             ModelAgent(self, f"t{number}", shape.zones[number % len(shape.zones)])
@@ -247,10 +270,18 @@
             self.schedule.after(job.at_ms, lambda job=job: self._submit(job))
         self.schedule.run(until_ms)
 
+    def find_entry(self, name: str) -> ModelEntry:
+        """Return an entry by name."""
+        return next(entry for entry in self.entries if entry.name == name)
+
     def counts(self) -> TargetCounts:
         """Return what the targets counted."""
         return TargetCounts(self.starts, self.work_ms, self.starts_out_of_service)
 
+    def work_at(self, at_ms: float) -> float:
+        """Return the run time of the tasks that were done by a moment."""
+        return sum(run_ms for moment_ms, run_ms in self.work_done if moment_ms <= at_ms)
+
     def set_zone(self, zone: str, in_service: bool) -> None:
         """Take a zone out or bring it back; agents and entries learn it after a message."""
         for agent in self.agents:
@@ -271,7 +302,7 @@
 
     def _set_agent(self, agent: ModelAgent, in_service: bool) -> None:
         agent.in_service = in_service
-        agent._offer()
+        agent.offer()
 
     def _submit(self, job: JobSpec) -> None:
         self.random.choice([entry for entry in self.entries if entry.alive]).submit(
--- a/apricotrail/measure/_model_entry.py
+++ b/apricotrail/measure/_model_entry.py
@@ -18,6 +18,7 @@
     ServiceState,
     TargetHealth,
     backoff_ms,
+    list_worth_asking,
 )
 
 if TYPE_CHECKING:
@@ -25,14 +26,31 @@
 
 __all__ = ["ModelEntry"]
 
+GRANT_USE_MS = 45.0
+FIRST_RUN_MS = 100.0
+
 
 class _Known:
     def __init__(self, free: int) -> None:
         self.free = free
         self.granted = 0
         self.sent: set[tuple[str, int]] = set()
-        self.wanted = False
+        self.wanted = 0
         self.lost = False
+        self.grants_used = 0
+
+    def use(self, count: int) -> None:
+        """Count started tasks against granted slots first, then against free ones."""
+        used = min(self.granted, count)
+        self.granted -= used
+        self.grants_used += used
+        self.free = max(0, self.free - (count - used))
+
+    def expire(self, granted: int) -> None:
+        """Drop granted slots that were not used in time; those used since count against them."""
+        used = min(granted, self.grants_used)
+        self.grants_used -= used
+        self.granted = max(0, self.granted - (granted - used))
 
 
 class _Job:
@@ -83,7 +101,7 @@
             return
         self.jobs[name] = job
         deadline_ms = now_ms + spec.deadline_ms
-        cost = self.times.mean_ms(spec.service, 1.0)
+        cost = self.times.mean_ms(spec.service, FIRST_RUN_MS)
         self.queue.add(
             QueuedJob(name, spec.caller, spec.team, 1.0, range(job.left), now_ms, deadline_ms, cost)
         )
@@ -104,7 +122,9 @@
             return
         known = self.known[agent.name]
         known.granted += granted
-        known.wanted = known.wanted and not granted
+        if granted:
+            self.model.schedule.after(GRANT_USE_MS, lambda: known.expire(granted))
+        known.wanted = max(0, known.wanted - granted)
         known.lost = False
         for task, state, run_ms in outcomes:
             known.sent.discard((job, task))
@@ -114,6 +134,8 @@
 
     def report(self, agent: "ModelAgent", free: int) -> None:
         """Take in a load report."""
+        if not self.alive:
+            return
         self.known[agent.name].free = free
         self.known[agent.name].lost = False
         self._pump()
@@ -126,7 +148,7 @@
     def lose(self, agent: "ModelAgent") -> None:
         """Give up a silent agent: what was sent there may have run."""
         known = self.known[agent.name]
-        known.lost, known.free, known.granted, known.wanted = True, 0, 0, False
+        known.lost, known.free, known.granted, known.wanted = True, 0, 0, 0
         for job, _ in list(known.sent):
             self._finish(job, "may_have_run")
 
@@ -135,7 +157,6 @@
         self.alive = False
         for job in list(self.jobs):
             self._finish(job, "owner_lost")
-        self.known.clear()
 
     def cancel(self, job: str) -> None:
         """Cancel a job for its caller."""
@@ -146,10 +167,14 @@
             return
         now_ms = self.model.schedule.now_ms
         candidates = self._candidates(now_ms)
-        for name, count in self.place(candidates, len(self.queue)):
-            self._start(self._agent(name), count, now_ms)
+        assignments = self.place(candidates, len(self.queue))
+        left = len(self.queue) - sum(count for _, count in assignments)
+        for name, count in assignments:
+            self._start(self._agent(name), count, left, now_ms)
         if len(self.queue) and self.model.shape.offers and self.place_is_late():
             self._ask_for_slots(candidates)
+        elif self.model.shape.offers:
+            self._withdraw_wants()
 
     def place_is_late(self) -> bool:
         """Return whether the placement waits for free slots."""
@@ -174,16 +199,14 @@
                     self.model.shape.slots,
                     len(known.sent),
                     2 * self.model.shape.latency_ms,
-                    self.times.percentile_ms(agent.name, 0.5),
+                    self.health.slowness(agent.name, now_ms),
                 )
             )
         return candidates
 
-    def _start(self, agent: "ModelAgent", count: int, now_ms: float) -> None:
+    def _start(self, agent: "ModelAgent", count: int, left: int, now_ms: float) -> None:
         known = self.known[agent.name]
-        used = min(known.granted, count)
-        known.granted -= used
-        known.free = max(0, known.free - (count - used))
+        known.use(count)
         for taken in self.queue.take(count, now_ms):
             self.health.note_start(agent.name, now_ms)
             spec = self.jobs[taken.job].spec
@@ -191,16 +214,28 @@
             known.sent.update((taken.job, task) for task in taken.tasks)
             for task in taken.tasks:
                 self.jobs[taken.job].states[task] = "running"
+            want = known.wanted = min(left, self.model.shape.slots)
             self.model.send(
-                lambda taken=taken, tasks=tasks: agent.start(self, taken.job, tasks, False)
+                lambda taken=taken, tasks=tasks, want=want: agent.start(
+                    self, taken.job, tasks, want
+                )
             )
 
     def _ask_for_slots(self, candidates: list[Candidate]) -> None:
-        for candidate in candidates:
+        for candidate in list_worth_asking(candidates, len(self.queue)):
             known = self.known[candidate.name]
             if not known.wanted:
-                known.wanted = True
-                self.model.send(lambda name=candidate.name: self._agent(name).want(self))
+                self._state_want(candidate.name, min(len(self.queue), self.model.shape.slots))
+
+    def _withdraw_wants(self) -> None:
+        for name, known in self.known.items():
+            if known.wanted and not known.lost:
+                self.model.wasted += 1
+                self._state_want(name, 0)
+
+    def _state_want(self, name: str, number: int) -> None:
+        self.known[name].wanted = number
+        self.model.send(lambda: self._agent(name).want(self, number))
 
     def _take_outcome(self, target: str, job: str, task: int, state: str, run_ms: float) -> None:
         record = self.jobs.get(job)
@@ -222,7 +257,6 @@
             self._finish(job, "task_failed")
             return
         self.times.observe(record.spec.service, run_ms, now_ms)
-        self.times.observe(target, run_ms, now_ms)
         self.queue.note_cost(job, run_ms)
         self.queue.note_progress(job, record.left)
         if record.left == 0:
@@ -271,6 +305,7 @@
             mean_task_ms=mean_ms,
             tasks_ahead=self.queue.tasks_ahead(spec.caller, spec.team, 1.0, len(spec.tasks)),
             busy=busy,
+            entries=len(self.model.entries),
             tail_ms=self.times.longest_ms(spec.service, len(spec.tasks)),
         )
 
--- a/apricotrail/policy/admission.py
+++ b/apricotrail/policy/admission.py
@@ -68,12 +68,15 @@
         Tasks of the request's team in this entry's queue.
     team_share : float
         The team's part (0 to 1) of all shares.
-    tasks_ahead : float
-        Queued tasks that start before the job's last one, see `FairQueue.tasks_ahead`.
+    tasks_ahead : float or None
+        Queued tasks that start before the job's last one, see `FairQueue.tasks_ahead`; by default
+        all queued ones.
     tail_ms : float
         Learned run time of the job's longest task, see `RunTimes.longest_ms`.
     busy : int
         Slots in use by all entries together, 0 if unknown: this entry counts on its part of them.
+    entries : int
+        Entries that compete for the slots.
     """
 
     queued_tasks: int
@@ -82,9 +85,10 @@
     mean_task_ms: float
     team_queued: int = 0
     team_share: float = 1.0
-    tasks_ahead: float = 0.0
+    tasks_ahead: float | None = None
     tail_ms: float = 0.0
     busy: int = 0
+    entries: int = 1
 
 
 class Admission:
@@ -150,16 +154,17 @@
     slots = _own_slots(state)
     if slots <= 0 or state.mean_task_ms <= 0:
         return 0.0
-    queued = max(state.queued_tasks, state.tasks_ahead)
+    queued = state.queued_tasks if state.tasks_ahead is None else state.tasks_ahead
     waiting = queued + max(0, state.running + tasks - slots)
     return max(state.mean_task_ms, state.tail_ms) + state.mean_task_ms * waiting / slots
 
 
 def _own_slots(state: ServiceState) -> float:
     """Return the slots this entry can count on while others compete for them."""
-    if state.queued_tasks <= 0 or state.busy <= 0 or state.running <= 0:
+    if state.busy <= 0:
         return state.slots
-    return state.slots * min(1.0, state.running / state.busy)
+    share = max(state.running / state.busy, 1 / max(1, state.entries))
+    return state.slots * min(1.0, share)
 
 
 def _overloaded(message: str) -> Problem:
--- a/apricotrail/policy/ejection.py
+++ b/apricotrail/policy/ejection.py
@@ -8,7 +8,7 @@
 ejection and shrinks again only after a long healthy time, so a flapping target backs off.
 """
 
-from math import log
+from math import exp, log
 from random import Random
 
 from apricotrail.settings import Settings, declare_setting
@@ -23,10 +23,10 @@
     maximum=1.0,
 )
 PROBE_MS = declare_setting(
-    "policy.probe_ms", 1_000, "Wait before the first probe of a target.", unit="ms", minimum=10
+    "policy.probe_ms", 5_000, "Wait before the first probe of a target.", unit="ms", minimum=10
 )
 PROBE_LIMIT_MS = declare_setting(
-    "policy.probe_limit_ms", 60_000, "Longest wait before a probe.", unit="ms", minimum=10
+    "policy.probe_limit_ms", 300_000, "Longest wait before a probe.", unit="ms", minimum=10
 )
 BROKEN_FAILURE_SHARE = 0.8
 MIN_PEER_SHARE = 0.02
@@ -34,6 +34,10 @@
 EJECTION_SCORE = log(10_000)
 RECENT_WEIGHT = 0.25
 MAX_PEERS_COMPARED = 32
+TARGET_SPEED_WEIGHT = 1 / 6
+SERVICE_SPEED_WEIGHT = 1 / 256
+SLOWNESS_HALF_LIFE_MS = 30_000.0
+MIN_RUN_MS = 0.1
 PROBE_SUCCESSES = 3
 FORGIVE_MS = 60_000.0
 PROBE_JITTER = 0.25
@@ -51,6 +55,14 @@
         self.probing = False
         self.successes = 0
         self.healthy_since_ms = 0.0
+        self.slowness = 0.0
+        self.slowness_at_ms = 0.0
+
+
+class _Service:
+    def __init__(self) -> None:
+        self.targets: dict[str, _Target] = {}
+        self.log_run: float | None = None
 
 
 class TargetHealth:
@@ -80,7 +92,7 @@
         self._probe_ms = settings.get(PROBE_MS)
         self._probe_limit_ms = settings.get(PROBE_LIMIT_MS)
         self._targets: dict[str, _Target] = {}
-        self._services: dict[str, dict[str, _Target]] = {}
+        self._services: dict[str, _Service] = {}
 
     def observe(
         self,
@@ -101,6 +113,8 @@
             return
         record.failed_job = job if failed else ""
         record.recent_failures += RECENT_WEIGHT * (float(failed) - record.recent_failures)
+        if not failed:
+            self._observe_speed(record, run_ms, now_ms)
         if record.ejected:
             self._observe_probe(record, failed, now_ms)
             return
@@ -129,11 +143,20 @@
         record = self._targets.get(target)
         return min(free_slots, 1) if record is not None and record.ejected else free_slots
 
+    def slowness(self, target: str, now_ms: float) -> float:
+        """Return the run time at `target` over that of the whole service, 1 if unknown.
+
+        Averages logarithms of recent run times; fades with time, so that a target that was left
+        alone for being slow is tried again.
+        """
+        record = self._targets.get(target)
+        return 1.0 if record is None else exp(_faded_slowness(record, now_ms))
+
     def forget(self, target: str) -> None:
         """Drop what was learned, such as when a new incarnation of the target announces itself."""
         record = self._targets.pop(target, None)
         if record is not None:
-            del self._services[record.service][target]
+            del self._services[record.service].targets[target]
 
     def ejected(self) -> list[str]:
         """Return the ejected targets, sorted."""
@@ -147,9 +170,19 @@
         if record is None:
             record = self._targets[target] = _Target(service)
             record.healthy_since_ms = now_ms
-            self._services.setdefault(service, {})[target] = record
+            self._services.setdefault(service, _Service()).targets[target] = record
         return record
 
+    def _observe_speed(self, record: _Target, run_ms: float, now_ms: float) -> None:
+        service = self._services[record.service]
+        log_run = log(max(run_ms, MIN_RUN_MS))
+        if service.log_run is None:
+            service.log_run = log_run
+        service.log_run += SERVICE_SPEED_WEIGHT * (log_run - service.log_run)
+        before = _faded_slowness(record, now_ms)
+        record.slowness = before + TARGET_SPEED_WEIGHT * (log_run - service.log_run - before)
+        record.slowness_at_ms = now_ms
+
     def _score(self, record: _Target, failed: bool) -> None:
         if not failed and record.score <= 0:
             return
@@ -166,7 +199,7 @@
     def _peer_share(self, record: _Target) -> float | None:
         peers = [
             peer.recent_failures
-            for peer in self._services[record.service].values()
+            for peer in self._services[record.service].targets.values()
             if peer is not record and not peer.ejected
         ]
         if not peers:
@@ -176,7 +209,7 @@
         return sorted(peers)[len(peers) // 4]
 
     def _above_floor(self, record: _Target) -> bool:
-        peers = self._services[record.service].values()
+        peers = self._services[record.service].targets.values()
         used = sum(not peer.ejected for peer in peers)
         return used - 1 >= self._floor * len(peers)
 
@@ -212,3 +245,8 @@
     def _wait_ms(self, record: _Target) -> float:
         wait_ms = min(self._probe_limit_ms, self._probe_ms * 2.0 ** min(record.ejections - 1, 30))
         return wait_ms * (1 + self._random.uniform(0.0, PROBE_JITTER))
+
+
+def _faded_slowness(record: _Target, now_ms: float) -> float:
+    elapsed_ms = max(0.0, now_ms - record.slowness_at_ms)
+    return record.slowness * 0.5 ** (elapsed_ms / SLOWNESS_HALF_LIFE_MS)
--- a/apricotrail/policy/fairness.py
+++ b/apricotrail/policy/fairness.py
@@ -85,13 +85,15 @@
         return name
 
     def charge(self, name: str, cost: float) -> None:
-        """Charge `cost`, negative to refund, without moving virtual time."""
-        flow = self._active.get(name) or self._idle.get(name)
+        """Charge `cost`, negative to refund, without moving virtual time.
+
+        An idle flow is not charged: it owes nothing for capacity that nobody else wanted.
+        """
+        flow = self._active.get(name)
         if flow is None:
             return
         flow.tag += cost / flow.weight
-        if name in self._active:
-            self._push(name, flow)
+        self._push(name, flow)
 
     def _push(self, name: str, flow: _Flow) -> None:
         self._entries += 1
--- a/apricotrail/policy/placement.py
+++ b/apricotrail/policy/placement.py
@@ -6,6 +6,7 @@
 """
 
 from collections.abc import Callable, Sequence
+from math import inf
 from random import Random
 from typing import NamedTuple
 
@@ -14,6 +15,7 @@
     "Assignment",
     "Candidate",
     "Placement",
+    "list_worth_asking",
     "make_join_shortest",
     "make_late_binding",
     "make_power_of_two",
@@ -96,20 +98,27 @@
     """
 
     def place(candidates: Sequence[Candidate], count: int) -> list[Assignment]:
+        ordinary, slow = _split_by_speed(candidates)
+        chosen = _draw_slots(ordinary, count, random)
+        chosen += _slots_worth_using(ordinary, slow, count - len(chosen))
         counts: dict[str, int] = {}
-        granted = sorted(candidates, key=lambda candidate: candidate.service_ms)
-        for candidate in granted:
-            number = min(candidate.granted, count)
-            if number > 0:
-                counts[candidate.name] = number
-                count -= number
-        for candidate in _draw_free_slots(candidates, count, random):
+        for candidate in chosen:
             counts[candidate.name] = counts.get(candidate.name, 0) + 1
         return [Assignment(name, number) for name, number in counts.items()]
 
     return place
 
 
+def list_worth_asking(candidates: Sequence[Candidate], waiting: int) -> list[Candidate]:
+    """Return the targets to ask for their next free slot while `waiting` tasks are queued.
+
+    A slow target is asked only if a task would wait longer for a slot elsewhere.
+    """
+    ordinary, slow = _split_by_speed(candidates)
+    wait_ms = _wait_for_ordinary_ms(ordinary, waiting)
+    return ordinary + [candidate for candidate in slow if candidate.service_ms <= wait_ms]
+
+
 def make_random(random: Random) -> Placement:
     """Return the placement that sends each task to a target drawn at random."""
 
@@ -159,16 +168,12 @@
 """Makers of placements by the name used in settings."""
 
 
-def _draw_free_slots(
-    candidates: Sequence[Candidate], count: int, random: Random
-) -> list[Candidate]:
-    if count <= 0:
-        return []
-    ordinary, slow = _split_by_speed(candidates)
-    slots = [candidate for candidate in ordinary for _ in range(candidate.free_slots)]
-    if len(slots) >= count:
-        return random.sample(slots, count)
-    return slots + _slots_worth_using(ordinary, slow, count - len(slots))
+def _draw_slots(candidates: list[Candidate], count: int, random: Random) -> list[Candidate]:
+    granted = [candidate for candidate in candidates for _ in range(candidate.granted)]
+    if len(granted) >= count:
+        return granted[: max(0, count)]
+    free = [candidate for candidate in candidates for _ in range(candidate.free_slots)]
+    return granted + random.sample(free, min(len(free), count - len(granted)))
 
 
 def _split_by_speed(
@@ -186,19 +191,24 @@
 def _slots_worth_using(
     ordinary: list[Candidate], slow: list[Candidate], waiting: int
 ) -> list[Candidate]:
-    slots = sum(candidate.slots for candidate in ordinary)
-    ordinary_ms = max((candidate.service_ms for candidate in ordinary), default=0.0)
     chosen: list[Candidate] = []
     for candidate in sorted(slow, key=lambda candidate: candidate.service_ms):
-        for _ in range(candidate.free_slots):
+        for _ in range(candidate.granted + candidate.free_slots):
             left = waiting - len(chosen)
-            wait_ms = ordinary_ms * (1 + left / slots) if slots else float("inf")
-            if left <= 0 or candidate.service_ms > wait_ms:
+            if left <= 0 or candidate.service_ms > _wait_for_ordinary_ms(ordinary, left):
                 return chosen
             chosen.append(candidate)
     return chosen
 
 
+def _wait_for_ordinary_ms(ordinary: Sequence[Candidate], waiting: int) -> float:
+    """Return when the last of the waiting tasks would be done without slow targets."""
+    slots = sum(candidate.slots for candidate in ordinary)
+    if not slots:
+        return inf
+    return max(candidate.service_ms for candidate in ordinary) * (1 + waiting / slots)
+
+
 def _collect(
     candidates: Sequence[Candidate],
     count: int,
--- a/apricotrail/policy/tests/test_health.py
+++ b/apricotrail/policy/tests/test_health.py
@@ -65,6 +65,17 @@
     assert failed == 3
 
 
+def test_slow_target_is_known_after_few_tasks_and_tried_again_later():
+    health = TargetHealth()
+    for number in range(2_000):
+        run_ms = 50.0 * 20 ** ((number * 7 % 100) / 100)
+        slow = 10.0 if number >= 1_000 and number % 10 == 0 else 1.0
+        health.observe(TARGETS[number % 10], "repair", False, run_ms * slow, number)
+    assert health.slowness("t0", 2_000.0) > 5
+    assert all(0.4 < health.slowness(name, 2_000.0) < 2 for name in TARGETS[1:])
+    assert health.slowness("t0", 62_000.0) < 2
+
+
 def test_probe_is_single_and_backs_off():
     health = TargetHealth(Random(1))
     run(health, ["t0"])
@@ -164,7 +175,8 @@
     ("alone", ServiceState(0, 88, 0, 100.0), 100.0),
     ("tail", ServiceState(0, 88, 0, 100.0, tail_ms=900.0), 900.0),
     ("queue", ServiceState(88, 88, 88, 100.0), 300.0),
-    ("queue shared with other entries", ServiceState(44, 88, 44, 100.0, busy=88), 400.0),
+    ("queue shared with other entries", ServiceState(44, 88, 44, 100.0, busy=88, entries=3), 400.0),
+    ("first task of this entry", ServiceState(0, 88, 0, 100.0, busy=88, entries=2), 200.0),
     ("other callers", ServiceState(44, 88, 88, 100.0, tasks_ahead=176.0), 400.0),
     ("no slot", ServiceState(44, 0, 0, 100.0), 0.0),
 )
--- a/apricotrail/policy/tests/test_placement.py
+++ b/apricotrail/policy/tests/test_placement.py
@@ -4,7 +4,7 @@
 
 from nose2.tools import params
 
-from apricotrail.policy import PLACEMENTS, Candidate, make_late_binding
+from apricotrail.policy import PLACEMENTS, Candidate, list_worth_asking, make_late_binding
 
 
 def target(name, free=0, granted=0, service_ms=0.0, slots=8):
@@ -35,6 +35,22 @@
     assert {item.name: item.count for item in assignments} == expected
 
 
+@params(
+    ("granted slots of a slow target", [target("a", service_ms=100), target("b", 0, 3, 1e3)], {}),
+    ("only slow targets", [target("a", 1, 0, 1e3)], {"a": 1}),
+)
+def test_slow_target(_, candidates, expected):
+    others = [target(name, service_ms=100) for name in "xyz"] if len(candidates) > 1 else []
+    assignments = make_late_binding(Random(1))(candidates + others, 4)
+    assert {item.name: item.count for item in assignments} == expected
+
+
+@params((4, ["a", "b"]), (300, ["a", "b", "c"]))
+def test_slow_target_is_asked_for_a_long_queue_only(waiting, expected):
+    candidates = [target("a", service_ms=100), target("b", service_ms=100), target("c", 0, 0, 1e3)]
+    assert [item.name for item in list_worth_asking(candidates, waiting)] == expected
+
+
 def test_late_binding_draws_each_free_slot_alike():
     place = make_late_binding(Random(2))
     counts = {"a": 0, "b": 0}
