--- a/apricotrail/entry/_admission.py
+++ b/apricotrail/entry/_admission.py
@@ -76,6 +76,8 @@
         Bound per caller.
     clock : callable
         Monotonic time in milliseconds.
+    count_entries : callable
+        Entries of the view, which share the slots.
     """
 
     configuration: Callable[[], EffectiveConfiguration]
@@ -86,6 +88,7 @@
     admission: Admission
     max_jobs_of_caller: int
     clock: Clock
+    count_entries: Callable[[], int]
 
 
 def make_admit(parts: AdmissionParts) -> AdmitSubmission:
@@ -190,5 +193,5 @@
         tasks_ahead=queue.tasks_ahead(submission.caller, team.id, team.share, tasks),
         tail_ms=dispatcher.run_times.longest_ms(service_id, tasks),
         busy=sum(agent.slots - agent.count_free() for agent in agents),
-        entries=len(configuration.view.members),
+        entries=parts.count_entries(),
     )
--- a/apricotrail/entry/_application.py
+++ b/apricotrail/entry/_application.py
@@ -380,6 +380,7 @@
             Admission(self.random, self.settings),
             self.settings.get(MAX_JOBS_OF_CALLER),
             monotonic_ms,
+            lambda: len(self.succession.view.members),
         )
 
     def _ownership_parts(self) -> OwnershipParts:
