--- a/apricotrail/cli/_role.py
+++ b/apricotrail/cli/_role.py
@@ -133,7 +133,7 @@
         loop.add_signal_handler(number, signals.put_nowait, number)
     try:
         number = await signals.get()
-        emit(ROLE_STOPPING, role=application.name, signal=signal.Signals(number).name)
+        emit(ROLE_STOPPING, application=application.name, signal=signal.Signals(number).name)
         return await _stop(application, signals, stop_ms)
     finally:
         for number in _SIGNALS:
@@ -153,9 +153,9 @@
         )
         if stopping.done():
             stopping.result()
-            emit(ROLE_STOPPED, role=application.name)
+            emit(ROLE_STOPPED, application=application.name)
             return ExitCode.DONE
-        emit(STOP_CUT_SHORT, role=application.name, by_signal=second_signal.done())
+        emit(STOP_CUT_SHORT, application=application.name, by_signal=second_signal.done())
         return ExitCode.REFUSED
     finally:
         for task in (stopping, second_signal):
--- a/tools/capacity/model.py
+++ b/tools/capacity/model.py
@@ -28,7 +28,7 @@
 CONTROL_REPLICAS = 9
 LEDGER_COMPACT_BYTES = 50  # digest of (job, task) in a table for each minute
 ITEM_PACKED_BYTES = 60  # names of a target in a packed block for each zone
-BASE_BYTES = 27e6
+BASE_BYTES = 29.1e6  # resident before any state, see tools/measure-roles
 US = 1e-6
 
 
