--- a/apricotrail/agent/tests/test_lost_links.py
+++ b/apricotrail/agent/tests/test_lost_links.py
@@ -99,6 +99,19 @@
             reply = await new.link.call(fence, CALL_MS)
             self.assertEqual(read_states(reply), [(0, 1, TaskState.DONE, Reason.NONE, b"ok")])
 
+    async def test_two_addresses_of_one_entry_keep_one_link(self):
+        async with Scene() as scene:
+            entry = scene.entry
+            links = []
+            entry.endpoint.on_up(links.append)
+            port = entry.address.rpartition(":")[2]
+            entry.set_view(f"localhost:{port}")
+            entry.put_item("service/counter", {})
+            await wait_until(lambda: len(links) == 1)
+            beats = len(entry.loads)
+            await wait_until(lambda: len(entry.loads) > beats + 20)
+            self.assertEqual(links, [entry.link])
+
     async def test_new_entry_incarnation_replaces_the_old_link(self):
         async with Scene() as scene:
             address = scene.entry.address
