Ask the gate again just before a task's request is written

Opening a connection to a slow target can take http.client_connect_ms; a zone taken out in that time still got the start. HttpClient.request now asks may_send once the connection is open, and the agent answers NOT_RUN with the gate's reason.

--- a/apricotrail/agent/_client.py
+++ b/apricotrail/agent/_client.py
@@ -1,6 +1,7 @@
 """Requests to the target: start and stop a task, and what their results mean."""
 
 import math
+from collections.abc import Callable
 from urllib.parse import quote
 
 from returns.result import Success
@@ -42,6 +43,7 @@
     task: int,
     body: bytes,
     budget_ms: float,
+    find_closure: Callable[[], int],
     max_answer_bytes: int | None = None,
 ) -> Outcome:
     """Run a task on the target and return its outcome.
@@ -58,13 +60,30 @@
         Task's body.
     budget_ms : float
         Time left for it, in milliseconds; also told to the target.
+    find_closure : callable
+        Returns the `Reason` why no task may start now, `Reason.NONE` if one may; asked just before
+        the request is written, since opening a connection can take long.
     max_answer_bytes : int, optional
         Largest answer.
     """
-    headers = ((BUDGET_HEADER, str(math.ceil(budget_ms))),)
+    closures: list[int] = []
+
+    def may_send() -> bool:
+        closures.append(find_closure())
+        return closures[0] == Reason.NONE
+
     result = await client.request(
-        "POST", address, task_path(job, task), body, headers, budget_ms, max_answer_bytes
+        "POST",
+        address,
+        task_path(job, task),
+        body,
+        ((BUDGET_HEADER, str(math.ceil(budget_ms))),),
+        budget_ms,
+        max_answer_bytes,
+        may_send,
     )
+    if closures and closures[0] != Reason.NONE:
+        return Outcome(TaskState.NOT_RUN, closures[0])
     if isinstance(result, Success):
         return _read_response(result.unwrap())
     return _read_problem(result.failure())
--- a/apricotrail/agent/_target_agent.py
+++ b/apricotrail/agent/_target_agent.py
@@ -151,6 +151,7 @@
             start.task,
             start.body,
             budget_ms,
+            lambda: find_closure(self._gate_state()),
             self._standing.max_answer_bytes,
         )
 
--- a/apricotrail/agent/tests/test_client.py
+++ b/apricotrail/agent/tests/test_client.py
@@ -21,6 +21,10 @@
 )
 
 
+def is_open() -> int:
+    return Reason.NONE
+
+
 class TestRunTask(unittest.IsolatedAsyncioTestCase):
     async def run_against(self, answer: bytes | None):
         heads = []
@@ -35,7 +39,7 @@
         server = await asyncio.start_server(serve, "127.0.0.1", 0)
         address = f"127.0.0.1:{server.sockets[0].getsockname()[1]}"
         client = HttpClient()
-        outcome = await run_task(client, address, "a/b", 3, b"{}", 60, max_answer_bytes=10)
+        outcome = await run_task(client, address, "a/b", 3, b"{}", 60, is_open, 10)
         await client.close()
         server.close()
         self.assertEqual(len(heads), 1)
@@ -50,7 +54,26 @@
                 self.assertEqual((outcome.state, outcome.reason), (state, reason), outcome.detail)
                 self.assertEqual(outcome.answer, b"ok" if state == TaskState.DONE else None)
 
+    async def test_gate_that_closed_while_connecting_means_not_run(self):
+        received = []
+
+        async def serve(reader, writer):
+            received.append(await reader.read())
+            writer.close()
+
+        server = await asyncio.start_server(serve, "127.0.0.1", 0)
+        address = f"127.0.0.1:{server.sockets[0].getsockname()[1]}"
+        client = HttpClient()
+        outcome = await run_task(client, address, "a/b", 3, b"{}", 60, lambda: Reason.ZONE_OUT)
+        self.assertEqual((outcome.state, outcome.reason), (TaskState.NOT_RUN, Reason.ZONE_OUT))
+        await client.close()
+        async with asyncio.timeout(10):
+            while not received:
+                await asyncio.sleep(0.005)
+        self.assertEqual(received, [b""])
+        server.close()
+
     async def test_no_connection_means_not_run(self):
-        outcome = await run_task(HttpClient(), "127.0.0.1:1", "a/b", 3, b"{}", 60)
+        outcome = await run_task(HttpClient(), "127.0.0.1:1", "a/b", 3, b"{}", 60, is_open)
         expected = (TaskState.NOT_RUN, Reason.TARGET_UNREACHABLE)
         self.assertEqual((outcome.state, outcome.reason), expected)
--- a/apricotrail/http/_client.py
+++ b/apricotrail/http/_client.py
@@ -1,6 +1,7 @@
 """The calling side: pooled connections, deadlines, and outcomes that say what is known."""
 
 import asyncio
+from collections.abc import Callable
 
 from returns.result import Failure, Result
 
@@ -15,6 +16,10 @@
 MAX_IDLE_POOLS = 256
 
 
+def _always() -> bool:
+    return True
+
+
 class HttpClient:
     """HTTP/1.1 client (RFC 9112) that never sends a request twice.
 
@@ -40,6 +45,7 @@
         headers: tuple[tuple[str, str], ...] = (),
         timeout_ms: float = 10_000,
         max_answer_bytes: int | None = None,
+        may_send: Callable[[], bool] = _always,
     ) -> Result[Response, Problem]:
         """Send one request and wait for its whole response.
 
@@ -59,6 +65,9 @@
             Time for everything, connecting included, in milliseconds.
         max_answer_bytes : int, optional
             Largest response body; by default the client's limit.
+        may_send : callable
+            Asked once a connection is open, just before the request is written; if it returns
+            False, nothing is sent and the result is ``unreachable``.
 
         Returns
         -------
@@ -80,6 +89,9 @@
         try:
             async with asyncio.timeout(timeout_ms / 1000):
                 connection = await pool.take()
+                if not may_send():
+                    result = Failure(_unreachable(address, "was not sent the request: withdrawn"))
+                    return result
                 result = await connection.send(method, path, fields, body, limit_bytes)
                 return result
         except TimeoutError:
