--- a/apricotrail/entry/_placer.py
+++ b/apricotrail/entry/_placer.py
@@ -11,6 +11,8 @@
 
 __all__ = ["Placer", "ServiceView"]
 
+MEDIAN = 0.5
+
 ServiceView = Callable[[str], Iterable[tuple[str, str]]]
 """Gives (target id, zone id) of every target of a service that may start tasks now."""
 
@@ -80,7 +82,7 @@
             self._withdraw_wants(service)
             return
         agents = self._list_usable(service)
-        candidates = [self._describe(agent, service) for agent in agents.values()]
+        candidates = [self._describe(agent) for agent in agents.values()]
         open_slots = [c for c in candidates if c.free_slots + c.granted > 0]
         room = sum(c.free_slots + c.granted for c in open_slots)
         count = min(len(queue), room)
@@ -101,7 +103,7 @@
                 usable[agent.name] = agent
         return usable
 
-    def _describe(self, agent: AgentState, service: str) -> Candidate:
+    def _describe(self, agent: AgentState) -> Candidate:
         granted = agent.count_granted()
         free_slots = agent.count_free()
         now_ms = self._work.clock()
@@ -114,7 +116,7 @@
             slots=agent.slots,
             queue_ahead=agent.open_count,
             latency_ms=agent.latency_ms,
-            service_ms=self._work.run_times.mean_ms(service),
+            service_ms=self._work.run_times.percentile_ms(agent.target, MEDIAN),
         )
 
     def _start(self, agent: AgentState, queue: FairQueue, count: int) -> None:
