--- a/apricotrail/document/_configuration.py
+++ b/apricotrail/document/_configuration.py
@@ -3,10 +3,11 @@
 The entry view is read by `apricotrail.membership`.
 """
 
-import json
 from collections.abc import Callable, Iterable, Mapping
+from sys import intern
 from typing import NamedTuple
 
+from orjson import loads
 from returns.result import Failure, Result
 
 from apricotrail.document._model import (
@@ -29,11 +30,24 @@
 
 
 class Host(NamedTuple):
-    """The entry that hosts the agent of a target."""
+    """The entry that hosts the agent of a target.
+
+    Attributes
+    ----------
+    entry : str
+        Name of the entry.
+    incarnation : int
+        Its incarnation.
+    epoch : int
+        Grows with each assignment.
+    released : bool
+        Whether the former host stopped its agent before this assignment.
+    """
 
     entry: str
     incarnation: int
     epoch: int
+    released: bool = False
 
 
 class DocumentRecord(NamedTuple):
@@ -61,7 +75,8 @@
 
 
 def _read_target(item_id: str, value: dict) -> Target:
-    return _read_fields(Target, value, id=item_id)
+    service, zone = intern(value["service"]), intern(value["zone"])
+    return _read_fields(Target, value, id=item_id, service=service, zone=zone)
 
 
 def _read_team(item_id: str, value: dict) -> Team:
@@ -161,7 +176,7 @@
                 if value is None:
                     section.pop(item_id, None)
                 else:
-                    section[item_id] = _READERS[kind](item_id, json.loads(value))
+                    section[item_id] = _READERS[kind](item_id, loads(value))
             sections[kind] = section
         configuration = EffectiveConfiguration(sections)
         configuration._share_indexes(self, grouped)
--- a/apricotrail/entry/_admission.py
+++ b/apricotrail/entry/_admission.py
@@ -180,18 +180,18 @@
     configuration, dispatcher = parts.configuration(), parts.dispatcher
     found = (parts.agents.by_target(target.id) for target in configuration.targets_of(service_id))
     agents = [agent for agent in found if agent is not None]
-    queue = dispatcher.queue_of(service_id)
+    queue = dispatcher.work.queues[service_id]
     tasks = len(submission.bodies)
     shares = sum(known.share for known in configuration.teams.values()) or team.share
     return ServiceState(
         queued_tasks=len(queue),
         slots=sum(known_slots),
         running=sum(agent.open_count for agent in agents),
-        mean_task_ms=dispatcher.run_times.mean_ms(service_id),
+        mean_task_ms=dispatcher.work.run_times.mean_ms(service_id),
         team_queued=queue.waiting_of_team(team.id),
         team_share=min(1.0, team.share / shares),
         tasks_ahead=queue.tasks_ahead(submission.caller, team.id, team.share, tasks),
-        tail_ms=dispatcher.run_times.longest_ms(service_id, tasks),
+        tail_ms=dispatcher.work.run_times.longest_ms(service_id, tasks),
         busy=sum(agent.slots - agent.count_free() for agent in agents),
         entries=parts.count_entries(),
     )
--- a/apricotrail/policy/placement.py
+++ b/apricotrail/policy/placement.py
@@ -1,8 +1,8 @@
 """Which targets get the next tasks of an entry's queue.
 
-A placement maps the known state of the targets and a number of waiting tasks to assignments. Late
-binding assigns to known free slots only and leaves the rest in the queue. The baselines push every
-task to a target at once, which the agent refuses if it has no free slot.
+A placement maps the known state of the targets and a number of waiting tasks to assignments. Only
+known free slots are used; the other tasks stay queued. Reports may be stale: an agent without a
+free slot refuses, and the task is queued again.
 """
 
 from collections.abc import Callable, Sequence
@@ -120,10 +120,10 @@
 
 
 def make_random(random: Random) -> Placement:
-    """Return the placement that sends each task to a target drawn at random."""
+    """Return the placement that sends each task to a target with a free slot, drawn at random."""
 
     def place(candidates: Sequence[Candidate], count: int) -> list[Assignment]:
-        return _collect(candidates, count, lambda load: random.choice(candidates))
+        return _collect(candidates, count, lambda load: random.choice(list(load)))
 
     return place
 
@@ -138,9 +138,9 @@
     """
 
     def place(candidates: Sequence[Candidate], count: int) -> list[Assignment]:
-        def choose(load: dict[str, float]) -> Candidate:
-            pair = random.sample(candidates, min(2, len(candidates)))
-            return min(pair, key=lambda candidate: load[candidate.name])
+        def choose(load: dict[str, float]) -> str:
+            pair = random.sample(list(load), min(2, len(load)))
+            return min(pair, key=lambda name: load[name])
 
         return _collect(candidates, count, choose)
 
@@ -148,13 +148,10 @@
 
 
 def make_join_shortest() -> Placement:
-    """Return the placement that sends each task to the target with the shortest known queue."""
+    """Return the placement that sends each task to the target with the most known room."""
 
     def place(candidates: Sequence[Candidate], count: int) -> list[Assignment]:
-        def choose(load: dict[str, float]) -> Candidate:
-            return min(candidates, key=lambda candidate: load[candidate.name])
-
-        return _collect(candidates, count, choose)
+        return _collect(candidates, count, lambda load: min(load, key=lambda name: load[name]))
 
     return place
 
@@ -210,18 +207,21 @@
 
 
 def _collect(
-    candidates: Sequence[Candidate],
-    count: int,
-    choose: Callable[[dict[str, float]], Candidate],
+    candidates: Sequence[Candidate], count: int, choose: Callable[[dict[str, float]], str]
 ) -> list[Assignment]:
-    if not candidates:
-        return []
-    load = {candidate.name: _load(candidate) for candidate in candidates}
+    """Assign one task after the other to the chosen of the targets with a free slot."""
+    by_name = {candidate.name: candidate for candidate in candidates}
+    room = {candidate.name: candidate.free_slots + candidate.granted for candidate in candidates}
+    load = {name: _load(by_name[name]) for name, free in room.items() if free > 0}
     counts: dict[str, int] = {}
     for _ in range(count):
-        candidate = choose(load)
-        counts[candidate.name] = counts.get(candidate.name, 0) + 1
-        load[candidate.name] += 1 / max(1, candidate.slots)
+        if not load:
+            break
+        name = choose(load)
+        counts[name] = counts.get(name, 0) + 1
+        load[name] += 1 / max(1, by_name[name].slots)
+        if counts[name] >= room[name]:
+            del load[name]
     return [Assignment(name, number) for name, number in counts.items()]
 
 
