--- a/apricotrail/measure/tests/test_fault_table.py
+++ b/apricotrail/measure/tests/test_fault_table.py
@@ -78,9 +78,8 @@
         6.0,
     ),
 )
-def test_fault(name, faults, complete_share, worst_p95):
-    model, figures = run(faults)
-    print(name, figures)
+def test_fault(_, faults, complete_share, worst_p95):
+    _, figures = run(faults)
     assert figures.complete >= complete_share * figures.jobs
     assert figures.p95 <= worst_p95
 
--- a/apricotrail/policy/ejection.py
+++ b/apricotrail/policy/ejection.py
@@ -8,6 +8,7 @@
 ejection and shrinks again only after a long healthy time, so a flapping target backs off.
 """
 
+from collections import OrderedDict
 from math import exp, log
 from random import Random
 
@@ -38,6 +39,8 @@
 SERVICE_SPEED_WEIGHT = 1 / 256
 SLOWNESS_HALF_LIFE_MS = 30_000.0
 MIN_RUN_MS = 0.1
+MAX_FAILURES_OF_JOB = 2
+MAX_FAILED_JOBS = 256
 PROBE_SUCCESSES = 3
 FORGIVE_MS = 60_000.0
 PROBE_JITTER = 0.25
@@ -49,6 +52,7 @@
         self.recent_failures = 0.0
         self.score = 0.0
         self.failed_job = ""
+        self.failures_of_job = 0
         self.ejections = 0
         self.ejected = False
         self.probe_at_ms = 0.0
@@ -63,6 +67,7 @@
     def __init__(self) -> None:
         self.targets: dict[str, _Target] = {}
         self.log_run: float | None = None
+        self.failed_at: OrderedDict[str, _Target] = OrderedDict()
 
 
 class TargetHealth:
@@ -106,12 +111,12 @@
         """Take in the outcome of a task that was started at `target`.
 
         A task that was stopped, cancelled or not run says nothing of its target: leave it out.
-        Failures of one `job` in a row at one target count once, since they share a cause.
+        Failures of one `job` in a row at one target may share a cause: only two of them count, and
+        only one if the job had failed at another target before.
         """
         record = self._record(target, service, now_ms)
-        if failed and job and record.failed_job == job and not record.ejected:
+        if failed and job and not record.ejected and not self._is_evidence(record, job):
             return
-        record.failed_job = job if failed else ""
         record.recent_failures += RECENT_WEIGHT * (float(failed) - record.recent_failures)
         if not failed:
             self._observe_speed(record, run_ms, now_ms)
@@ -173,6 +178,20 @@
             self._services.setdefault(service, _Service()).targets[target] = record
         return record
 
+    def _is_evidence(self, record: _Target, job: str) -> bool:
+        """Return whether one more failure of `job` at a target speaks against the target."""
+        failed_at = self._services[record.service].failed_at
+        first_target = failed_at.setdefault(job, record)
+        if len(failed_at) > MAX_FAILED_JOBS:
+            failed_at.popitem(last=False)
+        if record.failed_job != job:
+            record.failed_job = job
+            record.failures_of_job = 0
+        record.failures_of_job += 1
+        if first_target is not record:
+            return record.failures_of_job == 1
+        return record.failures_of_job <= MAX_FAILURES_OF_JOB
+
     def _observe_speed(self, record: _Target, run_ms: float, now_ms: float) -> None:
         service = self._services[record.service]
         log_run = log(max(run_ms, MIN_RUN_MS))
--- a/apricotrail/policy/tests/test_health.py
+++ b/apricotrail/policy/tests/test_health.py
@@ -46,23 +46,28 @@
     assert len(health.ejected()) == 5
 
 
-def test_one_failing_job_ejects_nobody():
+def test_jobs_that_fail_everywhere_eject_nobody():
     health = TargetHealth()
     run(health, [])
-    for name in TARGETS:
-        for _ in range(100):
-            health.observe(name, "repair", True, 5.0, 1.0, job="a/bad")
+    random = Random(1)
+    for number in range(30):
+        for name in random.sample(TARGETS, len(TARGETS)):
+            for _ in range(100):
+                health.observe(name, "repair", True, 5.0, 1.0, job=f"a/bad-{number}")
+        run(health, [], rounds=1)
     assert health.ejected() == []
 
 
-def test_black_hole_costs_few_jobs():
+@params(("one task of each job", 1, 3), ("many tasks of each job", 5, 2))
+def test_black_hole_costs_few_jobs(_, tasks, expected):
     health = TargetHealth()
     run(health, [])
-    failed = 0
+    jobs = 0
     while health.may_use("t0", 1.0):
-        failed += 1
-        health.observe("t0", "repair", True, 1.0, 1.0, job=f"a/{failed}")
-    assert failed == 3
+        jobs += 1
+        for _ in range(tasks):
+            health.observe("t0", "repair", True, 1.0, 1.0, job=f"a/{jobs}")
+    assert jobs == expected
 
 
 def test_slow_target_is_known_after_few_tasks_and_tried_again_later():
