--- a/apricotrail/measure/_figures.py
+++ b/apricotrail/measure/_figures.py
@@ -46,13 +46,16 @@
     starts : Mapping of (job, task) to int
         Starts of each task.
     work_ms : float
-        Slot time of tasks that ended well.
+        Slot time of tasks that ended well by the end of the load.
+    all_work_ms : float
+        The same by the end of the run.
     starts_out_of_service : int
         Starts in a zone that was out, after the time allowed for the change.
     """
 
     starts: Mapping[tuple[str, int], int]
     work_ms: float
+    all_work_ms: float = 0.0
     starts_out_of_service: int = 0
 
 
@@ -66,7 +69,9 @@
     p50, p95, p99, worst : float
         Percentiles of response over ideal, of complete jobs.
     work_share : float
-        Work done over the ideal work.
+        Work done by the end of the load over the ideal work.
+    useful_share : float
+        Work of complete jobs over all work done.
     starts_per_task, wasted_per_task : float
         Starts, and messages that led to no start, each over tasks started.
     double_starts, false_reports, starts_out_of_service, broken_answers : int
@@ -84,6 +89,7 @@
     p99: float
     worst: float
     work_share: float
+    useful_share: float
     starts_per_task: float
     wasted_per_task: float
     double_starts: int
@@ -112,6 +118,7 @@
         if result.outcome == "complete" and result.ideal_ms > 0
     )
     started = len(counts.starts)
+    useful_ms = sum(result.work_ms for result in results if result.outcome == "complete")
     return Figures(
         jobs=len(results),
         complete=outcomes["complete"],
@@ -122,6 +129,7 @@
         p99=percentile(ratios, 0.99),
         worst=percentile(ratios, 1.0),
         work_share=counts.work_ms / ideal_work_ms if ideal_work_ms else 0.0,
+        useful_share=useful_ms / counts.all_work_ms if counts.all_work_ms else 0.0,
         starts_per_task=sum(counts.starts.values()) / started if started else 0.0,
         wasted_per_task=wasted_messages / started if started else 0.0,
         double_starts=sum(number - 1 for number in counts.starts.values() if number > 1),
@@ -148,15 +156,16 @@
 def render_table(rows: Sequence[tuple[str, Figures]]) -> str:
     """Return a Markdown table with one row for each named run."""
     header = (
-        "| run | jobs | complete | refused | failed | p50 | p95 | p99 | worst | work | wasted/task "
-        "| double | false | out | broken |"
+        "| run | jobs | complete | refused | failed | p50 | p95 | p99 | worst | work | useful "
+        "| wasted/task | double | false | out | broken |"
     )
-    lines = [header, "| --- |" + " ---: |" * 14]
+    lines = [header, "| --- |" + " ---: |" * 15]
     for name, figures in rows:
         lines.append(
             f"| {name} | {figures.jobs} | {figures.complete} | {figures.refused} "
             f"| {figures.failed} | {figures.p50:.2f} | {figures.p95:.2f} | {figures.p99:.2f} "
-            f"| {figures.worst:.2f} | {figures.work_share:.3f} | {figures.wasted_per_task:.3f} "
+            f"| {figures.worst:.2f} | {figures.work_share:.3f} | {figures.useful_share:.3f} "
+            f"| {figures.wasted_per_task:.3f} "
             f"| {figures.double_starts} | {figures.false_reports} "
             f"| {figures.starts_out_of_service} | {figures.broken_answers} |"
         )
--- a/apricotrail/measure/_model.py
+++ b/apricotrail/measure/_model.py
@@ -276,7 +276,7 @@
 
     def counts(self) -> TargetCounts:
         """Return what the targets counted."""
-        return TargetCounts(self.starts, self.work_ms, self.starts_out_of_service)
+        return TargetCounts(self.starts, self.work_ms, self.work_ms, self.starts_out_of_service)
 
     def work_at(self, at_ms: float) -> float:
         """Return the run time of the tasks that were done by a moment."""
--- a/apricotrail/measure/_model_entry.py
+++ b/apricotrail/measure/_model_entry.py
@@ -160,6 +160,9 @@
     def _pump(self) -> None:
         if not self.alive:
             return
+        if not len(self.queue):
+            self._withdraw_wants()
+            return
         now_ms = self.model.schedule.now_ms
         candidates = self._candidates(now_ms)
         assignments = self.place(candidates, len(self.queue))
@@ -168,8 +171,6 @@
             self._start(self._agent(name), count, left, now_ms)
         if len(self.queue) and self.model.shape.offers:
             self._ask_for_slots(candidates)
-        elif self.model.shape.offers:
-            self._withdraw_wants()
 
     def _candidates(self, now_ms: float) -> list[Candidate]:
         candidates = []
--- a/apricotrail/measure/_run.py
+++ b/apricotrail/measure/_run.py
@@ -29,6 +29,8 @@
         Work offered over the work that all slots can do.
     duration_s : float
         Time in which jobs arrive, in seconds.
+    deadline_ms : int
+        Deadline of every job, 0 for the deployment's.
     seed : int
         Seed of load and choices.
     processes : bool
@@ -40,6 +42,7 @@
     placement: str = "late-binding"
     load_factor: float = 0.7
     duration_s: float = 20.0
+    deadline_ms: int = 0
     seed: int = 1
     processes: bool = True
 
@@ -73,7 +76,8 @@
     work_at_end_ms = system.counts().work_ms
     results = await load
     await faults
-    counts = system.counts()._replace(work_ms=work_at_end_ms)
+    counts = system.counts()
+    counts = counts._replace(work_ms=work_at_end_ms, all_work_ms=counts.work_ms)
     metrics = await system.read_metrics()
     ideal_ms = ideal_work_ms(jobs, changes, duration_ms)
     return make_figures(results, counts, ideal_ms, sum_series(metrics, WASTED))
@@ -87,7 +91,7 @@
         plan.duration_s * 1_000,
         service=deployment.service,
         callers=deployment.callers(),
-        deadline_ms=deployment.deadline_ms,
+        deadline_ms=plan.deadline_ms or deployment.deadline_ms,
     )
     jobs = make_load(shape, plan.seed)
     return add_burst(jobs, plan.duration_s * 1_000) if FAULTS[plan.fault].burst else jobs
--- a/apricotrail/measure/_system.py
+++ b/apricotrail/measure/_system.py
@@ -125,9 +125,11 @@
         starts: Counter[tuple[str, int]] = Counter()
         for target in self.targets.values():
             starts.update(target.starts)
+        work_ms = sum(target.work_ms for target in self.targets.values())
         return TargetCounts(
             starts,
-            sum(target.work_ms for target in self.targets.values()),
+            work_ms,
+            work_ms,
             sum(target.starts_out_of_service for target in self.targets.values()),
         )
 
--- a/apricotrail/measure/commands.py
+++ b/apricotrail/measure/commands.py
@@ -19,6 +19,7 @@
     placement: list[str] = ["late-binding"],  # noqa: B006
     load: list[float] = [0.7],  # noqa: B006
     seconds: float = 20.0,
+    deadline_ms: int = 0,
     seed: int = 1,
     one_process: bool = False,
     json: bool = False,
@@ -37,6 +38,8 @@
         Load factors: work offered over the work that all slots can do.
     seconds
         Time in which jobs arrive.
+    deadline_ms
+        Deadline of every job, 0 for the deployment's.
     seed
         Seed of load and choices.
     one_process
@@ -45,7 +48,7 @@
         Print JSON instead of a table.
     """
     plans = [
-        RunPlan(size, name, policy, factor, seconds, seed, not one_process)
+        RunPlan(size, name, policy, factor, seconds, deadline_ms, seed, not one_process)
         for size, name, factor, policy in product(deployment, fault, load, placement)
     ]
     rows = []
--- a/apricotrail/measure/tests/test_target.py
+++ b/apricotrail/measure/tests/test_target.py
@@ -103,8 +103,9 @@
         JobResult("a/5", "complete", 400, 100, 100, whole=False),
     ]
     starts = {("a/1", 0): 2, ("a/2", 0): 1, ("a/2", 1): 1, ("a/4", 0): 1, ("a/5", 0): 1}
-    figures = make_figures(results, TargetCounts(starts, 300.0, 2), 400.0, 3)
+    figures = make_figures(results, TargetCounts(starts, 300.0, 400.0, 2), 400.0, 3)
     assert (figures.complete, figures.refused, figures.failed) == (2, 2, 1)
     assert (figures.p50, figures.worst, figures.work_share) == (2.0, 4.0, 0.75)
+    assert figures.useful_share == 0.5
     assert (figures.double_starts, figures.false_reports) == (1, 2)
     assert (figures.starts_out_of_service, figures.broken_answers) == (2, 1)
