--- a/apricotrail/entry/_placer.py
+++ b/apricotrail/entry/_placer.py
@@ -80,15 +80,12 @@
             self._withdraw_wants(service)
             return
         agents = self._list_usable(service)
-        candidates = [self._describe(agent, service) for agent in agents.values()]
-        open_slots = [c for c in candidates if c.free_slots + c.granted > 0]
-        room = sum(c.free_slots + c.granted for c in open_slots)
-        count = min(len(queue), room)
-        if count:
-            assignments = self._placement(open_slots, count)
-            left = len(queue) - sum(assignment.count for assignment in assignments)
-            for assignment in assignments:
-                self._start(agents[assignment.name], queue, assignment.count, left)
+        mean_ms = self._work.run_times.mean_ms(service, FIRST_RUN_MS)
+        candidates = [self._describe(agent, mean_ms) for agent in agents.values()]
+        assignments = self._placement(candidates, len(queue))
+        left = len(queue) - sum(assignment.count for assignment in assignments)
+        for assignment in assignments:
+            self._start(agents[assignment.name], queue, assignment.count, left)
         if len(queue):
             asked = list_worth_asking(candidates, len(queue))
             self._state_wants([agents[candidate.name] for candidate in asked], len(queue))
@@ -104,12 +101,12 @@
                 usable[agent.name] = agent
         return usable
 
-    def _describe(self, agent: AgentState, service: str) -> Candidate:
+    def _describe(self, agent: AgentState, mean_ms: float) -> Candidate:
         granted = agent.count_granted()
         free_slots = agent.count_free()
         now_ms = self._work.clock()
-        usable = self._work.health.slots_to_use(agent.target, free_slots + granted, now_ms)
-        mean_ms = self._work.run_times.mean_ms(service, FIRST_RUN_MS)
+        health = self._work.health
+        usable = health.slots_to_use(agent.target, free_slots + granted, now_ms)
         return Candidate(
             name=agent.name,
             zone=agent.link.peer.zone,
@@ -118,7 +115,7 @@
             slots=agent.slots,
             queue_ahead=agent.open_count,
             latency_ms=agent.latency_ms,
-            service_ms=mean_ms * self._work.health.slowness(agent.target, now_ms),
+            service_ms=mean_ms * health.slowness(agent.target, now_ms),
         )
 
     def _start(self, agent: AgentState, queue: FairQueue, count: int, left: int) -> None:
--- a/apricotrail/measure/_model_entry.py
+++ b/apricotrail/measure/_model_entry.py
@@ -1,6 +1,5 @@
 """The entry of the model: uses the policy as the role does."""
 
-from collections import Counter
 from random import Random
 from typing import TYPE_CHECKING
 
@@ -13,11 +12,9 @@
     Candidate,
     FairQueue,
     QueuedJob,
-    RetryBudget,
     RunTimes,
     ServiceState,
     TargetHealth,
-    backoff_ms,
     list_worth_asking,
 )
 
@@ -59,7 +56,6 @@
         self.ideal_ms = ideal_ms
         self.began_ms = now_ms
         self.states = ["not_run"] * len(spec.tasks)
-        self.attempts: Counter[int] = Counter()
         self.left = len(spec.tasks)
 
 
@@ -82,7 +78,6 @@
         self.admission = Admission(self.random)
         self.health = TargetHealth(self.random)
         self.times = RunTimes()
-        self.budget = RetryBudget()
         self.jobs: dict[str, _Job] = {}
         self.zones_out: set[str] = set()
         self.known = {agent.name: _Known(model.shape.slots) for agent in model.agents}
@@ -165,20 +160,17 @@
     def _pump(self) -> None:
         if not self.alive:
             return
+        if not len(self.queue):
+            self._withdraw_wants()
+            return
         now_ms = self.model.schedule.now_ms
         candidates = self._candidates(now_ms)
         assignments = self.place(candidates, len(self.queue))
         left = len(self.queue) - sum(count for _, count in assignments)
         for name, count in assignments:
             self._start(self._agent(name), count, left, now_ms)
-        if len(self.queue) and self.model.shape.offers and self.place_is_late():
+        if len(self.queue) and self.model.shape.offers:
             self._ask_for_slots(candidates)
-        elif self.model.shape.offers:
-            self._withdraw_wants()
-
-    def place_is_late(self) -> bool:
-        """Return whether the placement waits for free slots."""
-        return self.model.shape.placement == "late-binding"
 
     def _candidates(self, now_ms: float) -> list[Candidate]:
         candidates = []
@@ -244,11 +236,7 @@
             return
         if state == "not_run":
             record.states[task] = "not_run"
-            record.attempts[task] += 1
-            wait_ms = (
-                0.0 if self.place_is_late() else backoff_ms(record.attempts[task], self.random)
-            )
-            self.model.schedule.after(wait_ms, lambda: self._put_back(job, task))
+            self.model.schedule.after(0.0, lambda: self._put_back(job, task))
             return
         self.health.observe(target, record.spec.service, state == "failed", run_ms, now_ms, job)
         record.states[task] = state
