--- a/apricotrail/entry/_outcomes.py
+++ b/apricotrail/entry/_outcomes.py
@@ -119,7 +119,6 @@
             job.fail(describe_failure(agent.target, outcome))
             return
         self._work.run_times.observe(job.service, run_ms, now_ms)
-        self._work.run_times.observe(agent.target, run_ms, now_ms)
         self._work.queues[job.service].note_cost(job.key, run_ms)
         job.longest_ms = max(job.longest_ms, run_ms)
 
--- a/apricotrail/wire/messages.thrift
+++ b/apricotrail/wire/messages.thrift
@@ -168,6 +168,7 @@
   2: string target,
   3: i64 agent_incarnation,
   4: list<TaskOutcome> outcomes,
+  5: optional i64 ledger_age_ms,  // how long the answering ledger has been kept
 }
 
 // Raises the lowest epoch that the agent accepts for the job and asks for all it knows of the job.
@@ -400,6 +401,8 @@
   2: string entry,
   3: i64 incarnation,
   4: i64 epoch,               // must be the present host epoch + 1
+  5: optional string released_by,            // the present host, which has stopped its agent
+  6: optional i64 released_by_incarnation,
 }
 
 struct ChangeMember {
