Echo the first heartbeat of a link at once; tell entries when a gate opens or closes

Cause: a new link could date its first statement only after a periodic heartbeat (500 ms), and an agent's loads said 'not accepting' until the next one. Two more messages for each new link.

--- a/apricotrail/agent/_target_agent.py
+++ b/apricotrail/agent/_target_agent.py
@@ -60,6 +60,7 @@
         self._standing: Standing = UNKNOWN
         self._view: View = NO_VIEW
         self._leaving = False
+        self._closure: int = Reason.NONE
         self._stopping = False
         self._echoed_ms: dict[str, float] = {}
         self._follower = ConfigurationFollower(clock, parameters.stale_ms, self._apply_items)
@@ -84,7 +85,7 @@
         self._endpoint.start()
         for address in self._parameters.entries:
             self._endpoint.dial(address)
-        self._endpoint.spawn(self._repeat(self._parameters.tick_ms, self.agent.tick))
+        self._endpoint.spawn(self._repeat(self._parameters.tick_ms, self._tick))
         if self._parameters.announces:
             pause_ms = self._parameters.lease_ms / ANNOUNCEMENTS_PER_LEASE
             self._endpoint.spawn(self._repeat(pause_ms, self._announce_to_all))
@@ -273,6 +274,14 @@
     def _entry_links(self) -> list[Link]:
         return [link for link in self._endpoint.links.values() if link.peer.role == "entry"]
 
+    def _tick(self) -> None:
+        """Clean up, and tell the entries at once when the gate opens or closes."""
+        self.agent.tick()
+        closure = find_closure(self._gate_state())
+        if closure != self._closure:
+            self._closure = closure
+            self._beat()
+
     def _beat(self) -> None:
         for link in self._entry_links():
             link.beat()
--- a/apricotrail/wire/_link.py
+++ b/apricotrail/wire/_link.py
@@ -312,6 +312,7 @@
             self.send(result, correlation)
 
     def _receive_heartbeat(self, heartbeat: Heartbeat) -> None:
+        is_first = self._highest_received == 0
         self._highest_received = max(self._highest_received, heartbeat.sequence or 0)
         asked_ms = self._sent_at_ms.get(heartbeat.echo or 0)
         if asked_ms is not None:
@@ -319,6 +320,9 @@
             for sequence in [n for n in self._sent_at_ms if n < heartbeat.echo]:
                 del self._sent_at_ms[sequence]
         self._endpoint.receive_heartbeat(self, heartbeat, asked_ms)
+        if is_first:
+            # The peer can date statements only once one of its heartbeats has been echoed.
+            self.beat()
 
     # ---- internals ----
 
