--- a/apricotrail/measure/_figures.py
+++ b/apricotrail/measure/_figures.py
@@ -78,6 +78,9 @@
         Broken promises; each must be 0.
     outcomes : dict
         Number of jobs by outcome.
+    zone_out_ms, zone_in_ms : float
+        From taking a zone out to the last start there, and from bringing it back until all its
+        targets have started a task.
     """
 
     jobs: int
@@ -97,6 +100,8 @@
     starts_out_of_service: int
     broken_answers: int
     outcomes: dict[str, int]
+    zone_out_ms: float = 0.0
+    zone_in_ms: float = 0.0
 
 
 _REFUSALS = {"overloaded", "quota_exceeded", "impossible", "not_ready", "stale_configuration"}
@@ -157,15 +162,16 @@
     """Return a Markdown table with one row for each named run."""
     header = (
         "| run | jobs | complete | refused | failed | p50 | p95 | p99 | worst | work | useful "
-        "| wasted/task | double | false | out | broken |"
+        "| wasted/task | out ms | in ms | double | false | out | broken |"
     )
-    lines = [header, "| --- |" + " ---: |" * 15]
+    lines = [header, "| --- |" + " ---: |" * 17]
     for name, figures in rows:
         lines.append(
             f"| {name} | {figures.jobs} | {figures.complete} | {figures.refused} "
             f"| {figures.failed} | {figures.p50:.2f} | {figures.p95:.2f} | {figures.p99:.2f} "
             f"| {figures.worst:.2f} | {figures.work_share:.3f} | {figures.useful_share:.3f} "
             f"| {figures.wasted_per_task:.3f} "
+            f"| {figures.zone_out_ms:.0f} | {figures.zone_in_ms:.0f} "
             f"| {figures.double_starts} | {figures.false_reports} "
             f"| {figures.starts_out_of_service} | {figures.broken_answers} |"
         )
--- a/apricotrail/measure/_model_entry.py
+++ b/apricotrail/measure/_model_entry.py
@@ -22,7 +22,6 @@
     from apricotrail.measure._model import Model, ModelAgent
 
 __all__ = ["ModelEntry"]
-
 GRANT_USE_MS = 45.0
 FIRST_RUN_MS = 100.0
 
--- a/apricotrail/measure/_run.py
+++ b/apricotrail/measure/_run.py
@@ -5,13 +5,14 @@
 from contextlib import ExitStack
 from typing import NamedTuple
 
+from apricotrail.measure._counters import sum_series
 from apricotrail.measure._deployment import DEPLOYMENTS, Deployment
 from apricotrail.measure._drive import send_load
 from apricotrail.measure._faults import FAULTS, add_burst, cancel_wave, run_script, slot_changes
 from apricotrail.measure._figures import Figures, make_figures
 from apricotrail.measure._ideal import ideal_work_ms
 from apricotrail.measure._load import JobSpec, LoadShape, make_load
-from apricotrail.measure._system import start_system, sum_series
+from apricotrail.measure._system import start_system
 
 __all__ = ["RunPlan", "run_plan"]
 
@@ -80,7 +81,9 @@
     counts = counts._replace(work_ms=work_at_end_ms, all_work_ms=counts.work_ms)
     metrics = await system.read_metrics()
     ideal_ms = ideal_work_ms(jobs, changes, duration_ms)
-    return make_figures(results, counts, ideal_ms, sum_series(metrics, WASTED))
+    figures = make_figures(results, counts, ideal_ms, sum_series(metrics, WASTED))
+    out_ms, in_ms = system.longest_zone_delays_ms()
+    return figures._replace(zone_out_ms=out_ms, zone_in_ms=in_ms)
 
 
 def plan_jobs(plan: RunPlan, deployment: Deployment) -> list[JobSpec]:
--- a/apricotrail/measure/_system.py
+++ b/apricotrail/measure/_system.py
@@ -1,13 +1,13 @@
 """A whole system for measuring: control, entries, agents and stand-in targets on loopback."""
 
 import asyncio
-import socket
 from collections import Counter
 from contextlib import ExitStack
 from itertools import count
+from math import inf
 from pathlib import Path
-from random import Random
 from tempfile import TemporaryDirectory
+from typing import NamedTuple
 
 import orjson
 from returns.result import Success
@@ -15,8 +15,16 @@
 from apricotrail.clocks import monotonic_ms
 from apricotrail.errors import ApricotrailError, ErrorKind, Problem
 from apricotrail.http import ClientLimits, HttpClient, Response
-from apricotrail.measure._deployment import ENVIRONMENT, Deployment, write_document
+from apricotrail.measure._counters import parse_metrics, sum_series
+from apricotrail.measure._deployment import Deployment, write_document
 from apricotrail.measure._figures import TargetCounts
+from apricotrail.measure._plans import (
+    RolePlan,
+    find_free_ports,
+    plan_agent,
+    plan_control,
+    plan_entries,
+)
 from apricotrail.measure._roles import RoleRunner, RunningRole, make_process_runner, run_in_process
 from apricotrail.measure._target import StandinTarget, make_standin_target
 
@@ -31,6 +39,14 @@
 _MS_PER_S = 1_000.0
 
 
+class ZoneChange(NamedTuple):
+    """An operator's change of a zone: its id, new state and the moment it was asked for in ms."""
+
+    zone: str
+    in_service: bool
+    at_ms: float
+
+
 class MeasuredSystem:
     """Control, entries, agents and targets of one run.
 
@@ -53,6 +69,8 @@
         Stand-in targets by id.
     roles : dict of str to RunningRole
         Running roles by name.
+    zone_changes : list of ZoneChange
+        Changes asked for by `set_zone`.
     """
 
     def __init__(
@@ -63,10 +81,11 @@
         self.entries: dict[str, str] = {}
         self.targets: dict[str, StandinTarget] = {}
         self.roles: dict[str, RunningRole] = {}
+        self.zone_changes: list[ZoneChange] = []
         self._folder = folder
         self._run_role = run_role
         self._settings = settings
-        self._values: dict[str, tuple[str, dict]] = {}
+        self._plans: dict[str, RolePlan] = {}
         self._operators: dict[str, str] = {}
         self._requests = count(1)
 
@@ -76,9 +95,12 @@
         token_file.write_text(TOKEN + "\n")
         deployment = self.deployment
         ports = find_free_ports(deployment.replicas + 3 * deployment.entries)
-        peers = self._plan_control(ports)
-        self._plan_entries(ports, list(peers.values()), token_file)
-        for name in list(self._values):
+        self._plans |= plan_control(deployment, self._folder, ports)
+        self._plans |= plan_entries(deployment, token_file, ports, self._plans)
+        for name, plan in self._plans.items():
+            if plan.role == "entry":
+                self.entries[name] = plan.values["entry.listen"]
+                self._operators[name] = plan.values["entry.operators_listen"]
             await self.start_role(name)
         await self._wait_until(self._is_ready, "entries to be ready")
         await self._put_document()
@@ -87,13 +109,14 @@
 
     async def start_role(self, name: str) -> None:
         """Start a planned role, or start it again after it was stopped or killed."""
-        role, values = self._values[name]
-        self.roles[name] = await self._run_role(role, name, values)
+        plan = self._plans[name]
+        values = plan.values | self._settings
+        self.roles[name] = await self._run_role(plan.role, name, values)
 
     async def stop(self) -> None:
         """Stop agents, then entries, then control, then the targets."""
         for role in ("agent", "entry", "control"):
-            names = [name for name in self.roles if self._values[name][0] == role]
+            names = [name for name in self.roles if self._plans[name].role == role]
             stops = (self.roles.pop(name).stop() for name in names)
             await asyncio.gather(*stops, return_exceptions=True)
         for target in self.targets.values():
@@ -107,6 +130,7 @@
     async def set_zone(self, zone: str, in_service: bool) -> float:
         """Take a zone out or bring it back; returns the answer time in ms."""
         began_ms = monotonic_ms()
+        self.zone_changes.append(ZoneChange(zone, in_service, began_ms))
         word = "in" if in_service else "out"
         await self._operate("POST", f"/v1/admin/zones/{zone}/{word}")
         return monotonic_ms() - began_ms
@@ -133,67 +157,33 @@
             sum(target.starts_out_of_service for target in self.targets.values()),
         )
 
-    def _plan_control(self, ports: list[int]) -> dict[str, str]:
-        names = [f"control-{number}" for number in range(1, self.deployment.replicas + 1)]
-        peers = {name: f"127.0.0.1:{ports.pop()}" for name in names}
-        for number, (name, address) in enumerate(peers.items()):
-            self._values[name] = (
-                "control",
-                self._settings
-                | {
-                    "control.name": name,
-                    "control.zone": self._zone(number),
-                    "control.environment": ENVIRONMENT,
-                    "control.listen": address,
-                    "control.peers": [f"{name}={address}" for name, address in peers.items()],
-                    "control.data_folder": str(self._folder / name),
-                },
-            )
-        return peers
-
-    def _plan_entries(self, ports: list[int], control: list[str], token_file: Path) -> None:
-        for number in range(self.deployment.entries):
-            name = f"entry-{number + 1}"
-            callers, operators, links = (f"127.0.0.1:{ports.pop()}" for _ in range(3))
-            self.entries[name] = callers
-            self._operators[name] = operators
-            self._values[name] = (
-                "entry",
-                self._settings
-                | {
-                    "entry.name": name,
-                    "entry.zone": self._zone(number),
-                    "entry.environment": ENVIRONMENT,
-                    "entry.listen": callers,
-                    "entry.operators_listen": operators,
-                    "entry.link_listen": links,
-                    "control.addresses": control,
-                    "operators.token_file": str(token_file),
-                },
-            )
+    def longest_zone_delays_ms(self) -> tuple[float, float]:
+        """Return the longest times from a change of a zone to its effect, 0 without a change.
+
+        The first is from taking a zone out to the last start in it, the second from bringing it
+        back until each of its targets has started a task again.
+        """
+        last_starts, first_starts = [0.0], [0.0]
+        for number, (zone, in_service, at_ms) in enumerate(self.zone_changes):
+            later = [change.at_ms for change in self.zone_changes[number + 1 :]]
+            until_ms = later[0] if later else inf
+            for target in self.targets.values():
+                if target.zone != zone:
+                    continue
+                delays = [ms - at_ms for ms in target.start_times_ms if at_ms <= ms < until_ms]
+                if in_service:
+                    first_starts.append(delays[0] if delays else inf)
+                elif delays:
+                    last_starts.append(delays[-1])
+        return max(last_starts), max(first_starts)
 
     async def _start_targets(self) -> None:
-        links = [
-            values["entry.link_listen"] for role, values in self._values.values() if role == "entry"
-        ]
         for place in self.deployment.places():
             target = make_standin_target(place.target, place.zone, self.deployment.slots)
             self.targets[place.target] = target
-            await target.listen()
+            address = await target.listen()
             name = f"agent-{place.target}"
-            self._values[name] = (
-                "agent",
-                self._settings
-                | {
-                    "agent.target": place.target,
-                    "agent.target_address": target.address,
-                    "agent.slots": self.deployment.slots,
-                    "agent.connections": self.deployment.connections,
-                    "agent.zone": place.zone,
-                    "agent.environment": ENVIRONMENT,
-                    "agent.entries": links,
-                },
-            )
+            self._plans[name] = plan_agent(self.deployment, place, address, self._plans)
             await self.start_role(name)
 
     async def _put_document(self) -> None:
@@ -251,9 +241,6 @@
                 )
             await asyncio.sleep(POLL_MS / _MS_PER_S)
 
-    def _zone(self, number: int) -> str:
-        return self.deployment.zones[number % len(self.deployment.zones)]
-
 
 async def start_system(
     deployment: Deployment,
@@ -293,38 +280,3 @@
         await system.stop()
         raise
     return system
-
-
-def find_free_ports(number: int) -> list[int]:
-    """Return ports that were free a moment ago, in random order."""
-    probes = [socket.socket() for _ in range(number)]
-    try:
-        for probe in probes:
-            probe.bind(("127.0.0.1", 0))
-        ports = [probe.getsockname()[1] for probe in probes]
-    finally:
-        for probe in probes:
-            probe.close()
-    Random(ports[0]).shuffle(ports)
-    return ports
-
-
-def parse_metrics(text: str) -> dict[str, float]:
-    """Return the samples of a metrics text by name and labels.
-
-    Examples
-    --------
-    >>> parse_metrics('# TYPE a counter\\na_total{kind="x"} 3\\n')
-    {'a_total{kind="x"}': 3.0}
-    """
-    samples = {}
-    for line in text.splitlines():
-        name, _, value = line.rpartition(" ")
-        if name and not line.startswith("#"):
-            samples[name] = float(value)
-    return samples
-
-
-def sum_series(metrics: dict[str, float], name: str) -> float:
-    """Return the sum of all samples of one name, over its labels."""
-    return sum(value for key, value in metrics.items() if key.partition("{")[0] == name)
--- a/apricotrail/measure/_target.py
+++ b/apricotrail/measure/_target.py
@@ -1,7 +1,7 @@
 """Small stand-in targets: HTTP servers whose tasks only wait, with switchable faults."""
 
 import asyncio
-from collections import Counter
+from collections import Counter, deque
 from collections.abc import Callable
 from enum import StrEnum
 
@@ -14,6 +14,7 @@
 
 FAST_FAILURE_MS = 1.0
 SLOW_FACTOR = 10.0
+MAX_START_TIMES = 100_000
 _MS_PER_S = 1_000.0
 
 
@@ -54,6 +55,8 @@
         Run time of the tasks that ended well.
     most_running : int
         Most tasks that ran at once.
+    start_times_ms : deque of float
+        Moments of the latest starts.
     starts_out_of_service : int
         Starts after the moment set by `forbid_starts`.
     """
@@ -68,6 +71,7 @@
         self.work_ms = 0.0
         self.most_running = 0
         self.starts_out_of_service = 0
+        self.start_times_ms: deque[float] = deque(maxlen=MAX_START_TIMES)
         self._clock = clock
         self._forbidden_from_ms: float | None = None
         self._running: dict[tuple[str, int], asyncio.Future] = {}
@@ -133,9 +137,11 @@
         return run_ms * SLOW_FACTOR if self.mode is FaultMode.SLOW else run_ms
 
     def _count_start(self, key: tuple[str, int]) -> None:
+        now_ms = self._clock()
         self.starts[key] += 1
+        self.start_times_ms.append(now_ms)
         forbidden_ms = self._forbidden_from_ms
-        if forbidden_ms is not None and self._clock() >= forbidden_ms:
+        if forbidden_ms is not None and now_ms >= forbidden_ms:
             self.starts_out_of_service += 1
 
 
--- a/apricotrail/measure/tests/test_target.py
+++ b/apricotrail/measure/tests/test_target.py
@@ -1,12 +1,14 @@
 """Stand-in targets, load, bounds and figures."""
 
 import asyncio
+from contextlib import ExitStack
 from unittest import IsolatedAsyncioTestCase
 
 from nose2.tools import params
 
 from apricotrail.http import HttpClient
 from apricotrail.measure import (
+    DEPLOYMENTS,
     FaultMode,
     JobResult,
     JobSpec,
@@ -19,7 +21,9 @@
     make_load,
     make_standin_target,
     make_task_body,
+    start_system,
 )
+from apricotrail.measure._drive import send_load
 from apricotrail.measure._figures import TargetCounts
 from apricotrail.measure._ideal import SlotChange
 from apricotrail.measure._load import mean_task_ms
@@ -109,3 +113,20 @@
     assert figures.useful_share == 0.5
     assert (figures.double_starts, figures.false_reports) == (1, 2)
     assert (figures.starts_out_of_service, figures.broken_answers) == (2, 1)
+
+
+class MeasuredSystemCase(IsolatedAsyncioTestCase):
+    async def test_roles_in_one_process_keep_the_promises(self):
+        shape = LoadShape(
+            0.5, 16, 1_000.0, "repair", [("shop-1-1", "shop-1")], tasks=(1, 8), long_share=0.0
+        )
+        size = DEPLOYMENTS["reparo"]._replace(targets=2, entries=2, replicas=1)
+        with ExitStack() as resources:
+            system = await start_system(size, resources, False, {"entry.drain_ms": 0})
+            try:
+                results = await send_load(system, make_load(shape, 1), 1, lambda at_ms: 16)
+            finally:
+                await system.stop()
+        figures = make_figures(results, system.counts(), 1.0)
+        assert figures.jobs == figures.complete > 0
+        assert (figures.double_starts, figures.broken_answers) == (0, 0)
