--- a/apricotrail/measure/_run.py
+++ b/apricotrail/measure/_run.py
@@ -36,6 +36,8 @@
         Seed of load and choices.
     processes : bool
         Whether every role is a process of its own.
+    hosted : bool
+        Whether entries host the agents of the targets.
     """
 
     deployment: str = "reparo"
@@ -46,6 +48,7 @@
     deadline_ms: int = 0
     seed: int = 1
     processes: bool = True
+    hosted: bool = False
 
 
 async def run_plan(plan: RunPlan) -> Figures:
@@ -53,7 +56,9 @@
     deployment = DEPLOYMENTS[plan.deployment]
     settings = {"entry.placement": plan.placement}
     with ExitStack() as resources:
-        system = await start_system(deployment, resources, plan.processes, settings)
+        system = await start_system(
+            deployment, resources, plan.processes, settings, hosted=plan.hosted
+        )
         try:
             return await _measure(plan, deployment, system)
         finally:
--- a/apricotrail/measure/_system.py
+++ b/apricotrail/measure/_system.py
@@ -15,6 +15,7 @@
 from apricotrail.clocks import monotonic_ms
 from apricotrail.errors import ApricotrailError, ErrorKind, Problem
 from apricotrail.http import ClientLimits, HttpClient, Response
+from apricotrail.measure._announcing import announce_forever
 from apricotrail.measure._counters import parse_metrics, sum_series
 from apricotrail.measure._deployment import Deployment, write_document
 from apricotrail.measure._figures import TargetCounts
@@ -60,6 +61,8 @@
         Starts one role.
     settings : dict
         Further settings of every role.
+    hosted : bool
+        Whether entries host the agents; otherwise each target has an agent process beside it.
 
     Attributes
     ----------
@@ -74,7 +77,12 @@
     """
 
     def __init__(
-        self, deployment: Deployment, folder: Path, run_role: RoleRunner, settings: dict
+        self,
+        deployment: Deployment,
+        folder: Path,
+        run_role: RoleRunner,
+        settings: dict,
+        hosted: bool = False,
     ) -> None:
         self.deployment = deployment
         self.client = HttpClient(ClientLimits(connections=CLIENT_CONNECTIONS))
@@ -88,6 +96,8 @@
         self._plans: dict[str, RolePlan] = {}
         self._operators: dict[str, str] = {}
         self._requests = count(1)
+        self._hosted = hosted
+        self._announcing: asyncio.Task | None = None
 
     async def start(self) -> None:
         """Start everything and wait until every target can be used."""
@@ -108,13 +118,20 @@
         await self._wait_until(self._sees_targets, "targets to be seen by every entry")
 
     async def start_role(self, name: str) -> None:
-        """Start a planned role, or start it again after it was stopped or killed."""
-        plan = self._plans[name]
+        """Start a planned role, or start it again after it was stopped or killed.
+
+        A system with hosted agents has no plan for them; nothing happens then.
+        """
+        plan = self._plans.get(name)
+        if plan is None:
+            return
         values = plan.values | self._settings
         self.roles[name] = await self._run_role(plan.role, name, values)
 
     async def stop(self) -> None:
         """Stop agents, then entries, then control, then the targets."""
+        if self._announcing is not None:
+            self._announcing.cancel()
         for role in ("agent", "entry", "control"):
             names = [name for name in self.roles if self._plans[name].role == role]
             stops = (self.roles.pop(name).stop() for name in names)
@@ -124,8 +141,10 @@
         await self.client.close()
 
     async def kill(self, name: str) -> None:
-        """End a role without a planned stop."""
-        await self.roles.pop(name).kill()
+        """End a role without a planned stop; a role that does not run is left alone."""
+        role = self.roles.pop(name, None)
+        if role is not None:
+            await role.kill()
 
     async def set_zone(self, zone: str, in_service: bool) -> float:
         """Take a zone out or bring it back; returns the answer time in ms."""
@@ -182,9 +201,15 @@
             target = make_standin_target(place.target, place.zone, self.deployment.slots)
             self.targets[place.target] = target
             address = await target.listen()
+            if self._hosted:
+                continue
             name = f"agent-{place.target}"
             self._plans[name] = plan_agent(self.deployment, place, address, self._plans)
             await self.start_role(name)
+        if self._hosted:
+            self._announcing = asyncio.ensure_future(
+                announce_forever(self.client, self.targets, self.entries, self.deployment)
+            )
 
     async def _put_document(self) -> None:
         text = write_document(self.deployment).encode()
@@ -248,6 +273,7 @@
     processes: bool = True,
     settings: dict | None = None,
     folder: Path | None = None,
+    hosted: bool = False,
 ) -> MeasuredSystem:
     """Start a whole system on loopback with ports chosen free.
 
@@ -263,6 +289,8 @@
         Further settings of every role, by dotted name.
     folder : Path, optional
         Folder for settings, logs and data; by default a temporary one.
+    hosted : bool
+        Whether entries host the agents of the targets.
 
     Raises
     ------
@@ -273,7 +301,7 @@
         folder = Path(resources.enter_context(TemporaryDirectory(prefix="apricotrail-")))
     folder.mkdir(parents=True, exist_ok=True)
     run_role = make_process_runner(folder) if processes else run_in_process
-    system = MeasuredSystem(deployment, folder, run_role, settings or {})
+    system = MeasuredSystem(deployment, folder, run_role, settings or {}, hosted)
     try:
         await system.start()
     except BaseException:
--- a/apricotrail/measure/_target.py
+++ b/apricotrail/measure/_target.py
@@ -7,7 +7,7 @@
 
 import orjson
 
-from apricotrail.clocks import Clock, monotonic_ms
+from apricotrail.clocks import Clock, monotonic_ms, wall_ms
 from apricotrail.http import HttpServer, Request, Response, Router, json_response
 
 __all__ = ["FaultMode", "StandinTarget", "make_answer", "make_standin_target", "make_task_body"]
@@ -47,6 +47,8 @@
     ----------
     address : str
         ``host:port`` once `listen` has run.
+    incarnation : int
+        Wall clock in ms when `listen` last ran.
     mode : FaultMode
         Present fault.
     starts : Counter
@@ -66,6 +68,7 @@
         self.zone = zone
         self.slots = slots
         self.address = ""
+        self.incarnation = 0
         self.mode = FaultMode.OK
         self.starts: Counter[tuple[str, int]] = Counter()
         self.work_ms = 0.0
@@ -82,6 +85,7 @@
         if self.address:
             host, _, text = self.address.rpartition(":")
             port = int(text)
+        self.incarnation = wall_ms()
         self._server = HttpServer(_make_router(self))
         self.address = await self._server.listen(host, port)
         return self.address
@@ -94,6 +98,10 @@
         if server is not None:
             await server.stop(0)
 
+    def is_listening(self) -> bool:
+        """Return whether the server is open."""
+        return self._server is not None
+
     def forbid_starts(self, from_ms: float | None) -> None:
         """Count starts from a moment on as out of service, None to allow them again."""
         self._forbidden_from_ms = from_ms
--- a/apricotrail/measure/commands.py
+++ b/apricotrail/measure/commands.py
@@ -22,6 +22,7 @@
     deadline_ms: int = 0,
     seed: int = 1,
     one_process: bool = False,
+    hosted: bool = False,
     json: bool = False,
 ) -> int:
     """Run every combination, one after the other, and print a table of figures.
@@ -44,11 +45,13 @@
         Seed of load and choices.
     one_process
         Run all roles in this process; quicker to start, and no role can be killed.
+    hosted
+        Entries host the agents; otherwise each target has an agent process beside it.
     json
         Print JSON instead of a table.
     """
     plans = [
-        RunPlan(size, name, policy, factor, seconds, deadline_ms, seed, not one_process)
+        RunPlan(size, name, policy, factor, seconds, deadline_ms, seed, not one_process, hosted)
         for size, name, factor, policy in product(deployment, fault, load, placement)
     ]
     rows = []
@@ -69,7 +72,8 @@
 
 
 def _describe(plan: RunPlan) -> str:
-    return f"{plan.deployment} {plan.fault} {plan.load_factor:g} {plan.placement}"
+    hosted = " hosted" if plan.hosted else ""
+    return f"{plan.deployment} {plan.fault} {plan.load_factor:g} {plan.placement}{hosted}"
 
 
 def _render_json(rows: list[tuple[str, Figures]]) -> str:
