--- a/apricotrail/measure/_model.py
+++ b/apricotrail/measure/_model.py
@@ -11,13 +11,15 @@
 from random import Random
 from typing import NamedTuple
 
-from apricotrail.measure._figures import JobResult, TargetCounts
-from apricotrail.measure._ideal import ideal_response_ms
+from apricotrail.measure._figures import Figures, JobResult, TargetCounts, make_figures
+from apricotrail.measure._ideal import SlotChange, ideal_response_ms, ideal_work_ms
 from apricotrail.measure._load import JobSpec
 from apricotrail.measure._model_agent import ModelAgent
 from apricotrail.measure._model_entry import ModelEntry
 
-__all__ = ["Model", "ModelShape", "Schedule"]
+__all__ = ["Model", "ModelShape", "Schedule", "run_model"]
+
+DRAIN_MS = 60_000.0
 
 
 class ModelShape(NamedTuple):
@@ -152,3 +154,16 @@
             for entry in self.entries:
                 self.send(lambda entry=entry: entry.report(agent, agent.free()))
         self.schedule.after(self.shape.report_ms, lambda: self._report(agent))
+
+
+def run_model(shape: ModelShape, jobs: Sequence[JobSpec], duration_ms: float) -> Figures:
+    """Run a load without faults and return its model figures."""
+    model = Model(shape)
+    model.run(jobs, duration_ms)
+    work_ms = model.work_ms
+    model.schedule.run(duration_ms + DRAIN_MS)
+    counts = model.counts()._replace(work_ms=work_ms)
+    slots = [SlotChange(0.0, shape.targets * shape.slots)]
+    return make_figures(
+        model.results, counts, ideal_work_ms(jobs, slots, duration_ms), model.wasted
+    )
--- a/apricotrail/measure/commands.py
+++ b/apricotrail/measure/commands.py
@@ -7,10 +7,14 @@
 
 from apricotrail.measure._faults import FAULTS
 from apricotrail.measure._figures import Figures, render_table
+from apricotrail.measure._load import LoadShape, make_load
+from apricotrail.measure._model import ModelShape, run_model
 from apricotrail.measure._run import RunPlan, run_plan
 
 __all__ = ["MEASURE_COMMANDS"]
 
+SLOTS = 88
+
 
 def run(
     *,
@@ -68,7 +72,48 @@
         print(f"{script.name:16} {script.meaning}")
 
 
-MEASURE_COMMANDS = {"run": run, "faults": faults}
+def model(
+    *,
+    placement: list[str] = ["late-binding"],  # noqa: B006
+    load: list[float] = [0.7],  # noqa: B006
+    report_ms: list[float] = [1_000.0],  # noqa: B006
+    callers: int = 9,
+    deadline_ms: float = 30_000.0,
+    seconds: float = 30.0,
+    seed: int = 1,
+) -> None:
+    """Print model figures, in virtual time: placements with and without offers of free slots.
+
+    Parameters
+    ----------
+    placement
+        late-binding, power-of-two, join-shortest or random.
+    load
+        Load factors: work offered over the work that all slots can do.
+    report_ms
+        Intervals of load reports.
+    callers
+        Callers, in three teams.
+    deadline_ms
+        Deadline of every job.
+    seconds
+        Virtual time in which jobs arrive.
+    seed
+        Seed of load and choices.
+    """
+    rows = []
+    for factor, interval_ms, policy, offers in product(load, report_ms, placement, (False, True)):
+        shape = ModelShape(placement=policy, report_ms=interval_ms, offers=offers, seed=seed)
+        name = f"{factor:g} {policy} {'offers' if offers else 'no offers'} {interval_ms:g} ms"
+        names = [(f"caller-{number}", f"team-{number % 3}") for number in range(callers)]
+        load_shape = LoadShape(
+            factor, SLOTS, seconds * 1_000, callers=names, deadline_ms=deadline_ms
+        )
+        rows.append((name, run_model(shape, make_load(load_shape, seed), seconds * 1_000)))
+    print(render_table(rows))
+
+
+MEASURE_COMMANDS = {"run": run, "faults": faults, "model": model}
 
 
 def _describe(plan: RunPlan) -> str:
