--- a/apricotrail/measure/_plans.py
+++ b/apricotrail/measure/_plans.py
@@ -11,6 +11,7 @@
 __all__ = ["RolePlan", "find_free_ports", "plan_agent", "plan_control", "plan_entries"]
 
 HOST = "127.0.0.1"
+PORT_RANGE = (20_000, 32_000)
 
 
 class RolePlan(NamedTuple):
@@ -91,14 +92,22 @@
 
 
 def find_free_ports(number: int) -> list[int]:
-    """Return ports that were free a moment ago, in random order."""
-    probes = [socket.socket() for _ in range(number)]
-    try:
-        for probe in probes:
-            probe.bind(("127.0.0.1", 0))
-        ports = [probe.getsockname()[1] for probe in probes]
-    finally:
-        for probe in probes:
-            probe.close()
-    Random(ports[0]).shuffle(ports)
+    """Return ports that are free now, below the range from which connections take theirs."""
+    random = Random()
+    ports: list[int] = []
+    for port in random.sample(range(*PORT_RANGE), PORT_RANGE[1] - PORT_RANGE[0]):
+        if len(ports) == number:
+            break
+        if _is_free(port):
+            ports.append(port)
     return ports
+
+
+def _is_free(port: int) -> bool:
+    with socket.socket() as probe:
+        probe.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        try:
+            probe.bind((HOST, port))
+        except OSError:
+            return False
+    return True
--- a/apricotrail/measure/commands.py
+++ b/apricotrail/measure/commands.py
@@ -5,6 +5,7 @@
 import sys
 from itertools import product
 
+from apricotrail.errors import ApricotrailError
 from apricotrail.measure._faults import FAULTS
 from apricotrail.measure._figures import Figures, render_table
 from apricotrail.measure._load import LoadShape, make_load
@@ -60,10 +61,13 @@
     ]
     rows = []
     for plan in plans:
-        rows.append((_describe(plan), asyncio.run(run_plan(plan))))
-        print(*rows[-1], file=sys.stderr)
+        try:
+            rows.append((_describe(plan), asyncio.run(run_plan(plan))))
+            print(*rows[-1], file=sys.stderr)
+        except ApricotrailError as error:
+            print(_describe(plan), error.problem, file=sys.stderr)
     print(_render_json(rows) if json else render_table(rows))
-    return int(any(_breaks_promise(figures) for _, figures in rows))
+    return int(len(rows) < len(plans) or any(_breaks_promise(figures) for _, figures in rows))
 
 
 def faults() -> None:
