--- a/apricotrail/measure/_run.py
+++ b/apricotrail/measure/_run.py
@@ -5,13 +5,14 @@
 from contextlib import ExitStack
 from typing import NamedTuple
 
+from apricotrail.measure._counters import sum_series
 from apricotrail.measure._deployment import DEPLOYMENTS, Deployment
 from apricotrail.measure._drive import send_load
 from apricotrail.measure._faults import FAULTS, add_burst, cancel_wave, run_script, slot_changes
 from apricotrail.measure._figures import Figures, make_figures
 from apricotrail.measure._ideal import ideal_work_ms
 from apricotrail.measure._load import JobSpec, LoadShape, make_load
-from apricotrail.measure._system import start_system, sum_series
+from apricotrail.measure._system import start_system
 
 __all__ = ["RunPlan", "run_plan"]
 
@@ -35,6 +36,8 @@
         Seed of load and choices.
     processes : bool
         Whether every role is a process of its own.
+    hosted : bool
+        Whether entries host the agents of the targets.
     """
 
     deployment: str = "reparo"
@@ -45,6 +48,7 @@
     deadline_ms: int = 0
     seed: int = 1
     processes: bool = True
+    hosted: bool = False
 
 
 async def run_plan(plan: RunPlan) -> Figures:
@@ -52,7 +56,9 @@
     deployment = DEPLOYMENTS[plan.deployment]
     settings = {"entry.placement": plan.placement}
     with ExitStack() as resources:
-        system = await start_system(deployment, resources, plan.processes, settings)
+        system = await start_system(
+            deployment, resources, plan.processes, settings, hosted=plan.hosted
+        )
         try:
             return await _measure(plan, deployment, system)
         finally:
@@ -80,7 +86,9 @@
     counts = counts._replace(work_ms=work_at_end_ms, all_work_ms=counts.work_ms)
     metrics = await system.read_metrics()
     ideal_ms = ideal_work_ms(jobs, changes, duration_ms)
-    return make_figures(results, counts, ideal_ms, sum_series(metrics, WASTED))
+    figures = make_figures(results, counts, ideal_ms, sum_series(metrics, WASTED))
+    out_ms, in_ms = system.longest_zone_delays_ms()
+    return figures._replace(zone_out_ms=out_ms, zone_in_ms=in_ms)
 
 
 def plan_jobs(plan: RunPlan, deployment: Deployment) -> list[JobSpec]:
--- a/apricotrail/measure/_target.py
+++ b/apricotrail/measure/_target.py
@@ -1,19 +1,20 @@
 """Small stand-in targets: HTTP servers whose tasks only wait, with switchable faults."""
 
 import asyncio
-from collections import Counter
+from collections import Counter, deque
 from collections.abc import Callable
 from enum import StrEnum
 
 import orjson
 
-from apricotrail.clocks import Clock, monotonic_ms
+from apricotrail.clocks import Clock, monotonic_ms, wall_ms
 from apricotrail.http import HttpServer, Request, Response, Router, json_response
 
 __all__ = ["FaultMode", "StandinTarget", "make_answer", "make_standin_target", "make_task_body"]
 
 FAST_FAILURE_MS = 1.0
 SLOW_FACTOR = 10.0
+MAX_START_TIMES = 100_000
 _MS_PER_S = 1_000.0
 
 
@@ -46,6 +47,8 @@
     ----------
     address : str
         ``host:port`` once `listen` has run.
+    incarnation : int
+        Wall clock in ms when `listen` last ran.
     mode : FaultMode
         Present fault.
     starts : Counter
@@ -54,6 +57,8 @@
         Run time of the tasks that ended well.
     most_running : int
         Most tasks that ran at once.
+    start_times_ms : deque of float
+        Moments of the latest starts.
     starts_out_of_service : int
         Starts after the moment set by `forbid_starts`.
     """
@@ -63,11 +68,13 @@
         self.zone = zone
         self.slots = slots
         self.address = ""
+        self.incarnation = 0
         self.mode = FaultMode.OK
         self.starts: Counter[tuple[str, int]] = Counter()
         self.work_ms = 0.0
         self.most_running = 0
         self.starts_out_of_service = 0
+        self.start_times_ms: deque[float] = deque(maxlen=MAX_START_TIMES)
         self._clock = clock
         self._forbidden_from_ms: float | None = None
         self._running: dict[tuple[str, int], asyncio.Future] = {}
@@ -78,6 +85,7 @@
         if self.address:
             host, _, text = self.address.rpartition(":")
             port = int(text)
+        self.incarnation = wall_ms()
         self._server = HttpServer(_make_router(self))
         self.address = await self._server.listen(host, port)
         return self.address
@@ -90,6 +98,10 @@
         if server is not None:
             await server.stop(0)
 
+    def is_listening(self) -> bool:
+        """Return whether the server is open."""
+        return self._server is not None
+
     def forbid_starts(self, from_ms: float | None) -> None:
         """Count starts from a moment on as out of service, None to allow them again."""
         self._forbidden_from_ms = from_ms
@@ -133,9 +145,11 @@
         return run_ms * SLOW_FACTOR if self.mode is FaultMode.SLOW else run_ms
 
     def _count_start(self, key: tuple[str, int]) -> None:
+        now_ms = self._clock()
         self.starts[key] += 1
+        self.start_times_ms.append(now_ms)
         forbidden_ms = self._forbidden_from_ms
-        if forbidden_ms is not None and self._clock() >= forbidden_ms:
+        if forbidden_ms is not None and now_ms >= forbidden_ms:
             self.starts_out_of_service += 1
 
 
