--- a/apricotrail/agent/tests/test_lost_links.py
+++ b/apricotrail/agent/tests/test_lost_links.py
@@ -99,6 +99,19 @@
             reply = await new.link.call(fence, CALL_MS)
             self.assertEqual(read_states(reply), [(0, 1, TaskState.DONE, Reason.NONE, b"ok")])
 
+    async def test_two_addresses_of_one_entry_keep_one_link(self):
+        async with Scene() as scene:
+            entry = scene.entry
+            links = []
+            entry.endpoint.on_up(links.append)
+            port = entry.address.rpartition(":")[2]
+            entry.set_view(f"localhost:{port}")
+            entry.put_item("service/counter", {})
+            await wait_until(lambda: len(links) == 1)
+            beats = len(entry.loads)
+            await wait_until(lambda: len(entry.loads) > beats + 20)
+            self.assertEqual(links, [entry.link])
+
     async def test_new_entry_incarnation_replaces_the_old_link(self):
         async with Scene() as scene:
             address = scene.entry.address
@@ -109,7 +122,8 @@
             host, port = address.split(":")
             await restarted.endpoint.listen(host, int(port))
             restarted.endpoint.start()
-            await wait_until(lambda: restarted.link and restarted.served_versions[-1:] == [2])
+            await wait_until(lambda: restarted.link)
+            await wait_until(lambda: scene.agent._follower.configuration.version == 2)
             await wait_until(lambda: restarted.loads and restarted.loads[-1].accepting)
             restarted.start_tasks("school/2", {})
             await wait_until(lambda: restarted.outcomes)
--- a/apricotrail/entry/_application.py
+++ b/apricotrail/entry/_application.py
@@ -398,6 +398,7 @@
             Admission(self.random, self.settings),
             self.settings.get(MAX_JOBS_OF_CALLER),
             monotonic_ms,
+            lambda: len(self.succession.view.members),
         )
 
     def _ownership_parts(self) -> OwnershipParts:
@@ -408,6 +409,7 @@
                 lambda: list(self.relay.effective.targets),
                 self.identity,
                 monotonic_ms,
+                self.settings.get(CLAIM_CALL_MS),
             )
         )
         return OwnershipParts(
--- a/apricotrail/entry/_placer.py
+++ b/apricotrail/entry/_placer.py
@@ -5,14 +5,12 @@
 
 from apricotrail.entry._agents import AgentState
 from apricotrail.entry._job import Job
-from apricotrail.entry._work import Work
-from apricotrail.policy import Candidate, FairQueue, Placement
+from apricotrail.entry._work import FIRST_RUN_MS, Work
+from apricotrail.policy import Candidate, FairQueue, Placement, list_worth_asking
 from apricotrail.wire.generated.ttypes import SlotWant, StartTasks, TaskStart
 
 __all__ = ["Placer", "ServiceView"]
 
-MEDIAN = 0.5
-
 ServiceView = Callable[[str], Iterable[tuple[str, str]]]
 """Gives (target id, zone id) of every target of a service that may start tasks now."""
 
@@ -82,15 +80,15 @@
             self._withdraw_wants(service)
             return
         agents = self._list_usable(service)
-        candidates = [self._describe(agent) for agent in agents.values()]
-        open_slots = [c for c in candidates if c.free_slots + c.granted > 0]
-        room = sum(c.free_slots + c.granted for c in open_slots)
-        count = min(len(queue), room)
-        if count:
-            for assignment in self._placement(open_slots, count):
-                self._start(agents[assignment.name], queue, assignment.count)
+        mean_ms = self._work.run_times.mean_ms(service, FIRST_RUN_MS)
+        candidates = [self._describe(agent, mean_ms) for agent in agents.values()]
+        assignments = self._placement(candidates, len(queue))
+        left = len(queue) - sum(assignment.count for assignment in assignments)
+        for assignment in assignments:
+            self._start(agents[assignment.name], queue, assignment.count, left)
         if len(queue):
-            self._state_wants(list(agents.values()), len(queue))
+            asked = list_worth_asking(candidates, len(queue))
+            self._state_wants([agents[candidate.name] for candidate in asked], len(queue))
 
     def _list_usable(self, service: str) -> dict[str, AgentState]:
         now_ms = self._work.clock()
@@ -103,11 +101,12 @@
                 usable[agent.name] = agent
         return usable
 
-    def _describe(self, agent: AgentState) -> Candidate:
+    def _describe(self, agent: AgentState, mean_ms: float) -> Candidate:
         granted = agent.count_granted()
         free_slots = agent.count_free()
         now_ms = self._work.clock()
-        usable = self._work.health.slots_to_use(agent.target, free_slots + granted, now_ms)
+        health = self._work.health
+        usable = health.slots_to_use(agent.target, free_slots + granted, now_ms)
         return Candidate(
             name=agent.name,
             zone=agent.link.peer.zone,
@@ -116,15 +115,16 @@
             slots=agent.slots,
             queue_ahead=agent.open_count,
             latency_ms=agent.latency_ms,
-            service_ms=self._work.run_times.percentile_ms(agent.target, MEDIAN),
+            service_ms=mean_ms * health.slowness(agent.target, now_ms),
         )
 
-    def _start(self, agent: AgentState, queue: FairQueue, count: int) -> None:
+    def _start(self, agent: AgentState, queue: FairQueue, count: int, left: int) -> None:
+        """Start the next tasks at an agent; `left` tasks stay queued after this round."""
         now_ms = self._work.clock()
         for taken in queue.take(count, now_ms):
             job = self._work.jobs.get(taken.job)
             if job is not None:
-                self._send_start(agent, job, list(taken.tasks), len(queue), now_ms)
+                self._send_start(agent, job, list(taken.tasks), left, now_ms)
 
     def _send_start(
         self, agent: AgentState, job: Job, tasks: list[int], queued: int, now_ms: float
--- a/apricotrail/entry/_work.py
+++ b/apricotrail/entry/_work.py
@@ -11,7 +11,7 @@
 from apricotrail.policy import FairQueue, QueuedJob, RetryBudget, RunTimes, TargetHealth
 from apricotrail.wire.generated.ttypes import TaskState
 
-__all__ = ["Work"]
+__all__ = ["FIRST_RUN_MS", "Work"]
 
 FIRST_RUN_MS = 100.0
 
@@ -37,7 +37,7 @@
     queues : dict of str to FairQueue
         Queued tasks by service.
     run_times : RunTimes
-        Learned run times, by service and by target.
+        Learned run times by service.
     health : TargetHealth
         Which targets fail.
     retries : RetryBudget
--- a/apricotrail/measure/_model_entry.py
+++ b/apricotrail/measure/_model_entry.py
@@ -1,6 +1,5 @@
 """The entry of the model: uses the policy as the role does."""
 
-from collections import Counter
 from random import Random
 from typing import TYPE_CHECKING
 
@@ -13,17 +12,18 @@
     Candidate,
     FairQueue,
     QueuedJob,
-    RetryBudget,
     RunTimes,
     ServiceState,
     TargetHealth,
-    backoff_ms,
+    list_worth_asking,
 )
 
 if TYPE_CHECKING:
     from apricotrail.measure._model import Model, ModelAgent
 
 __all__ = ["ModelEntry"]
+GRANT_USE_MS = 45.0
+FIRST_RUN_MS = 100.0
 
 
 class _Known:
@@ -31,8 +31,22 @@
         self.free = free
         self.granted = 0
         self.sent: set[tuple[str, int]] = set()
-        self.wanted = False
+        self.wanted = 0
         self.lost = False
+        self.grants_used = 0
+
+    def use(self, count: int) -> None:
+        """Count started tasks against granted slots first, then against free ones."""
+        used = min(self.granted, count)
+        self.granted -= used
+        self.grants_used += used
+        self.free = max(0, self.free - (count - used))
+
+    def expire(self, granted: int) -> None:
+        """Drop granted slots that were not used in time; those used since count against them."""
+        used = min(granted, self.grants_used)
+        self.grants_used -= used
+        self.granted = max(0, self.granted - (granted - used))
 
 
 class _Job:
@@ -41,7 +55,6 @@
         self.ideal_ms = ideal_ms
         self.began_ms = now_ms
         self.states = ["not_run"] * len(spec.tasks)
-        self.attempts: Counter[int] = Counter()
         self.left = len(spec.tasks)
 
 
@@ -64,7 +77,6 @@
         self.admission = Admission(self.random)
         self.health = TargetHealth(self.random)
         self.times = RunTimes()
-        self.budget = RetryBudget()
         self.jobs: dict[str, _Job] = {}
         self.zones_out: set[str] = set()
         self.known = {agent.name: _Known(model.shape.slots) for agent in model.agents}
@@ -83,7 +95,7 @@
             return
         self.jobs[name] = job
         deadline_ms = now_ms + spec.deadline_ms
-        cost = self.times.mean_ms(spec.service, 1.0)
+        cost = self.times.mean_ms(spec.service, FIRST_RUN_MS)
         self.queue.add(
             QueuedJob(name, spec.caller, spec.team, 1.0, range(job.left), now_ms, deadline_ms, cost)
         )
@@ -104,7 +116,9 @@
             return
         known = self.known[agent.name]
         known.granted += granted
-        known.wanted = known.wanted and not granted
+        if granted:
+            self.model.schedule.after(GRANT_USE_MS, lambda: known.expire(granted))
+        known.wanted = max(0, known.wanted - granted)
         known.lost = False
         for task, state, run_ms in outcomes:
             known.sent.discard((job, task))
@@ -114,6 +128,8 @@
 
     def report(self, agent: "ModelAgent", free: int) -> None:
         """Take in a load report."""
+        if not self.alive:
+            return
         self.known[agent.name].free = free
         self.known[agent.name].lost = False
         self._pump()
@@ -126,7 +142,7 @@
     def lose(self, agent: "ModelAgent") -> None:
         """Give up a silent agent: what was sent there may have run."""
         known = self.known[agent.name]
-        known.lost, known.free, known.granted, known.wanted = True, 0, 0, False
+        known.lost, known.free, known.granted, known.wanted = True, 0, 0, 0
         for job, _ in list(known.sent):
             self._finish(job, "may_have_run")
 
@@ -135,7 +151,6 @@
         self.alive = False
         for job in list(self.jobs):
             self._finish(job, "owner_lost")
-        self.known.clear()
 
     def cancel(self, job: str) -> None:
         """Cancel a job for its caller."""
@@ -144,17 +159,18 @@
     def _pump(self) -> None:
         if not self.alive:
             return
+        if not len(self.queue):
+            self._withdraw_wants()
+            return
         now_ms = self.model.schedule.now_ms
         candidates = self._candidates(now_ms)
-        for name, count in self.place(candidates, len(self.queue)):
-            self._start(self._agent(name), count, now_ms)
-        if len(self.queue) and self.model.shape.offers and self.place_is_late():
+        assignments = self.place(candidates, len(self.queue))
+        left = len(self.queue) - sum(count for _, count in assignments)
+        for name, count in assignments:
+            self._start(self._agent(name), count, left, now_ms)
+        if len(self.queue) and self.model.shape.offers:
             self._ask_for_slots(candidates)
 
-    def place_is_late(self) -> bool:
-        """Return whether the placement waits for free slots."""
-        return self.model.shape.placement == "late-binding"
-
     def _candidates(self, now_ms: float) -> list[Candidate]:
         candidates = []
         for agent in self.model.agents:
@@ -174,16 +190,14 @@
                     self.model.shape.slots,
                     len(known.sent),
                     2 * self.model.shape.latency_ms,
-                    self.times.percentile_ms(agent.name, 0.5),
+                    self.health.slowness(agent.name, now_ms),
                 )
             )
         return candidates
 
-    def _start(self, agent: "ModelAgent", count: int, now_ms: float) -> None:
+    def _start(self, agent: "ModelAgent", count: int, left: int, now_ms: float) -> None:
         known = self.known[agent.name]
-        used = min(known.granted, count)
-        known.granted -= used
-        known.free = max(0, known.free - (count - used))
+        known.use(count)
         for taken in self.queue.take(count, now_ms):
             self.health.note_start(agent.name, now_ms)
             spec = self.jobs[taken.job].spec
@@ -191,16 +205,28 @@
             known.sent.update((taken.job, task) for task in taken.tasks)
             for task in taken.tasks:
                 self.jobs[taken.job].states[task] = "running"
+            want = known.wanted = min(left, self.model.shape.slots)
             self.model.send(
-                lambda taken=taken, tasks=tasks: agent.start(self, taken.job, tasks, False)
+                lambda taken=taken, tasks=tasks, want=want: agent.start(
+                    self, taken.job, tasks, want
+                )
             )
 
     def _ask_for_slots(self, candidates: list[Candidate]) -> None:
-        for candidate in candidates:
+        for candidate in list_worth_asking(candidates, len(self.queue)):
             known = self.known[candidate.name]
             if not known.wanted:
-                known.wanted = True
-                self.model.send(lambda name=candidate.name: self._agent(name).want(self))
+                self._state_want(candidate.name, min(len(self.queue), self.model.shape.slots))
+
+    def _withdraw_wants(self) -> None:
+        for name, known in self.known.items():
+            if known.wanted and not known.lost:
+                self.model.wasted += 1
+                self._state_want(name, 0)
+
+    def _state_want(self, name: str, number: int) -> None:
+        self.known[name].wanted = number
+        self.model.send(lambda: self._agent(name).want(self, number))
 
     def _take_outcome(self, target: str, job: str, task: int, state: str, run_ms: float) -> None:
         record = self.jobs.get(job)
@@ -209,11 +235,7 @@
             return
         if state == "not_run":
             record.states[task] = "not_run"
-            record.attempts[task] += 1
-            wait_ms = (
-                0.0 if self.place_is_late() else backoff_ms(record.attempts[task], self.random)
-            )
-            self.model.schedule.after(wait_ms, lambda: self._put_back(job, task))
+            self.model.schedule.after(0.0, lambda: self._put_back(job, task))
             return
         self.health.observe(target, record.spec.service, state == "failed", run_ms, now_ms, job)
         record.states[task] = state
@@ -222,7 +244,6 @@
             self._finish(job, "task_failed")
             return
         self.times.observe(record.spec.service, run_ms, now_ms)
-        self.times.observe(target, run_ms, now_ms)
         self.queue.note_cost(job, run_ms)
         self.queue.note_progress(job, record.left)
         if record.left == 0:
@@ -271,6 +292,7 @@
             mean_task_ms=mean_ms,
             tasks_ahead=self.queue.tasks_ahead(spec.caller, spec.team, 1.0, len(spec.tasks)),
             busy=busy,
+            entries=len(self.model.entries),
             tail_ms=self.times.longest_ms(spec.service, len(spec.tasks)),
         )
 
--- a/apricotrail/measure/_run.py
+++ b/apricotrail/measure/_run.py
@@ -5,13 +5,14 @@
 from contextlib import ExitStack
 from typing import NamedTuple
 
+from apricotrail.measure._counters import sum_series
 from apricotrail.measure._deployment import DEPLOYMENTS, Deployment
 from apricotrail.measure._drive import send_load
 from apricotrail.measure._faults import FAULTS, add_burst, cancel_wave, run_script, slot_changes
 from apricotrail.measure._figures import Figures, make_figures
 from apricotrail.measure._ideal import ideal_work_ms
 from apricotrail.measure._load import JobSpec, LoadShape, make_load
-from apricotrail.measure._system import start_system, sum_series
+from apricotrail.measure._system import start_system
 
 __all__ = ["RunPlan", "run_plan"]
 
@@ -29,10 +30,14 @@
         Work offered over the work that all slots can do.
     duration_s : float
         Time in which jobs arrive, in seconds.
+    deadline_ms : int
+        Deadline of every job, 0 for the deployment's.
     seed : int
         Seed of load and choices.
     processes : bool
         Whether every role is a process of its own.
+    hosted : bool
+        Whether entries host the agents of the targets.
     """
 
     deployment: str = "reparo"
@@ -40,8 +45,10 @@
     placement: str = "late-binding"
     load_factor: float = 0.7
     duration_s: float = 20.0
+    deadline_ms: int = 0
     seed: int = 1
     processes: bool = True
+    hosted: bool = False
 
 
 async def run_plan(plan: RunPlan) -> Figures:
@@ -49,7 +56,9 @@
     deployment = DEPLOYMENTS[plan.deployment]
     settings = {"entry.placement": plan.placement}
     with ExitStack() as resources:
-        system = await start_system(deployment, resources, plan.processes, settings)
+        system = await start_system(
+            deployment, resources, plan.processes, settings, hosted=plan.hosted
+        )
         try:
             return await _measure(plan, deployment, system)
         finally:
@@ -73,10 +82,13 @@
     work_at_end_ms = system.counts().work_ms
     results = await load
     await faults
-    counts = system.counts()._replace(work_ms=work_at_end_ms)
+    counts = system.counts()
+    counts = counts._replace(work_ms=work_at_end_ms, all_work_ms=counts.work_ms)
     metrics = await system.read_metrics()
     ideal_ms = ideal_work_ms(jobs, changes, duration_ms)
-    return make_figures(results, counts, ideal_ms, sum_series(metrics, WASTED))
+    figures = make_figures(results, counts, ideal_ms, sum_series(metrics, WASTED))
+    out_ms, in_ms = system.longest_zone_delays_ms()
+    return figures._replace(zone_out_ms=out_ms, zone_in_ms=in_ms)
 
 
 def plan_jobs(plan: RunPlan, deployment: Deployment) -> list[JobSpec]:
@@ -87,7 +99,7 @@
         plan.duration_s * 1_000,
         service=deployment.service,
         callers=deployment.callers(),
-        deadline_ms=deployment.deadline_ms,
+        deadline_ms=plan.deadline_ms or deployment.deadline_ms,
     )
     jobs = make_load(shape, plan.seed)
     return add_burst(jobs, plan.duration_s * 1_000) if FAULTS[plan.fault].burst else jobs
--- a/apricotrail/policy/tests/test_health.py
+++ b/apricotrail/policy/tests/test_health.py
@@ -46,23 +46,39 @@
     assert len(health.ejected()) == 5
 
 
-def test_one_failing_job_ejects_nobody():
+def test_jobs_that_fail_everywhere_eject_nobody():
     health = TargetHealth()
     run(health, [])
-    for name in TARGETS:
-        for _ in range(100):
-            health.observe(name, "repair", True, 5.0, 1.0, job="a/bad")
+    random = Random(1)
+    for number in range(30):
+        for name in random.sample(TARGETS, len(TARGETS)):
+            for _ in range(100):
+                health.observe(name, "repair", True, 5.0, 1.0, job=f"a/bad-{number}")
+        run(health, [], rounds=1)
     assert health.ejected() == []
 
 
-def test_black_hole_costs_few_jobs():
+@params(("one task of each job", 1, 3), ("many tasks of each job", 5, 2))
+def test_black_hole_costs_few_jobs(_, tasks, expected):
     health = TargetHealth()
     run(health, [])
-    failed = 0
+    jobs = 0
     while health.may_use("t0", 1.0):
-        failed += 1
-        health.observe("t0", "repair", True, 1.0, 1.0, job=f"a/{failed}")
-    assert failed == 3
+        jobs += 1
+        for _ in range(tasks):
+            health.observe("t0", "repair", True, 1.0, 1.0, job=f"a/{jobs}")
+    assert jobs == expected
+
+
+def test_slow_target_is_known_after_few_tasks_and_tried_again_later():
+    health = TargetHealth()
+    for number in range(2_000):
+        run_ms = 50.0 * 20 ** ((number * 7 % 100) / 100)
+        slow = 10.0 if number >= 1_000 and number % 10 == 0 else 1.0
+        health.observe(TARGETS[number % 10], "repair", False, run_ms * slow, number)
+    assert health.slowness("t0", 2_000.0) > 5
+    assert all(0.4 < health.slowness(name, 2_000.0) < 2 for name in TARGETS[1:])
+    assert health.slowness("t0", 62_000.0) < 2
 
 
 def test_probe_is_single_and_backs_off():
@@ -164,7 +180,8 @@
     ("alone", ServiceState(0, 88, 0, 100.0), 100.0),
     ("tail", ServiceState(0, 88, 0, 100.0, tail_ms=900.0), 900.0),
     ("queue", ServiceState(88, 88, 88, 100.0), 300.0),
-    ("queue shared with other entries", ServiceState(44, 88, 44, 100.0, busy=88), 400.0),
+    ("queue shared with other entries", ServiceState(44, 88, 44, 100.0, busy=88, entries=3), 400.0),
+    ("first task of this entry", ServiceState(0, 88, 0, 100.0, busy=88, entries=2), 200.0),
     ("other callers", ServiceState(44, 88, 88, 100.0, tasks_ahead=176.0), 400.0),
     ("no slot", ServiceState(44, 0, 0, 100.0), 0.0),
 )
