Wait at a planned stop until every entry has the last outcomes, through a new link if need be

The agent now keeps, per entry, what no echo has proven yet, and waits up to three silences for the next link.

--- a/apricotrail/agent/_parameters.py
+++ b/apricotrail/agent/_parameters.py
@@ -7,8 +7,9 @@
 from apricotrail.application import STOP_MS
 from apricotrail.membership import CONFIG_STALE_MS
 from apricotrail.settings import Settings, declare_constraint, declare_setting
+from apricotrail.wire.generated.ttypes import Announcement, ShareAnnouncements
 
-__all__ = ["GRANT_MS", "AgentParameters", "make_parameters"]
+__all__ = ["GRANT_MS", "AgentParameters", "make_announcement", "make_parameters"]
 
 LEASE_MS = declare_setting(
     "agent.lease_ms",
@@ -122,3 +123,20 @@
         stale_ms=settings.get(CONFIG_STALE_MS),
         ledger=read_ledger_limits(settings),
     )
+
+
+def make_announcement(
+    parameters: AgentParameters, slots: int, incarnation: int, leaving: bool
+) -> ShareAnnouncements:
+    """Return the message in which an agent announces its target."""
+    announcement = Announcement(
+        target=parameters.target,
+        address=parameters.address,
+        slots=slots,
+        connections=parameters.connections,
+        incarnation=incarnation,
+        lease_ms=parameters.lease_ms,
+        leaving=leaving,
+        has_agent=True,
+    )
+    return ShareAnnouncements([announcement])
--- a/apricotrail/agent/_target_agent.py
+++ b/apricotrail/agent/_target_agent.py
@@ -7,9 +7,10 @@
 
 from apricotrail.agent._agent import Agent
 from apricotrail.agent._client import run_task, stop_task
+from apricotrail.agent._deliveries import Deliveries
 from apricotrail.agent._follower import ConfigurationFollower
 from apricotrail.agent._gate import GateState, find_closure
-from apricotrail.agent._parameters import AgentParameters
+from apricotrail.agent._parameters import AgentParameters, make_announcement
 from apricotrail.agent._records import Outcome
 from apricotrail.agent._rim import AgentRim
 from apricotrail.agent._standing import UNKNOWN, Standing, read_standing
@@ -19,13 +20,15 @@
 from apricotrail.membership import NEVER_CONFIRMED_AGE_MS, NO_VIEW, View, read_view
 from apricotrail.wire import Link, LinkEndpoint
 from apricotrail.wire.generated import ttypes
-from apricotrail.wire.generated.ttypes import Announcement, Heartbeat, Reason, ShareAnnouncements
+from apricotrail.wire.generated.ttypes import Heartbeat, Reason, ShareAnnouncements
 
 __all__ = ["TargetAgent"]
 
 STOP_CONNECTIONS = 8
 POLL_MS = 10
 ANNOUNCEMENTS_PER_LEASE = 3
+# One silence is noticed, a new link opened and attempts resolved within three.
+DELIVERY_SILENCES = 3
 
 AGENT_STOPPED = declare_event(
     5101, "agent_stopped", Level.INFO, "A planned stop ended; cut_off counts tasks stopped by it."
@@ -61,7 +64,7 @@
         self._view: View = NO_VIEW
         self._leaving = False
         self._stopping = False
-        self._echoed_ms: dict[str, float] = {}
+        self._deliveries = Deliveries(clock)
         self._follower = ConfigurationFollower(clock, parameters.stale_ms, self._apply_items)
         connections = max(1, parameters.connections)
         self._client = HttpClient(ClientLimits(connections=connections), clock)
@@ -98,7 +101,6 @@
             Time in milliseconds; by default that of the parameters.
         """
         limit_ms = self._parameters.stop_deadline_ms if deadline_ms is None else deadline_ms
-        until_ms = self._clock() + limit_ms
         self._stopping = True
         self._announce_to_all()
         self._beat()
@@ -106,7 +108,7 @@
         cut_off = self.agent.slots.running
         self.agent.runs.stop_all(Reason.STOPPING)
         await self._wait_for_runs(self._parameters.stop_task_ms)
-        await self._wait_for_echoes(max(until_ms, self._clock() + self._endpoint.silent_ms))
+        await self._wait_for_deliveries(DELIVERY_SILENCES * self._endpoint.silent_ms)
         await self._endpoint.stop()
         await self._client.close()
         await self._stop_client.close()
@@ -135,6 +137,7 @@
         )
 
     def _send(self, entry: str, message: Any) -> bool:
+        self._deliveries.note_sent(entry)
         link = self._endpoint.links.get(entry)
         if link is None:
             return False
@@ -168,10 +171,8 @@
         endpoint.on_up(self._link_up)
         endpoint.on_down(self._link_down)
         endpoint.on(ttypes.StartTasks, self._receive_start)
-        endpoint.on(
-            ttypes.ResolveAttempts, lambda link, m: agent.resolve_attempts(link.peer.name, m)
-        )
-        endpoint.on(ttypes.FenceJob, lambda link, m: agent.fence_job(m))
+        endpoint.on(ttypes.ResolveAttempts, self._resolve_attempts)
+        endpoint.on(ttypes.FenceJob, self._fence_job)
         endpoint.on(ttypes.StopTasks, lambda link, m: agent.stop_tasks(m))
         endpoint.on(ttypes.SlotWant, lambda link, m: agent.want_slots(link.peer.name, m))
         endpoint.on(ttypes.LedgerRequest, lambda link, m: agent.list_ledger())
@@ -182,9 +183,19 @@
         in_view = self._view.has(link.peer.name, link.peer.incarnation)
         self.agent.start_tasks(link.peer.name, message, in_view)
 
+    def _resolve_attempts(
+        self, link: Link, message: ttypes.ResolveAttempts
+    ) -> ttypes.AttemptStates | None:
+        self._deliveries.note_sent(link.peer.name)
+        return self.agent.resolve_attempts(link.peer.name, message)
+
+    def _fence_job(self, link: Link, message: ttypes.FenceJob) -> ttypes.AttemptStates | None:
+        self._deliveries.note_sent(link.peer.name)
+        return self.agent.fence_job(message)
+
     def _link_up(self, link: Link) -> None:
         self.agent.forget_entry(link.peer.name)
-        self._echoed_ms.pop(link.peer.name, None)
+        self._deliveries.note_link(link.peer.name)
         if self._parameters.announces:
             link.send(self._announcement())
         link.beat()
@@ -207,7 +218,7 @@
 
     def _receive_heartbeat(self, link: Link, heartbeat: Heartbeat, asked_ms: float | None) -> None:
         if asked_ms is not None:
-            self._echoed_ms[link.peer.name] = asked_ms
+            self._deliveries.note_echo(link.peer.name, asked_ms)
         if link.peer.role != "entry":
             return
         request = self._follower.receive_heartbeat(link, heartbeat, asked_ms)
@@ -233,18 +244,10 @@
     # ---- announcements ----
 
     def _announcement(self) -> ShareAnnouncements:
-        parameters = self._parameters
-        announcement = Announcement(
-            target=parameters.target,
-            address=parameters.address,
-            slots=self.agent.slots.count,
-            connections=parameters.connections,
-            incarnation=self._endpoint.identity.incarnation,
-            lease_ms=parameters.lease_ms,
-            leaving=self._stopping,
-            has_agent=True,
+        incarnation = self._endpoint.identity.incarnation
+        return make_announcement(
+            self._parameters, self.agent.slots.count, incarnation, self._stopping
         )
-        return ShareAnnouncements([announcement])
 
     def _announce_to_all(self) -> None:
         if not self._parameters.announces:
@@ -290,17 +293,12 @@
             async with asyncio.timeout(max(0.0, limit_ms) / 1000):
                 await self.agent.runs.wait_until_idle()
 
-    async def _wait_for_echoes(self, until_ms: float) -> None:
-        """Wait until each entry has answered a heartbeat sent after the last outcome."""
-        await asyncio.sleep(0)
-        sent_ms = self._clock()
+    async def _wait_for_deliveries(self, limit_ms: float) -> None:
+        """Wait until each entry has what was sent to it, if need be through a new link."""
+        until_ms = self._clock() + limit_ms
+        for link in self._entry_links():
+            self._deliveries.note_sent(link.peer.name)
+        await asyncio.sleep(POLL_MS / 1000)
         self._beat()
-        while self._clock() < until_ms:
-            waiting = [
-                link
-                for link in self._entry_links()
-                if self._echoed_ms.get(link.peer.name, -math.inf) < sent_ms
-            ]
-            if not waiting:
-                return
+        while self._deliveries.unproven() and self._clock() < until_ms:
             await asyncio.sleep(POLL_MS / 1000)
--- a/apricotrail/agent/tests/test_lost_links.py
+++ b/apricotrail/agent/tests/test_lost_links.py
@@ -99,6 +99,29 @@
             reply = await new.link.call(fence, CALL_MS)
             self.assertEqual(read_states(reply), [(0, 1, TaskState.DONE, Reason.NONE, b"ok")])
 
+    async def test_planned_stop_over_a_swallowing_link_loses_no_outcome(self):
+        for direction in ("to_agent", "to_entry"):
+            with self.subTest(direction):
+                async with Scene(proxied=True) as scene:
+                    entry, first = scene.entry, scene.entry.link
+                    replies = []
+
+                    async def resolve_at_once(link, replies=replies):
+                        request = resolve(link.peer.incarnation, (0, 1), (1, 1))
+                        replies.append(await link.call(request, CALL_MS))
+
+                    entry.start_tasks("school/1", HOLD)
+                    await wait_until(lambda target=scene.target: target.started)
+                    entry.endpoint.on_up(
+                        lambda link, e=entry, r=resolve_at_once: e.endpoint.spawn(r(link))
+                    )
+                    scene.proxy.swallow(direction)
+                    scene.target.release("school/1", 0)
+                    await scene.agent.stop()
+                    states = [state[2] for state in read_states(replies[0])]
+                    self.assertEqual(states, [TaskState.DONE, TaskState.NOT_RUN])
+                    self.assertIsNot(entry.link, first)
+
     async def test_two_addresses_of_one_entry_keep_one_link(self):
         async with Scene() as scene:
             entry = scene.entry
