Stop the HTTP server without losing a connection

asyncio.Server.close drops connections accepted in the tick of the stop (an AssertionError in transport creation, and the caller waits for ever) and resets those still queued by the kernel; idle connections were cut with requests on their way. The server now has its own listening socket, serves what is queued and keeps idle connections for http.last_request_ms.

--- a/apricotrail/http/_limits.py
+++ b/apricotrail/http/_limits.py
@@ -54,6 +54,13 @@
     unit="ms",
     minimum=1,
 )
+LAST_REQUEST_MS = declare_setting(
+    "http.last_request_ms",
+    100,
+    "A stopping server keeps idle connections this long for a request that is on its way.",
+    unit="ms",
+    minimum=0,
+)
 CLIENT_CONNECTIONS = declare_setting(
     "http.client_connections",
     64,
@@ -89,6 +96,7 @@
     body_timeout_ms: float = BODY_TIMEOUT_MS.default
     idle_timeout_ms: float = IDLE_TIMEOUT_MS.default
     linger_ms: float = LINGER_MS.default
+    last_request_ms: float = LAST_REQUEST_MS.default
 
 
 class ClientLimits(NamedTuple):
@@ -110,6 +118,7 @@
         settings.get(BODY_TIMEOUT_MS),
         settings.get(IDLE_TIMEOUT_MS),
         settings.get(LINGER_MS),
+        settings.get(LAST_REQUEST_MS),
     )
 
 
--- a/apricotrail/http/_server.py
+++ b/apricotrail/http/_server.py
@@ -2,11 +2,13 @@
 
 import asyncio
 from collections.abc import Awaitable, Callable
+from contextlib import suppress
 from email.utils import formatdate
 
 from apricotrail.clocks import Clock, monotonic_ms
 from apricotrail.http._connection import ServerConnection
 from apricotrail.http._limits import ServerLimits
+from apricotrail.http._listener import Listener
 from apricotrail.http._messages import Request, Response
 
 __all__ = ["HttpServer"]
@@ -14,7 +16,6 @@
 MAX_SWEEP_MS = 500
 MIN_SWEEP_MS = 5
 SWEEPS_PER_TIMEOUT = 4
-BACKLOG = 1_024
 
 Handler = Callable[[Request], Response | Awaitable[Response]]
 
@@ -52,7 +53,7 @@
         self.refused = 0
         self.date = formatdate(usegmt=True).encode()
         self._connections: set[ServerConnection] = set()
-        self._server: asyncio.Server | None = None
+        self._listener = Listener(lambda: ServerConnection(self))
         self._sweeper: asyncio.TimerHandle | None = None
         self._emptied = asyncio.Event()
 
@@ -75,11 +76,9 @@
         str
             Address as ``host:port``.
         """
-        loop = asyncio.get_running_loop()
-        factory = lambda: ServerConnection(self)  # noqa: E731
-        self._server = await loop.create_server(factory, host, port, backlog=BACKLOG)
+        address = self._listener.listen(host, port)
         self._schedule_sweep()
-        return f"{host}:{self._server.sockets[0].getsockname()[1]}"
+        return address
 
     def begin_draining(self) -> None:
         """Ask every caller to close: responses carry ``Connection: close`` from now on."""
@@ -88,19 +87,18 @@
     async def stop(self, deadline_ms: float) -> None:
         """Stop accepting, wait for running requests, then close what is left.
 
+        Connections without a request get `ServerLimits.last_request_ms` for one that is on its way.
+
         Parameters
         ----------
         deadline_ms : float
             Time to wait in milliseconds.
         """
         self.begin_draining()
-        if self._server is not None:
-            self._server.close()
-        for connection in list(self._connections):
-            connection.close_idle()
+        await self._listener.close()
         try:
             async with asyncio.timeout(deadline_ms / 1000):
-                await self._wait_until_empty()
+                await self._finish_requests()
         except TimeoutError:
             for connection in list(self._connections):
                 connection.abort()
@@ -122,7 +120,12 @@
 
     # ---- internals ----
 
-    async def _wait_until_empty(self) -> None:
+    async def _finish_requests(self) -> None:
+        with suppress(TimeoutError):
+            async with asyncio.timeout(self.limits.last_request_ms / 1000):
+                await self._wait_until_empty()
+        for connection in list(self._connections):
+            connection.close_idle()
         while self._connections:
             self._emptied.clear()
             await self._emptied.wait()
--- a/apricotrail/http/tests/test_server.py
+++ b/apricotrail/http/tests/test_server.py
@@ -1,6 +1,7 @@
 """Faults on the server's raw sockets, and its planned stop."""
 
 import asyncio
+import socket
 import unittest
 
 import orjson
@@ -18,6 +19,7 @@
     body_timeout_ms=60,
     idle_timeout_ms=60_000,
     linger_ms=200,
+    last_request_ms=50,
 )
 HOST = b"Host: a\r\n"
 GET = b"GET /healthz HTTP/1.1\r\n" + HOST + b"\r\n"
@@ -149,6 +151,27 @@
             self.assertTrue(await seen)
         await server.stop(1_000)
 
+    async def test_stop_answers_what_was_connected_before_it(self):
+        limits = LIMITS._replace(max_connections=100, last_request_ms=5_000)
+        server = HttpServer(answer, limits)
+        host, port = (await server.listen("127.0.0.1", 0)).split(":")
+        accepted = await asyncio.open_connection(host, int(port))
+        queued = []
+        for _ in range(20):
+            sock = socket.create_connection((host, int(port)))
+            queued.append(await asyncio.open_connection(sock=sock))
+        stop = asyncio.ensure_future(server.stop(10_000))
+        await asyncio.sleep(0.02)
+        for _, writer in (accepted, *queued):
+            writer.write(GET)
+        replies = [await reader.read(-1) for reader, _ in (accepted, *queued)]
+        self.assertEqual({reply[:12] for reply in replies}, {b"HTTP/1.1 200"})
+        await stop
+        with self.assertRaises(ConnectionRefusedError):
+            await asyncio.open_connection(host, int(port))
+        for _, writer in (accepted, *queued):
+            writer.close()
+
     async def test_stop_waits_for_running_requests(self):
         server = HttpServer(answer_slowly, LIMITS)
         address = await server.listen("127.0.0.1", 0)
