--- a/apricotrail/http/_server.py
+++ b/apricotrail/http/_server.py
@@ -126,6 +126,9 @@
                 await self._wait_until_empty()
         for connection in list(self._connections):
             connection.close_idle()
+        await self._wait_until_empty()
+
+    async def _wait_until_empty(self) -> None:
         while self._connections:
             self._emptied.clear()
             await self._emptied.wait()
