--- a/apricotrail/http/tests/test_server.py
+++ b/apricotrail/http/tests/test_server.py
@@ -156,11 +156,9 @@
         server = HttpServer(answer, limits)
         host, port = (await server.listen("127.0.0.1", 0)).split(":")
         accepted = await asyncio.open_connection(host, int(port))
-        queued = []
-        for _ in range(20):
-            sock = socket.create_connection((host, int(port)))
-            queued.append(await asyncio.open_connection(sock=sock))
+        sockets = [socket.create_connection((host, int(port))) for _ in range(20)]
         stop = asyncio.ensure_future(server.stop(10_000))
+        queued = [await asyncio.open_connection(sock=sock) for sock in sockets]
         await asyncio.sleep(0.02)
         for _, writer in (accepted, *queued):
             writer.write(GET)
