--- a/apricotrail/policy/admission.py
+++ b/apricotrail/policy/admission.py
@@ -18,7 +18,7 @@
 )
 DEADLINE_SHARE = declare_setting(
     "policy.deadline_share",
-    0.8,
+    0.5,
     "A job is refused if its expected response time exceeds this share of its deadline.",
     minimum=0.1,
     maximum=1.0,
