Bound the work that other callers are taken to send while a job waits

A short queue of several callers made a large job look hopeless: one job of 71 was refused at load 0.7 with a zone out and 30 s to answer.

--- a/apricotrail/policy/order.py
+++ b/apricotrail/policy/order.py
@@ -17,6 +17,7 @@
 OVERTAKING_MS_PER_TASK = 10.0
 MIN_STALE_ENTRIES = 64
 MIN_SHARE = 1e-9
+REFILL_FACTOR = 4
 
 
 class QueuedJob(NamedTuple):
@@ -203,7 +204,7 @@
         """Estimate how many queued tasks start before the last of `tasks` new ones of a caller.
 
         While a job waits, the other callers with queued tasks get their shares too, and are taken
-        to send more; never counts less than what the caller itself has queued.
+        to send more, up to a multiple of what is queued now.
         """
         own = self._teams.get(team)
         queued = own.callers[caller].queued_tasks if own and caller in own.callers else 0
@@ -215,7 +216,7 @@
         for name, record in self._teams.items():
             if name != team and record.queued_tasks:
                 ahead += team_needed * record.share / max(share, MIN_SHARE)
-        return ahead
+        return min(ahead, REFILL_FACTOR * self._queued)
 
     def _first(self, now_ms: float) -> _Job | None:
         while (team_name := self._flows.first()) is not None:
--- a/apricotrail/policy/tests/test_order.py
+++ b/apricotrail/policy/tests/test_order.py
@@ -97,6 +97,7 @@
     ("nobody waits", [], 10, 0),
     ("own tasks", [job("a", 5)], 10, 5),
     ("another caller shares evenly", [job("b", 50, caller="b")], 10, 10),
+    ("short queue", [job("b", 1, caller="b")], 100, 4),
     ("another team has a third", [job("b", 50, caller="b", team="t", share=0.5)], 10, 5),
 )
 def test_tasks_ahead(_, jobs, tasks, expected):
