Share slots by the fewest held, so that a grant mostly rides on an outcome

Cause: freed slots went to the wanting entries strictly in turn, so with three entries two of three grants were messages of their own; a withdrawn want left its grants reserved for 50 ms.

--- a/apricotrail/agent/_agent.py
+++ b/apricotrail/agent/_agent.py
@@ -103,7 +103,7 @@
         now_ms = self._clock()
         decision = decide_starts(message, sender, state, self.ledger, self.slots, now_ms)
         for start in decision.starts:
-            self.runs.start(message.job, start, message.budget_ms, now_ms)
+            self.runs.start(message.job, start, sender, message.budget_ms, now_ms)
         for attempt_id, outcome in decision.outcomes:
             self.outbox.add(sender, message.job, attempt_id, outcome)
             self.metrics.refused_starts.add(_REASON_LABELS[outcome.reason])
@@ -160,6 +160,9 @@
         """Register an entry's need of slots."""
         if message.agent_incarnation == self._rim.gate_state().incarnation:
             self._want(sender, message.want or 0)
+            if not message.want:
+                self.slots.forget(sender)
+                self.outbox.request_flush()
 
     def list_ledger(self) -> LedgerMessage:
         """Return the jobs of the ledger for the rebuilding of claims."""
@@ -197,8 +200,8 @@
         if owner is not None:
             self.outbox.add(owner, job, attempt_id, outcome)
 
-    def _release_slot(self) -> None:
-        self.slots.release()
+    def _release_slot(self, holder: str) -> None:
+        self.slots.release(holder)
         self.outbox.request_flush()
 
     # ---- answers ----
--- a/apricotrail/agent/_runs.py
+++ b/apricotrail/agent/_runs.py
@@ -19,6 +19,7 @@
 
 class _Run(NamedTuple):
     attempt_id: AttemptId
+    holder: str
     started_ms: float
     work: asyncio.Task
 
@@ -35,7 +36,8 @@
     on_outcome : callable
         Called once per run with job, `AttemptId` and `Outcome`.
     on_released : callable
-        Called once per run, when the target no longer works on it; not before its outcome.
+        Called once per run with the entry that holds its slot, when the target no longer works on
+        it; not before its outcome.
     """
 
     def __init__(
@@ -43,7 +45,7 @@
         rim: AgentRim,
         clock: Clock,
         on_outcome: Callable[[str, AttemptId, Outcome], None],
-        on_released: Callable[[], None],
+        on_released: Callable[[str], None],
     ) -> None:
         self._rim = rim
         self._clock = clock
@@ -52,11 +54,13 @@
         self._runs: dict[str, dict[int, _Run]] = {}
         self._work: set[asyncio.Task] = set()
 
-    def start(self, job: str, start: TaskStart, budget_ms: float, now_ms: float) -> None:
-        """Run a task; its budget counts from `now_ms`."""
+    def start(
+        self, job: str, start: TaskStart, holder: str, budget_ms: float, now_ms: float
+    ) -> None:
+        """Run a task in a slot held by entry `holder`; its budget counts from `now_ms`."""
         attempt_id = AttemptId(start.task, start.attempt)
-        work = self._spawn(self._run_to_end(job, start, attempt_id, budget_ms, now_ms))
-        self._runs.setdefault(job, {})[start.task] = _Run(attempt_id, now_ms, work)
+        work = self._spawn(self._run_to_end(job, start, holder, budget_ms, now_ms))
+        self._runs.setdefault(job, {})[start.task] = _Run(attempt_id, holder, now_ms, work)
 
     def stop(self, job: str, tasks: list[int], reason: int) -> None:
         """Stop those of the tasks that run, or all of the job's if none is named."""
@@ -77,7 +81,7 @@
             await asyncio.wait(list(self._work))
 
     async def _run_to_end(
-        self, job: str, start: TaskStart, attempt_id: AttemptId, budget_ms: float, started_ms: float
+        self, job: str, start: TaskStart, holder: str, budget_ms: float, started_ms: float
     ) -> None:
         left_ms = budget_ms - (self._clock() - started_ms)
         try:
@@ -85,10 +89,10 @@
         except Exception as error:
             emit(RUN_FAILED, job=job, task=start.task, error=repr(error))
             outcome = Outcome(TaskState.MAY_HAVE_RUN, Reason.TARGET_ERROR, detail=repr(error))
-        self._finish(job, attempt_id, outcome, started_ms)
+        self._finish(job, AttemptId(start.task, start.attempt), outcome, started_ms)
         if outcome.reason == Reason.TARGET_SILENT:
             await self._ask_to_stop(job, start.task)
-        self._on_released()
+        self._on_released(holder)
 
     def _finish(self, job: str, attempt_id: AttemptId, outcome: Outcome, started_ms: float) -> None:
         runs = self._runs[job]
@@ -102,11 +106,11 @@
         run.work.cancel()
         outcome = Outcome(TaskState.MAY_HAVE_RUN, reason)
         self._finish(job, run.attempt_id, outcome, run.started_ms)
-        self._spawn(self._stop_then_release(job, run.attempt_id.task))
+        self._spawn(self._stop_then_release(job, run))
 
-    async def _stop_then_release(self, job: str, task: int) -> None:
-        await self._ask_to_stop(job, task)
-        self._on_released()
+    async def _stop_then_release(self, job: str, run: _Run) -> None:
+        await self._ask_to_stop(job, run.attempt_id.task)
+        self._on_released(run.holder)
 
     async def _ask_to_stop(self, job: str, task: int) -> None:
         try:
--- a/apricotrail/agent/_slots.py
+++ b/apricotrail/agent/_slots.py
@@ -1,6 +1,6 @@
 """Slots of one target: running tasks, slots granted to entries, and entries that want one."""
 
-from collections import OrderedDict, deque
+from collections import Counter, OrderedDict, deque
 from typing import NamedTuple
 
 __all__ = ["Slots"]
@@ -29,7 +29,7 @@
     >>> slots.take("entry-a", now_ms=0)
     True
     >>> slots.want("entry-b", 2)
-    >>> slots.release()
+    >>> slots.release("entry-a")
     >>> slots.grant(now_ms=5)
     {'entry-b': 1}
     >>> slots.take("entry-a", now_ms=6)
@@ -43,6 +43,8 @@
         self._granted = 0
         self._grants: dict[str, deque[_Grant]] = {}
         self._wanting: OrderedDict[str, int] = OrderedDict()
+        self._running_of: Counter[str] = Counter()
+        self._released: set[str] = set()
 
     def free(self) -> int:
         """Return the slots that neither run a task nor are granted."""
@@ -58,16 +60,19 @@
         grants = self._grants.get(entry)
         if grants:
             self._shrink_first(entry, grants)
-            self.running += 1
-            return True
-        if self.free() == 0:
+        elif self.free() == 0:
             return False
         self.running += 1
+        self._running_of[entry] += 1
         return True
 
-    def release(self) -> None:
-        """Free the slot of a task that ended."""
+    def release(self, entry: str) -> None:
+        """Free the slot of a task that `entry` started and that ended."""
         self.running -= 1
+        self._running_of[entry] -= 1
+        if not self._running_of[entry]:
+            del self._running_of[entry]
+        self._released.add(entry)
 
     def want(self, entry: str, count: int) -> None:
         """Register how many more slots `entry` could use now; 0 withdraws."""
@@ -77,21 +82,31 @@
         self._wanting[entry] = min(count, MAX_WANT)
 
     def grant(self, now_ms: float) -> dict[str, int]:
-        """Reserve the free slots for wanting entries in turn and return the new grants."""
+        """Reserve the free slots for wanting entries and return the new grants.
+
+        Each goes to the entry that holds the fewest (max-min fairness). Of equals, one whose task
+        has just ended comes first, as the grant then rides on its outcome; the others take turns.
+        """
         self.expire(now_ms)
-        new: dict[str, int] = {}
+        new: Counter[str] = Counter()
         for _ in range(self.free()):
             if not self._wanting:
                 break
-            entry, wanted = self._wanting.popitem(last=False)
+            entry = min(self._wanting, key=lambda it: self._rank(it, new))
+            wanted = self._wanting.pop(entry)
             if wanted > 1:
                 self._wanting[entry] = wanted - 1
-            new[entry] = new.get(entry, 0) + 1
+            new[entry] += 1
+        self._released.clear()
         for entry, number in new.items():
             grant = _Grant(number, now_ms + self._grant_ms)
             self._grants.setdefault(entry, deque()).append(grant)
             self._granted += number
-        return new
+        return dict(new)
+
+    def _rank(self, entry: str, new: Counter[str]) -> tuple[int, bool]:
+        held = self._running_of[entry] + self.granted_to(entry) + new[entry]
+        return held, entry not in self._released
 
     def forget(self, entry: str) -> None:
         """Withdraw the wants and grants of an entry whose link is lost."""
--- a/apricotrail/agent/tests/test_gate.py
+++ b/apricotrail/agent/tests/test_gate.py
@@ -71,7 +71,7 @@
     bench = Bench(slots=1)
     assert bench.receive(make_start(task=0)) is None
     assert bench.receive(make_start(task=1)) == (TaskState.NOT_RUN, Reason.FULL)
-    bench.slots.release()
+    bench.slots.release("entry-a")
     assert bench.receive(make_start(task=1)) == (TaskState.NOT_RUN, Reason.FULL)
     assert bench.receive(make_start(task=1, attempt=2)) is None
 
@@ -228,7 +228,7 @@
         state = self.random.choice((TaskState.DONE, TaskState.NOT_RUN, TaskState.MAY_HAVE_RUN))
         outcome = Outcome(state, answer=b"a" if state == TaskState.DONE else None)
         assert self.bench.ledger.finish(job, AttemptId(task, attempt), outcome, self.bench.now_ms)
-        self.bench.slots.release()
+        self.bench.slots.release("entry-a")
         self.ended[(job, task)].add(state)
 
     def resolve(self):
--- a/apricotrail/agent/tests/test_slots.py
+++ b/apricotrail/agent/tests/test_slots.py
@@ -41,3 +41,27 @@
     assert slots.take("a", 0)
     slots.count = 0
     assert (slots.free(), slots.take("a", 0)) == (0, False)
+
+
+def test_freed_slot_stays_with_its_entry_while_shares_are_even():
+    slots = Slots(4, grant_ms=50)
+    for entry in ("a", "b", "a", "b"):
+        assert slots.take(entry, 0)
+    for entry in ("a", "b"):
+        slots.want(entry, 10)
+    for entry in ("b", "a", "b", "b", "a"):
+        slots.release(entry)
+        assert slots.grant(1) == {entry: 1}
+        assert slots.take(entry, 2)
+
+
+def test_entry_with_fewer_slots_gets_the_next_one():
+    slots = Slots(3, grant_ms=50)
+    for _ in range(3):
+        assert slots.take("a", 0)
+    slots.want("a", 10)
+    slots.want("b", 10)
+    slots.release("a")
+    assert slots.grant(1) == {"b": 1}
+    slots.release("a")
+    assert slots.grant(1) == {"a": 1}, "one each, and its outcome carries it"
--- a/apricotrail/entry/_agents.py
+++ b/apricotrail/entry/_agents.py
@@ -91,6 +91,11 @@
         self._grants.extend([expires_ms] * min(count, room))
         self.want_stated = max(0, self.want_stated - count)
 
+    def drop_grants(self) -> None:
+        """Forget wants and grants, when nothing is queued any more."""
+        self.want_stated = 0
+        self._grants.clear()
+
     def pause(self, until_ms: float) -> None:
         """Send no start before `until_ms`, after a refusal that another start would meet too."""
         self._paused_until_ms = until_ms
--- a/apricotrail/entry/_placer.py
+++ b/apricotrail/entry/_placer.py
@@ -168,9 +168,11 @@
     def _withdraw_wants(self, service: str) -> None:
         for target, _zone in self._usable_targets(service):
             agent = self._work.agents.by_target(target)
-            if agent is None or agent.link is None or not agent.want_stated:
+            if agent is None or agent.link is None:
                 continue
-            agent.want_stated = 0
+            if not agent.want_stated and not agent.count_granted():
+                continue
+            agent.drop_grants()
             if agent.link.send(SlotWant(agent.target, agent.incarnation, 0)):
                 self._work.metrics.messages.add("want")
                 self._work.metrics.wasted_messages.add("withdrawn_want")
