--- a/apricotrail/control/_answers.py
+++ b/apricotrail/control/_answers.py
@@ -20,7 +20,7 @@
 POLL_MS = 20
 FORWARD_MS = 4_000
 STATUS_ENTRIES_MS = 10_000
-_LED_QUESTIONS = frozenset({"history", "document", "forced"})
+_LED_QUESTIONS = frozenset({"status", "history", "document", "forced"})
 
 
 class StatusRouter:
@@ -48,7 +48,7 @@
         return StatusReply(await self._answer_here(request))
 
     async def _answer_here(self, request: StatusRequest) -> bytes:
-        if request.what == "status":
+        if request.what in ("status", "replica"):
             return encode_json(self.describe())
         if request.what == "metrics":
             return self._render_metrics()
@@ -61,7 +61,7 @@
             return self._find_document(request.number or 0)
         if request.what == "forced":
             return encode_json(await self._wait_in_force(request.number or 0))
-        remedy = "Ask for status, history, document, forced or metrics."
+        remedy = "Ask for status, replica, history, document, forced or metrics."
         problem = {"kind": "malformed", "message": "Unknown question.", "remedy": remedy}
         return encode_json(problem)
 
--- a/apricotrail/control/_application.py
+++ b/apricotrail/control/_application.py
@@ -14,10 +14,11 @@
 from apricotrail.control._formation import found_group
 from apricotrail.control._members import replica_name
 from apricotrail.control._meters import time_syncs, watch_service
-from apricotrail.control._node import Limits, Node, Setup
+from apricotrail.control._node import Node
 from apricotrail.control._proposals import PROPOSE_MS, ProposalRouter
 from apricotrail.control._replica import Timing
 from apricotrail.control._service import ControlService, ServiceParts
+from apricotrail.control._setup import Limits, Setup
 from apricotrail.document import check_succession, make_items, parse_document
 from apricotrail.errors import ApricotrailError, ErrorKind, Problem
 from apricotrail.membership import CONFIG_STALE_MS
--- a/apricotrail/control/_node.py
+++ b/apricotrail/control/_node.py
@@ -7,95 +7,33 @@
 """
 
 from collections.abc import Callable
-from random import Random
 from typing import Any, NamedTuple
 
 from returns.result import Failure, Result, Success
 
-from apricotrail.clocks import Clock
-from apricotrail.control._changes import DocumentFunctions
+from apricotrail.control._checks import check_proposal, overtaken, unknown_outcome
 from apricotrail.control._election import begin_transfer
-from apricotrail.control._files import FileLayer
 from apricotrail.control._log import ReplicatedLog
 from apricotrail.control._members import Members, make_replica_id
 from apricotrail.control._protocol import note_synced, receive, send_due, tick
-from apricotrail.control._replica import ReplicaState, Timing, confirmation_age_ms
+from apricotrail.control._replica import ReplicaState, confirmation_age_ms
 from apricotrail.control._replication import append_command
 from apricotrail.control._requests import Outcome
+from apricotrail.control._setup import Setup
 from apricotrail.control._state import StateMachine
-from apricotrail.control._storage import FORMATION_INDEX, Snapshot, Storage, make_random_identity
+from apricotrail.control._storage import FORMATION_INDEX, Snapshot, Storage
 from apricotrail.control._transfer import holds_snapshot, reset_to_snapshot
-from apricotrail.errors import ErrorKind, Problem
+from apricotrail.errors import Problem
 from apricotrail.wire import decode_message, encode_message
 from apricotrail.wire.generated.ttypes import ChangeMember, Command
 
-__all__ = ["Limits", "Node", "Setup"]
+__all__ = ["Node"]
 
 FORMATION_TERM = 1
 
 Answer = Result[Outcome, Problem]
 
 
-class Limits(NamedTuple):
-    """Bounds of one replica.
-
-    Attributes
-    ----------
-    snapshot_entries : int
-        Entries applied since the last snapshot before the next one.
-    snapshot_log_bytes : int
-        Size of the log file that brings a snapshot forward.
-    kept_entries : int
-        Entries kept behind a snapshot for replicas that lag a little.
-    pending : int
-        Commands logged and not yet committed.
-    """
-
-    snapshot_entries: int = 10_000
-    snapshot_log_bytes: int = 32 * 1024 * 1024
-    kept_entries: int = 500
-    pending: int = 1_024
-
-
-class Setup(NamedTuple):
-    """What a replica is made of.
-
-    Attributes
-    ----------
-    name : str
-        Name of the replica, the same after a loss of its disk.
-    files : FileLayer
-        Its data folder.
-    documents : DocumentFunctions
-        Check and reading of documents.
-    clock : Clock
-        Monotonic time in milliseconds.
-    random : Random
-        Source of election jitter.
-    send : callable
-        ``send(replica_id, message)`` sends without waiting.
-    on_change : callable
-        ``on_change()`` is called after the configuration version grew.
-    timing : Timing
-        Protocol times.
-    limits : Limits
-        Bounds.
-    make_identity : callable
-        Gives the identity of an empty folder.
-    """
-
-    name: str
-    files: FileLayer
-    documents: DocumentFunctions
-    clock: Clock
-    random: Random
-    send: Callable[[str, Any], None]
-    on_change: Callable[[], None]
-    timing: Timing = Timing()
-    limits: Limits = Limits()
-    make_identity: Callable[[], str] = make_random_identity
-
-
 class _Pending(NamedTuple):
     term: int
     done: Callable[[Answer], None]
@@ -189,7 +127,7 @@
         if known is not None:
             done(Success(known))
             return
-        refusal = self._check_proposal(command)
+        refusal = check_proposal(replica, command, len(self._pending), self.setup.limits.pending)
         if refusal is not None:
             done(Failure(refusal))
             return
@@ -221,7 +159,7 @@
     def abandon(self) -> None:
         """Fail what still waits; its outcome is unknown."""
         for pending in self._pending.values():
-            pending.done(Failure(_unknown_outcome()))
+            pending.done(Failure(unknown_outcome()))
         self._pending.clear()
 
     def close(self) -> None:
@@ -234,39 +172,9 @@
     def _wait(self, index: int, done: Callable[[Answer], None]) -> None:
         replaced = self._pending.pop(index, None)
         if replaced is not None:
-            replaced.done(Failure(_overtaken()))
+            replaced.done(Failure(overtaken()))
         self._pending[index] = _Pending(self.replica.term, done)
 
-    def _check_proposal(self, command: Command) -> Problem | None:
-        replica = self.replica
-        if not replica.is_leader:
-            return Problem(ErrorKind.NO_QUORUM, "This replica does not lead.", "Ask the leader.")
-        if replica.transfer is not None:
-            message = "The leader is handing over."
-            return Problem(ErrorKind.NO_QUORUM, message, "Retry within a second.")
-        if len(self._pending) >= self.setup.limits.pending:
-            message = f"{len(self._pending)} changes wait to be committed."
-            return Problem(ErrorKind.OVERLOADED, message, "Retry in a second.")
-        if command.change_member is not None:
-            return self._check_member_change(command.change_member)
-        return None
-
-    def _check_member_change(self, change: ChangeMember) -> Problem | None:
-        replica = self.replica
-        if replica.commit_index < max(replica.log.change_index, replica.term_start_index):
-            message = "Another change of members is not yet committed."
-            return Problem(ErrorKind.CONFLICT, message, "Retry within a second.")
-        replica_id = make_replica_id(change.name, change.identity)
-        member = replica.log.members.get(replica_id)
-        if change.action != "add_learner" and member is None:
-            message = f"There is no replica {replica_id!r}."
-            return Problem(ErrorKind.NOT_FOUND, message, "List the members and name one of them.")
-        voters = [key for key, it in replica.log.members.items() if it.voter]
-        if change.action == "remove" and voters == [replica_id]:
-            message = f"{replica_id!r} is the only voter."
-            return Problem(ErrorKind.REFUSED, message, "Add and promote another replica first.")
-        return None
-
     def _flush_once(self) -> bool:
         replica = self.replica
         send_due(replica)
@@ -321,7 +229,7 @@
         if pending.term == term:
             pending.done(Success(outcome))
             return
-        pending.done(Failure(_overtaken()))
+        pending.done(Failure(overtaken()))
 
     def _save_snapshot_if_due(self) -> None:
         limits = self.setup.limits
@@ -354,7 +262,7 @@
         self.applied_index = self.snapshot_index = snapshot.index
         self.replica.freshness.advance(snapshot.index)
         for index in [index for index in self._pending if index <= snapshot.index]:
-            self._pending.pop(index).done(Failure(_unknown_outcome()))
+            self._pending.pop(index).done(Failure(unknown_outcome()))
         if self.machine.version > version:
             self.setup.on_change()
 
@@ -366,13 +274,3 @@
 
 def _read_change(command: bytes) -> ChangeMember | None:
     return decode_message(Command, command).change_member
-
-
-def _overtaken() -> Problem:
-    message = "Another leader took over before the change was committed."
-    return Problem(ErrorKind.NO_QUORUM, message, "Send it again under the same request id.")
-
-
-def _unknown_outcome() -> Problem:
-    message = "The replica stopped leading before the change was committed."
-    return Problem(ErrorKind.UNKNOWN_OUTCOME, message, "Send it again under the same request id.")
--- a/apricotrail/control/tests/simulation.py
+++ b/apricotrail/control/tests/simulation.py
@@ -9,10 +9,11 @@
 
 from apricotrail.control._changes import DocumentFunctions
 from apricotrail.control._members import Member, replica_name
-from apricotrail.control._node import Limits, Node, Setup
+from apricotrail.control._node import Node
 from apricotrail.control._protocol import wait_ms
 from apricotrail.control._repair import decide_member_change
 from apricotrail.control._replica import Timing
+from apricotrail.control._setup import Limits, Setup
 from apricotrail.control.tests.disk import Crash, MemoryDisk
 from apricotrail.errors import ErrorKind, Problem
 from apricotrail.wire.generated.ttypes import Command, PutDocument, SetZoneState
@@ -24,9 +25,8 @@
 
 
 def parse(text: bytes):
-    if text.startswith(b"bad"):
-        return Failure((Problem(ErrorKind.MALFORMED, "It is bad.", "Mend it."),))
-    return Success(text)
+    problem = Problem(ErrorKind.MALFORMED, "It is bad.", "Mend it.")
+    return Failure((problem,)) if text.startswith(b"bad") else Success(text)
 
 
 def make_items(text: bytes) -> dict[str, bytes]:
@@ -148,7 +148,6 @@
         self.first_applied_ms: dict[int, float] = {}
         self.leaders: dict[int, str] = {}
         self.answers: dict[str, tuple] = {}
-        self.outcomes = 0
         self.replicas = {name: Replica(self, name) for name in "abcde"[:size]}
         for replica in self.replicas.values():
             replica.start()
--- a/apricotrail/control/tests/test_protocol.py
+++ b/apricotrail/control/tests/test_protocol.py
@@ -4,15 +4,20 @@
 
 from nose2.tools import params
 
+from apricotrail.control._checks import check_proposal
 from apricotrail.control._log import ReplicatedLog
 from apricotrail.control._members import Member
 from apricotrail.control._protocol import note_synced, receive, tick
 from apricotrail.control._replica import ReplicaState, Timing, confirmation_age_ms
+from apricotrail.control._replication import append_command
 from apricotrail.control._storage import Snapshot, encode_snapshot
+from apricotrail.errors import ErrorKind
 from apricotrail.membership import NEVER_CONFIRMED_AGE_MS
 from apricotrail.wire.generated.ttypes import (
     Append,
     AppendReply,
+    ChangeMember,
+    Command,
     InstallSnapshot,
     LogEntry,
     Vote,
@@ -126,3 +131,24 @@
         last = start + 300 >= len(data)
         receive(follower, "b", InstallSnapshot(1, "b", 9, 1, start, chunk, last), 10.0)
     assert follower.installed == Snapshot(9, 1, b"s" * 1_000)
+
+
+@params(
+    ("follower", ChangeMember("a", "", "1", "remove"), ErrorKind.NO_QUORUM),
+    ("leader", ChangeMember("a", "", "1", "remove"), ErrorKind.REFUSED),
+    ("leader", ChangeMember("z", "", "9", "promote"), ErrorKind.NOT_FOUND),
+    ("leader", ChangeMember("b", "b:1", "2", "add_learner"), None),
+    ("changing", ChangeMember("b", "b:1", "2", "add_learner"), ErrorKind.CONFLICT),
+    ("full", ChangeMember("b", "b:1", "2", "add_learner"), ErrorKind.OVERLOADED),
+)
+def test_members_change_one_at_a_time(case, change, kind):
+    log = ReplicatedLog(lambda command: change, 0, 0, {"a#1": Member("a", True)})
+    replica = ReplicaState("a#1", log, 1, "", TIMING, Random(1), 0.0, lambda: None)
+    if case != "follower":
+        tick(replica, 1.0)
+        note_synced(replica)
+    if case == "changing":
+        append_command(replica, b"another change")
+    problem = check_proposal(replica, Command(change_member=change), int(case == "full"), 1)
+    assert (problem.kind if problem else None) == kind
+    assert problem is None or problem.remedy
--- a/apricotrail/control/tests/test_storage.py
+++ b/apricotrail/control/tests/test_storage.py
@@ -10,7 +10,8 @@
 
 from apricotrail.control._files import StorageError, make_file_layer
 from apricotrail.control._members import Member
-from apricotrail.control._node import Limits, Node, Setup
+from apricotrail.control._node import Node
+from apricotrail.control._setup import Limits, Setup
 from apricotrail.control._storage import Snapshot, Storage
 from apricotrail.control.tests.disk import Crash, MemoryDisk
 from apricotrail.control.tests.simulation import DOCUMENTS, ZONES
