Pass the settings and the entry's random source to the policy

Health, run times and retry budget were made with defaults, so policy.* settings had no effect and all entries drew the same jitter, which put their probes in step.

--- a/apricotrail/entry/_application.py
+++ b/apricotrail/entry/_application.py
@@ -349,7 +349,7 @@
         self.application.on_stop(self._stop)
 
     def _make_dispatcher(self) -> Dispatcher:
-        work = Work(self.agents, monotonic_ms, self.random, self.metrics)
+        work = Work(self.agents, monotonic_ms, self.random, self.metrics, self.settings)
         placer = Placer(
             work,
             lambda: self.endpoint.identity.name,
--- a/apricotrail/entry/_work.py
+++ b/apricotrail/entry/_work.py
@@ -9,6 +9,7 @@
 from apricotrail.entry._job import Job
 from apricotrail.metrics import EntryMetrics
 from apricotrail.policy import FairQueue, QueuedJob, RetryBudget, RunTimes, TargetHealth
+from apricotrail.settings import Settings
 from apricotrail.wire.generated.ttypes import TaskState
 
 __all__ = ["FIRST_RUN_MS", "Work"]
@@ -29,6 +30,8 @@
         Source of jitter.
     metrics : EntryMetrics
         Counts messages and outcomes.
+    settings : Settings, optional
+        Values of ``policy.*``.
 
     Attributes
     ----------
@@ -45,7 +48,12 @@
     """
 
     def __init__(
-        self, agents: AgentTable, clock: Clock, random: Random, metrics: EntryMetrics
+        self,
+        agents: AgentTable,
+        clock: Clock,
+        random: Random,
+        metrics: EntryMetrics,
+        settings: Settings | None = None,
     ) -> None:
         self.agents = agents
         self.clock = clock
@@ -53,9 +61,9 @@
         self.metrics = metrics
         self.jobs: dict[str, Job] = {}
         self.queues: dict[str, FairQueue] = defaultdict(FairQueue)
-        self.run_times = RunTimes()
-        self.health = TargetHealth()
-        self.retries = RetryBudget()
+        self.run_times = RunTimes(settings)
+        self.health = TargetHealth(random, settings)
+        self.retries = RetryBudget(settings)
 
     def enqueue(self, job: Job, tasks: Iterable[int]) -> None:
         """Queue tasks of a job, new or given back."""
--- a/apricotrail/entry/tests/test_dispatch.py
+++ b/apricotrail/entry/tests/test_dispatch.py
@@ -18,6 +18,7 @@
 from apricotrail.errors import ErrorKind, Problem
 from apricotrail.metrics import make_metrics
 from apricotrail.policy import PLACEMENTS
+from apricotrail.settings import Settings
 from apricotrail.wire.generated.ttypes import (
     AttemptStates,
     Load,
@@ -251,3 +252,10 @@
         job = bench.submit(1)
         await bench.settle()
         self.assertEqual((job.queued, job.open), ({0}, {}))
+
+
+def test_policy_follows_the_settings():
+    settings = Settings({"policy.retry_burst": 1, "policy.retries_per_s": 0.1})
+    clock = VirtualClock()
+    work = Work(AgentTable(clock, 50), clock, Random(1), make_metrics("entry"), settings)
+    assert [work.retries.may_retry("repair", 0.0) for _ in range(2)] == [True, False]
