--- a/apricotrail/control/_commands.py
+++ b/apricotrail/control/_commands.py
@@ -113,7 +113,7 @@
     conflict = _find_conflict(state, command, key)
     if conflict is not None:
         return Failure(conflict)
-    if value is not None and find(key) is None and _is_full(state, f"{kind}-state/"):
+    if value is not None and find(key) is None and _is_full(state, f"{kind}-state"):
         message = f"{MAX_STATES} states of this kind are set."
         return _refuse(ErrorKind.OVERLOADED, message, f"Reset the states of {kind}s that are gone.")
     encoded = encode_json(value) if value is not None else None
@@ -159,7 +159,7 @@
     if state.configuration.find(f"target/{host.target}") is None:
         message = f"The document has no target {host.target!r}."
         return _refuse(ErrorKind.UNKNOWN_NAME, message, "Name a target of the present document.")
-    if present is None and _is_full(state, "host/"):
+    if present is None and _is_full(state, "host"):
         return _refuse(ErrorKind.OVERLOADED, f"{MAX_STATES} hosts are assigned.", "Use agents.")
     epoch = present["epoch"] if present is not None else 0
     if host.epoch != epoch + 1:
@@ -204,9 +204,8 @@
     return Refusal(Problem(ErrorKind.CONFLICT, message, remedy), {"winner": winner})
 
 
-def _is_full(state: "StateMachine", prefix: str) -> bool:
-    keys = state.configuration.items()
-    return sum(key.startswith(prefix) for key in keys) >= MAX_STATES
+def _is_full(state: "StateMachine", kind: str) -> bool:
+    return state.item_counts[kind] >= MAX_STATES
 
 
 def _refuse_document(problems: tuple[Problem, ...]) -> Refusal:
--- a/apricotrail/control/_state.py
+++ b/apricotrail/control/_state.py
@@ -7,7 +7,7 @@
 
 import json
 from base64 import b64decode, b64encode
-from collections import deque
+from collections import Counter, deque
 from hashlib import sha256
 from typing import Any
 
@@ -70,6 +70,8 @@
         Exact bytes of the last `MAX_DOCUMENT_TEXTS` documents by number.
     removed : list of str
         Replicas removed last, at most `MAX_REMOVED`; they don't join again by themselves.
+    item_counts : Counter
+        Number of present items by kind, the part of the key before the slash.
     log_ms : int
         Highest wall time of any command.
     """
@@ -78,6 +80,7 @@
         self.documents = documents
         self.members: Members = dict(members or {})
         self.removed: list[str] = []
+        self.item_counts: Counter[str] = Counter()
         self.configuration = Configuration()
         self.history: deque[DocumentRecord] = deque(maxlen=MAX_HISTORY)
         self.texts: dict[int, bytes] = {}
@@ -145,6 +148,7 @@
         items = [ConfigurationItem(key, value.encode()) for key, value in state["items"].items()]
         self.configuration = Configuration()
         self.configuration.apply(ConfigurationChange(0, state["version"], items))
+        self.item_counts = Counter(_read_kind(key) for key in state["items"])
         self.members = _read_members(state)
         self.removed = state["removed"]
         self.history = deque((DocumentRecord(*row) for row in state["history"]), MAX_HISTORY)
@@ -187,6 +191,9 @@
         ]
         if not changed:
             return False
+        for item in changed:
+            present = int(item.value is not None) - int(find(item.key) is not None)
+            self.item_counts[_read_kind(item.key)] += present
         version = self.version
         self.configuration.apply(ConfigurationChange(version, version + 1, changed))
         return True
@@ -208,6 +215,10 @@
         return Outcome(False, self.version, encode_json({**answer, "version": self.version}))
 
 
+def _read_kind(key: str) -> str:
+    return key.partition("/")[0]
+
+
 def digest_command(command: Command) -> str:
     """Return a digest of what a command asks for, without its wall time."""
     wall_ms, command.wall_ms = command.wall_ms, None
--- a/apricotrail/control/tests/test_state.py
+++ b/apricotrail/control/tests/test_state.py
@@ -155,3 +155,14 @@
         promotion = Promotion("production", "trial", file.name)
         assert check_acceptance(promotion, asked) is not None
     assert check_acceptance(Promotion("production", "trial", file.name), asked) is not None
+
+
+def test_items_are_counted_by_kind_over_snapshots():
+    state = make_state()
+    for zone in ("pipa", "natal", "pipa"):
+        apply(state, set_zone_state=SetZoneState(zone, False))
+    apply(state, set_zone_state=SetZoneState("natal", True))
+    restored = StateMachine(DOCUMENTS)
+    restored.restore(state.export())
+    for machine in (state, restored):
+        assert (machine.item_counts["zone-state"], machine.item_counts["zone"]) == (1, 3)
