Keep the leader when all replicas are busy with a large document

Cause: a leader applied before it sent the commit index, so the others applied after it, and each stall over the election time ended in a step-down.

--- a/apricotrail/control/_election.py
+++ b/apricotrail/control/_election.py
@@ -18,11 +18,14 @@
     "check_election",
     "check_quorum",
     "check_transfer",
+    "note_tick",
     "receive_timeout_now",
     "receive_vote",
     "receive_vote_reply",
 ]
 
+STALL_SHARE = 0.5
+
 
 def check_election(state: ReplicaState) -> None:
     """Begin an election if the leader has been silent for too long."""
@@ -35,9 +38,23 @@
         _ask_pre_votes(state)
 
 
+def note_tick(state: ReplicaState) -> None:
+    """After a stall of this process, give messages that wait in its sockets time to be read.
+
+    Only elections and step-downs are put off; the age of a confirmation goes on growing.
+    """
+    stalled_ms = state.now_ms - state.ticked_ms
+    state.ticked_ms = state.now_ms
+    if stalled_ms < state.timing.election_ms * STALL_SHARE:
+        return
+    state.resumed_ms = state.now_ms
+    postpone_election(state)
+
+
 def check_quorum(state: ReplicaState) -> None:
     """Step down if no quorum confirmed a round of this leader for the election time."""
     confirmed_ms = state.elected_ms if state.quorum_ms is None else state.quorum_ms
+    confirmed_ms = max(confirmed_ms, state.resumed_ms)
     if state.now_ms - confirmed_ms > state.timing.election_ms:
         become_follower(state, state.term, "")
 
--- a/apricotrail/control/_node.py
+++ b/apricotrail/control/_node.py
@@ -188,8 +188,12 @@
         synced = self.storage.commit()
         note_synced(replica)
         self._send_all(replica.outbox)
+        # The commit index leaves first, so that all replicas apply a large document at once.
+        send_due(replica)
+        self._write_records()
+        self._send_all(replica.early)
         applied = self._apply_committed()
-        return synced or applied or replica.broadcast_due
+        return synced or applied or replica.broadcast_due or bool(replica.outbox)
 
     def _write_records(self) -> None:
         for write in self.replica.writes:
--- a/apricotrail/control/_protocol.py
+++ b/apricotrail/control/_protocol.py
@@ -7,6 +7,7 @@
     check_election,
     check_quorum,
     check_transfer,
+    note_tick,
     receive_timeout_now,
     receive_vote,
     receive_vote_reply,
@@ -55,6 +56,7 @@
 def tick(state: ReplicaState, now_ms: float) -> None:
     """Do what has become due."""
     state.now_ms = now_ms
+    note_tick(state)
     if not state.is_leader:
         check_election(state)
         return
--- a/apricotrail/control/_replica.py
+++ b/apricotrail/control/_replica.py
@@ -123,6 +123,8 @@
         # A restarted replica may have confirmed a leader just before: it waits before it votes.
         self.heard_ms = now_ms
         self.deadline_ms = now_ms
+        self.ticked_ms = now_ms
+        self.resumed_ms = now_ms
         self.pre_vote = False
         self.votes: set[str] = set()
         # Leader
--- a/apricotrail/control/tests/simulation.py
+++ b/apricotrail/control/tests/simulation.py
@@ -139,7 +139,7 @@
         self.random = Random(seed)
         self.now_ms = 0.0
         self.wall_offset_ms = 1_000_000
-        self.loss = self.copies = 0.0
+        self.loss = self.copies = self.apply_ms = 0.0
         self.latency_ms = (0.5, 5.0)
         self.blocked: set[tuple[str, str]] = set()
         self._queue: list = []
@@ -197,7 +197,7 @@
 
     def heal(self) -> None:
         self.blocked.clear()
-        self.loss = self.copies = 0.0
+        self.loss = self.copies = self.apply_ms = 0.0
         self.latency_ms = (0.5, 5.0)
         for replica in self.replicas.values():
             replica.sync_ms = 0.0
@@ -251,6 +251,7 @@
         outcome = apply(command)
         assert before <= node.machine.version <= before + 1
         self.first_applied_ms.setdefault(node.machine.version, self.now_ms)
+        self.replicas[replica_name(node.replica_id)].lag_ms += self.apply_ms
         return outcome
 
     def check(self, replica: Replica) -> None:
--- a/apricotrail/control/tests/test_protocol.py
+++ b/apricotrail/control/tests/test_protocol.py
@@ -35,7 +35,8 @@
 
 
 def lead(replica: ReplicaState, now_ms: float) -> None:
-    tick(replica, now_ms)
+    for at_ms in range(0, int(now_ms) + 1, 100):
+        tick(replica, float(at_ms))
     receive(replica, "b", VoteReply(replica.term + 1, True, True), now_ms)
     receive(replica, "b", VoteReply(replica.term, True, False), now_ms)
     assert replica.is_leader
--- a/apricotrail/control/tests/test_schedules.py
+++ b/apricotrail/control/tests/test_schedules.py
@@ -2,7 +2,8 @@
 
 from nose2.tools import params
 
-from apricotrail.control.tests.simulation import World
+from apricotrail.control.tests.simulation import TIMING, World
+from apricotrail.wire.generated.ttypes import Command, PutDocument
 
 REQUESTS = 8
 
@@ -66,6 +67,11 @@
     world.at(900, world.heal)
 
 
+def apply_slowly(world: World) -> None:
+    world.apply_ms = world.random.choice([50.0, 300.0, 900.0])
+    world.at(900, world.heal)
+
+
 def jump_wall_clock(world: World) -> None:
     world.wall_offset_ms += world.random.choice([-900_000, 600_000])
 
@@ -94,6 +100,7 @@
     lose_disk,
     lose_two_around_a_repair,
     slow_disks,
+    apply_slowly,
     jump_wall_clock,
     hand_over,
 )
@@ -106,6 +113,22 @@
         run_schedule(seed, 3 if seed % 4 else 5, [fault])
 
 
+def test_a_long_apply_on_all_replicas_changes_no_leader():
+    for seed in range(20):
+        world = World(seed, 3)
+        world.run_until(world.is_settled)
+        leader = world.leader()
+        world.apply_ms = 5 * TIMING.election_ms
+        done = lambda result: result.unwrap()  # noqa: E731
+        put = PutDocument(b"large", b"", True)
+        leader.propose(Command("one", "ana", 1, put_document=put), done)
+        world.run_for(30)
+        world.apply_ms = 0.0
+        world.run_for(10 * TIMING.election_ms)
+        assert (world.leader(), len(world.leaders)) == (leader, 1), seed
+        assert world.is_settled()
+
+
 def test_faults_that_come_together():
     for seed in range(100):
         world = World(seed, 5 if seed % 4 == 0 else 3)
