--- a/apricotrail/agent/_application.py
+++ b/apricotrail/agent/_application.py
@@ -4,15 +4,13 @@
 from pathlib import Path
 
 from apricotrail.agent._parameters import make_parameters
-from apricotrail.agent._status import make_status_router
 from apricotrail.agent._target_agent import TargetAgent
 from apricotrail.application import Application
 from apricotrail.clocks import Clock, monotonic_ms, wall_ms
 from apricotrail.errors import ApricotrailError, ErrorKind, Problem
-from apricotrail.http import HttpServer, read_server_limits
-from apricotrail.metrics import watch_loop_lag
+from apricotrail.metrics import add_status_listener
 from apricotrail.settings import Settings, declare_setting
-from apricotrail.wire import KEY_FILE, KeyRing, LinkEndpoint, parse_address
+from apricotrail.wire import KEY_FILE, KeyRing, LinkEndpoint
 from apricotrail.wire.generated.ttypes import Announcement, Identity
 
 __all__ = ["make_agent", "make_hosted_agent"]
@@ -38,7 +36,6 @@
 LISTEN = declare_setting(
     "agent.listen", "", "Address for /healthz, /readyz and /metrics; empty for none."
 )
-LISTENER_STOP_MS = 200
 
 
 def make_agent(settings: Settings, clock: Clock = monotonic_ms) -> Application:
@@ -73,32 +70,19 @@
     endpoint = _make_endpoint(settings, target, environment, zone, wall_ms(), clock)
     target_agent = TargetAgent(parameters, endpoint)
     application = Application(f"agent:{target}")
-    if settings.get(LISTEN):
-        _add_listener(application, target_agent, settings, clock)
+    add_status_listener(
+        application,
+        settings.get(LISTEN),
+        target_agent.agent.metrics,
+        target_agent.is_ready,
+        settings,
+        clock,
+    )
     application.on_start(target_agent.start)
     application.on_stop(target_agent.stop)
     return application
 
 
-def _add_listener(
-    application: Application, target_agent: TargetAgent, settings: Settings, clock: Clock
-) -> None:
-    metrics = target_agent.agent.metrics
-    router = make_status_router(metrics, target_agent.is_ready)
-    server = HttpServer(router, read_server_limits(settings), clock)
-
-    async def start() -> None:
-        host, port = parse_address(settings.get(LISTEN))
-        await server.listen(host, port)
-        application.spawn(watch_loop_lag(metrics.loop_lag_ms, clock))
-
-    async def stop() -> None:
-        await server.stop(LISTENER_STOP_MS)
-
-    application.on_start(start)
-    application.on_stop(stop)
-
-
 def make_hosted_agent(
     settings: Settings,
     target: str,
--- a/apricotrail/control/_application.py
+++ b/apricotrail/control/_application.py
@@ -21,7 +21,7 @@
 from apricotrail.document import check_succession, make_items, parse_document
 from apricotrail.errors import ApricotrailError, ErrorKind, Problem
 from apricotrail.membership import CONFIG_STALE_MS
-from apricotrail.metrics import make_metrics
+from apricotrail.metrics import add_status_listener, make_metrics
 from apricotrail.settings import Settings, declare_constraint, declare_setting
 from apricotrail.wire import KEY_FILE, KeyRing, LinkEndpoint, parse_address
 from apricotrail.wire.generated.ttypes import Identity, Propose, StatusRequest
@@ -40,6 +40,11 @@
     [],
     'All replicas as "name=host:port", this one included; empty or one entry for a single replica.',
 )
+STATUS_LISTEN = declare_setting(
+    "control.status_listen",
+    "",
+    "Address for /healthz, /readyz and /metrics; empty for none.",
+)
 ROUND_MS = declare_setting(
     "control.round_ms", 150, "Time between two rounds of a leader.", unit="ms", minimum=10
 )
@@ -99,6 +104,13 @@
         self.metrics = make_metrics("control")
         self._peers = _read_peers(settings.get(PEERS), settings.get(NAME))
         self.application.on_start(self._start)
+        add_status_listener(
+            self.application,
+            settings.get(STATUS_LISTEN),
+            self.metrics,
+            self._is_ready,
+            settings,
+        )
         self.application.on_stop(self._stop)
 
     @property
@@ -123,6 +135,13 @@
         self.application.spawn(self.service.oversee_forever())
         self.application.spawn(found_group(self.service))
 
+    def _is_ready(self) -> bool:
+        """Return whether this replica's configuration was confirmed recently enough."""
+        service = self.service
+        if service is None or service.failed.is_set():
+            return False
+        return service.node.confirmation_age_ms() < self.settings.get(CONFIG_STALE_MS)
+
     async def _form_if_single(self, service: ControlService) -> None:
         if len(self._peers) == 1:
             await found_group(service)
--- a/apricotrail/metrics/__init__.py
+++ b/apricotrail/metrics/__init__.py
@@ -9,6 +9,7 @@
     LabelledCounter,
 )
 from apricotrail.metrics._lag import watch_loop_lag
+from apricotrail.metrics._listener import add_status_listener
 from apricotrail.metrics._rendering import CONTENT_TYPE
 from apricotrail.metrics._roles import (
     AgentMetrics,
@@ -30,6 +31,7 @@
     "Histogram",
     "LabelledCounter",
     "RoleMetrics",
+    "add_status_listener",
     "make_metrics",
     "watch_loop_lag",
 ]
--- a/apricotrail/tests/test_interface.py
+++ b/apricotrail/tests/test_interface.py
@@ -81,7 +81,9 @@
         self.addCleanup(folder.cleanup)
         token_file = Path(folder.name) / "token"
         token_file.write_text(TOKEN)
-        control, links, operators, callers = (f"127.0.0.1:{port}" for port in find_free_ports(4))
+        control, links, operators, callers, self.status = (
+            f"127.0.0.1:{port}" for port in find_free_ports(5)
+        )
         self.address, self.operators = callers, operators
         self.client = HttpClient()
         self.addAsyncCleanup(self.client.close)
@@ -92,6 +94,7 @@
             make_control,
             {
                 "control.listen": control,
+                "control.status_listen": self.status,
                 "control.environment": "trial",
                 "control.data_folder": str(Path(folder.name) / "control"),
             },
@@ -161,3 +164,10 @@
         self.assertGreater(len(examples), 12)
         for example in examples:
             await self.run_example(example)
+
+    async def test_control_shows_readiness_and_metrics(self):
+        await self.ask_until_ready("GET", self.status, "/readyz")
+        for path, part in (("/healthz", b"true"), ("/metrics", b'is_leader{role="control"} 1.0')):
+            response = (await self.client.request("GET", self.status, path)).unwrap()
+            self.assertEqual(response.status, 200)
+            self.assertIn(part, response.body)
