--- a/apricotrail/cli/_main.py
+++ b/apricotrail/cli/_main.py
@@ -13,6 +13,7 @@
 
 __all__ = ["COMMANDS", "main"]
 
+USAGE = 2
 ROLES = ("agent", "control", "entry")
 
 # First word of the command line: module and the function or nested dictionary of functions in it.
@@ -74,6 +75,9 @@
     chosen = words[0] if words else ""
     names = [chosen] if chosen in COMMANDS else list(COMMANDS)
     functions = {name: _load(name) for name in names if _is_installed(name)}
+    if len(words) == 1 and isinstance(functions.get(chosen), dict):
+        print(f"usage: apricotrail {chosen} {{{','.join(functions[chosen])}}} ...", file=sys.stderr)
+        return USAGE
     return run(
         functions,
         argv=words,
--- a/apricotrail/cli/tests/test_dispatch.py
+++ b/apricotrail/cli/tests/test_dispatch.py
@@ -42,6 +42,11 @@
     assert "usage: apricotrail" in error
 
 
+def test_a_noun_alone_lists_its_verbs():
+    code, _, error = run("settings")
+    assert (code, error) == (ExitCode.USAGE, "usage: apricotrail settings {check,explain} ...\n")
+
+
 @params(
     (("version",), "wire version"),
     (("settings", "explain"), "[link]"),
