--- a/apricotrail/cli/_main.py
+++ b/apricotrail/cli/_main.py
@@ -1,7 +1,7 @@
 """Dispatch: finds the module of the chosen command and lets defopt read its arguments.
 
-A role started as ``apricotrail ROLE --settings FILE`` is run without loading the argument parser,
-which would stay in memory for the life of the process.
+A role started as ``apricotrail ROLE --settings FILE`` is run without loading the argument parser
+and the TLS library, which would stay in memory for the life of the process.
 """
 
 import sys
@@ -13,6 +13,7 @@
 
 __all__ = ["COMMANDS", "main"]
 
+USAGE = 2
 ROLES = ("agent", "control", "entry")
 
 # First word of the command line: module and the function or nested dictionary of functions in it.
@@ -47,12 +48,18 @@
     """
     words = list(sys.argv[1:] if arguments is None else arguments)
     if _is_plain_role(words):
+        _leave_out_tls()
         from apricotrail.cli._role import run_role
 
         raise SystemExit(int(run_role(words[0], Path(words[2]))))
     raise SystemExit(int(_run_parsed(words) or 0))
 
 
+def _leave_out_tls() -> None:
+    """Keep asyncio from loading `ssl`, which no role uses; without the module it has no TLS."""
+    sys.modules.setdefault("ssl", None)  # type: ignore[arg-type]
+
+
 def _is_plain_role(words: Sequence[str]) -> bool:
     return (
         len(words) == 3
@@ -68,6 +75,9 @@
     chosen = words[0] if words else ""
     names = [chosen] if chosen in COMMANDS else list(COMMANDS)
     functions = {name: _load(name) for name in names if _is_installed(name)}
+    if len(words) == 1 and isinstance(functions.get(chosen), dict):
+        print(f"usage: apricotrail {chosen} {{{','.join(functions[chosen])}}} ...", file=sys.stderr)
+        return USAGE
     return run(
         functions,
         argv=words,
