--- a/apricotrail/entry/_admission.py
+++ b/apricotrail/entry/_admission.py
@@ -7,7 +7,7 @@
 
 from apricotrail.clocks import Clock
 from apricotrail.document import EffectiveConfiguration, Team
-from apricotrail.entry._agents import AgentTable
+from apricotrail.entry._agents import AgentState, AgentTable
 from apricotrail.entry._dispatch import Dispatcher
 from apricotrail.entry._submission import Submission
 from apricotrail.errors import ErrorKind, Problem
@@ -126,9 +126,8 @@
             float(submission.deadline_ms or default_ms),
             parts.clock(),
         )
-        slots = _list_slots(parts, service_id) if known is not None else []
         team = parts.configuration().team_of(submission.caller)
-        state = _describe_service(parts, service_id, slots, submission, team)
+        state = _describe_service(parts, service_id, submission, team)
         return parts.admission.retry_after_ms(request, state)
 
     return retry_after_ms
@@ -145,47 +144,62 @@
     if max(map(len, submission.bodies)) > service.max_body_bytes:
         message = f"A task's body is over the service's {service.max_body_bytes} bytes."
         return Failure(Problem(ErrorKind.TOO_LARGE, message, "Send smaller bodies."))
-    known_slots = _list_slots(parts, service_id)
-    if known_slots and submission.slots_needed > max(known_slots):
-        message = f"No target of {service_id} has {submission.slots_needed} slots; not run."
-        remedy = f"Ask for at most {max(known_slots)} slots a task."
-        return Failure(Problem(ErrorKind.IMPOSSIBLE, message, remedy))
-    if not configuration.targets_of(service_id):
-        message = f"Service {service_id} has no target; not run."
-        return Failure(Problem(ErrorKind.IMPOSSIBLE, message, "Add a target to the document."))
+    impossible = _find_impossible(parts, submission, service_id)
+    if impossible is not None:
+        return Failure(impossible)
     team = configuration.team_of(submission.caller)
     deadline_ms = float(submission.deadline_ms or service.deadline_ms)
     request = AdmissionRequest(
         service_id, team.id, len(submission.bodies), deadline_ms, parts.clock()
     )
-    state = _describe_service(parts, service_id, known_slots, submission, team)
+    state = _describe_service(parts, service_id, submission, team)
     admitted = Admitted(service_id, team.id, team.share, deadline_ms)
     return parts.admission.decide(request, state).map(lambda _: admitted)
 
 
-def _list_slots(parts: AdmissionParts, service_id: str) -> list[int]:
-    agents = (
-        parts.agents.by_target(target.id) for target in parts.configuration().targets_of(service_id)
-    )
-    return [agent.slots for agent in agents if agent is not None and agent.slots]
+def _find_impossible(
+    parts: AdmissionParts, submission: Submission, service_id: str
+) -> Problem | None:
+    """Return why no target could ever run the job; one that is only away may hold it."""
+    targets = parts.configuration().targets_of(service_id)
+    if not targets:
+        message = f"Service {service_id} has no target; not run."
+        return Problem(ErrorKind.IMPOSSIBLE, message, "Add a target to the document.")
+    agents = [parts.agents.by_target(target.id) for target in targets]
+    slots = [agent.slots for agent in agents if agent is not None and agent.slots]
+    if len(slots) < len(targets) or submission.slots_needed <= max(slots):
+        return None
+    message = f"No target of {service_id} has {submission.slots_needed} slots; not run."
+    remedy = f"Ask for at most {max(slots)} slots a task."
+    return Problem(ErrorKind.IMPOSSIBLE, message, remedy)
+
+
+def _list_usable(parts: AdmissionParts, service_id: str) -> list[AgentState]:
+    configuration, now_ms = parts.configuration(), parts.clock()
+    usable = []
+    for target in configuration.targets_of(service_id):
+        if not configuration.is_zone_in_service(target.zone):
+            continue
+        agent = parts.agents.by_target(target.id)
+        if agent is not None and agent.is_usable(now_ms):
+            usable.append(agent)
+    return usable
 
 
 def _describe_service(
     parts: AdmissionParts,
     service_id: str,
-    known_slots: list[int],
     submission: Submission,
     team: Team,
 ) -> ServiceState:
     configuration, dispatcher = parts.configuration(), parts.dispatcher
-    found = (parts.agents.by_target(target.id) for target in configuration.targets_of(service_id))
-    agents = [agent for agent in found if agent is not None]
+    agents = _list_usable(parts, service_id)
     queue = dispatcher.work.queues[service_id]
     tasks = len(submission.bodies)
     shares = sum(known.share for known in configuration.teams.values()) or team.share
     return ServiceState(
         queued_tasks=len(queue),
-        slots=sum(known_slots),
+        slots=sum(agent.slots for agent in agents),
         running=sum(agent.open_count for agent in agents),
         mean_task_ms=dispatcher.work.run_times.mean_ms(service_id),
         team_queued=queue.waiting_of_team(team.id),
--- a/apricotrail/entry/_agents.py
+++ b/apricotrail/entry/_agents.py
@@ -1,6 +1,7 @@
 """What this entry knows of each agent: slots, load, grants and open attempts."""
 
 from collections import defaultdict, deque
+from typing import NamedTuple
 
 from apricotrail.clocks import Clock
 from apricotrail.wire import Link
@@ -25,6 +26,11 @@
     return agent_name.removeprefix(AGENT_PREFIX)
 
 
+class _Lost(NamedTuple):
+    config_version: int
+    until_ms: float
+
+
 class AgentState:
     """One agent incarnation, as this entry knows it.
 
@@ -151,11 +157,15 @@
         Monotonic time in milliseconds.
     grant_ms : float
         How long a granted slot is reserved.
+    stale_ms : float
+        Age of its configuration from which an agent starts nothing.
     """
 
-    def __init__(self, clock: Clock, grant_ms: float) -> None:
+    def __init__(self, clock: Clock, grant_ms: float, stale_ms: float) -> None:
         self._clock = clock
         self._grant_ms = grant_ms
+        self._stale_ms = stale_ms
+        self._lost: dict[tuple[str, int], _Lost] = {}
         self._agents: dict[str, AgentState] = {}
 
     def find(self, name: str) -> AgentState | None:
@@ -177,6 +187,7 @@
             agent = AgentState(name, incarnation, self._clock, self._grant_ms)
             self._agents[name] = agent
         agent.connect(link)
+        self._lost.pop((name, incarnation), None)
         return agent, former
 
     def disconnect(self, link: Link) -> AgentState | None:
@@ -185,6 +196,8 @@
         if agent is None or agent.link is not link:
             return None
         agent.link = None
+        until_ms = self._clock() + self._stale_ms
+        self._lost[(agent.name, agent.incarnation)] = _Lost(agent.config_version, until_ms)
         return agent
 
     def forget(self, agent: AgentState) -> None:
@@ -196,6 +209,18 @@
         """Return the agent of a target."""
         return self._agents.get(AGENT_PREFIX + target)
 
+    def confirmed_version(self, own_version: int) -> int:
+        """Return the version that this entry and every agent which may start tasks have.
+
+        An agent whose link was lost may go on with what it knows until that is stale.
+        """
+        now_ms = self._clock()
+        for key in [key for key, lost in self._lost.items() if lost.until_ms <= now_ms]:
+            del self._lost[key]
+        versions = [agent.config_version for agent in self.connected()]
+        versions += [lost.config_version for lost in self._lost.values()]
+        return min([own_version, *versions])
+
     def connected(self) -> list[AgentState]:
         """Return all agents with a link."""
         return [agent for agent in self._agents.values() if agent.link is not None]
--- a/apricotrail/entry/_application.py
+++ b/apricotrail/entry/_application.py
@@ -37,12 +37,12 @@
 from apricotrail.entry._uncertainty import Vouching
 from apricotrail.entry._work import Work
 from apricotrail.entry.pipeline import Pipeline
-from apricotrail.errors import ErrorKind, Problem
+from apricotrail.errors import ApricotrailError, ErrorKind, Problem
 from apricotrail.events import Level, declare_event, emit
 from apricotrail.http import HttpServer, Router, read_server_limits
 from apricotrail.membership import CONFIG_STALE_MS, NEVER_CONFIRMED_AGE_MS
 from apricotrail.metrics import make_metrics, watch_loop_lag
-from apricotrail.policy import PLACEMENTS, Admission
+from apricotrail.policy import PLACEMENTS, Admission, Placement
 from apricotrail.settings import Settings, declare_constraint, declare_setting
 from apricotrail.wire import KEY_FILE, KeyRing, Link, LinkEndpoint, parse_address
 from apricotrail.wire.generated import ttypes
@@ -130,7 +130,7 @@
         self.random = Random()
         self.stale_ms = float(settings.get(CONFIG_STALE_MS))
         self.endpoint = _make_endpoint(settings)
-        self.agents = AgentTable(monotonic_ms, settings.get(GRANT_MS))
+        self.agents = AgentTable(monotonic_ms, settings.get(GRANT_MS), self.stale_ms)
         self.announcements = AnnouncementTable(monotonic_ms, settings.get(MAX_ANNOUNCEMENTS))
         self.control = ControlClient(self.endpoint, settings.get(CONTROL_CALL_MS))
         self.relay = ConfigurationRelay(self.endpoint, self.agents, monotonic_ms, self.stale_ms)
@@ -356,7 +356,7 @@
             self.usable_targets,
             self.service_of,
             self.relay.freshness.is_fresh,
-            PLACEMENTS[self.settings.get(PLACEMENT)](self.random),
+            _find_placement(self.settings.get(PLACEMENT))(self.random),
         )
         return Dispatcher(
             work, placer, self.settings.get(AGENT_LOST_MS), self.settings.get(STOP_GRACE_MS)
@@ -538,6 +538,15 @@
         await asyncio.sleep(POLL_MS / MS_PER_S)
 
 
+def _find_placement(name: str) -> Callable[[Random], Placement]:
+    make_placement = PLACEMENTS.get(name)
+    if make_placement is None:
+        message = f"entry.placement: {name!r} is no placement."
+        remedy = f"Give one of {', '.join(sorted(PLACEMENTS))}."
+        raise ApricotrailError(Problem(ErrorKind.SETTINGS, message, remedy))
+    return make_placement
+
+
 def _make_endpoint(settings: Settings) -> LinkEndpoint:
     identity = ttypes.Identity(
         settings.get(NAME), "entry", settings.get(ZONE), wall_ms(), settings.get(LINK_LISTEN)
--- a/apricotrail/entry/_job_problems.py
+++ b/apricotrail/entry/_job_problems.py
@@ -18,7 +18,7 @@
         return describe_mismatch(job)
     if status is ClaimStatus.UNCERTAIN:
         message = f"Records of earlier submissions were lost; {job} may have run."
-        remedy = "Check with the target, or submit under a new UUIDv7."
+        remedy = "Check with the target, or submit under a UUIDv7 made some seconds from now."
         return Problem(ErrorKind.MAY_HAVE_RUN, message, remedy)
     if status is ClaimStatus.FULL:
         message = "The table of claims is full; nothing was started."
--- a/apricotrail/entry/_relay.py
+++ b/apricotrail/entry/_relay.py
@@ -96,8 +96,7 @@
 
     def confirmed_version(self) -> int:
         """Return the version that this entry and every agent linked to it have."""
-        behind = [agent.config_version for agent in self._agents.connected()]
-        return min([self.configuration.version, *behind])
+        return self._agents.confirmed_version(self.configuration.version)
 
     def push_to(self, link: Link) -> None:
         """Send an agent what it lacks."""
--- a/apricotrail/entry/tests/test_dispatch.py
+++ b/apricotrail/entry/tests/test_dispatch.py
@@ -65,7 +65,7 @@
     def __init__(self, *targets: str, slots: int = 8) -> None:
         self.clock = VirtualClock(1_000.0)
         self.fresh = True
-        self.agents = AgentTable(self.clock, 50)
+        self.agents = AgentTable(self.clock, 50, 3_000)
         work = Work(self.agents, self.clock, Random(1), make_metrics("entry"))
         placer = Placer(
             work,
@@ -257,5 +257,21 @@
 def test_policy_follows_the_settings():
     settings = Settings({"policy.retry_burst": 1, "policy.retries_per_s": 0.1})
     clock = VirtualClock()
-    work = Work(AgentTable(clock, 50), clock, Random(1), make_metrics("entry"), settings)
+    work = Work(AgentTable(clock, 50, 3_000), clock, Random(1), make_metrics("entry"), settings)
     assert [work.retries.may_retry("repair", 0.0) for _ in range(2)] == [True, False]
+
+
+def test_agent_that_was_lost_holds_the_confirmed_version_back_until_it_is_stale():
+    clock = VirtualClock(1_000.0)
+    agents = AgentTable(clock, 50, 3_000)
+    links = [FakeLink("r1"), FakeLink("r2")]
+    for link in links:
+        agents.connect(link)[0].config_version = 7
+    assert agents.confirmed_version(9) == 7
+    agents.disconnect(links[0])
+    agents.find("agent:r2").config_version = 9
+    assert agents.confirmed_version(9) == 7, "r1 may still start tasks with version 7"
+    agents.connect(FakeLink("r1", incarnation=2))[0].config_version = 9
+    assert agents.confirmed_version(9) == 7, "its former process may still run"
+    clock.advance(3_000)
+    assert agents.confirmed_version(9) == 9
