--- a/apricotrail/entry/_dispatch.py
+++ b/apricotrail/entry/_dispatch.py
@@ -79,7 +79,7 @@
 
     def resume(self, job: Job, tasks: Iterable[int]) -> None:
         """Queue some tasks of a job, the others being settled or running already."""
-        self.jobs[job.key] = job
+        self.work.add(job)
         job.queued.update(tasks)
         self.work.enqueue(job, job.queued)
         self._set_timer(job, job.deadline_ms, self._expire)
@@ -117,7 +117,7 @@
 
     def count_unfinished(self, caller: str) -> int:
         """Return how many jobs of a caller are unfinished here."""
-        return sum(job.caller == caller for job in self.jobs.values())
+        return self.work.jobs_by_caller[caller]
 
     # ---- messages ----
 
--- a/apricotrail/entry/_work.py
+++ b/apricotrail/entry/_work.py
@@ -1,6 +1,6 @@
 """What the parts of the dispatcher share: jobs, queues, agents and what was learned of them."""
 
-from collections import defaultdict
+from collections import Counter, defaultdict
 from collections.abc import Iterable
 from random import Random
 
@@ -37,6 +37,8 @@
     ----------
     jobs : dict of str to Job
         Unfinished jobs.
+    jobs_by_caller : Counter
+        Number of unfinished jobs of each caller.
     queues : dict of str to FairQueue
         Queued tasks by service.
     run_times : RunTimes
@@ -60,6 +62,7 @@
         self.random = random
         self.metrics = metrics
         self.jobs: dict[str, Job] = {}
+        self.jobs_by_caller: Counter[str] = Counter()
         self.queues: dict[str, FairQueue] = defaultdict(FairQueue)
         self.run_times = RunTimes(settings)
         self.health = TargetHealth(random, settings)
@@ -90,10 +93,18 @@
         for task in list(job.queued):
             job.settle(task, TaskState.NOT_RUN)
 
+    def add(self, job: Job) -> None:
+        """Take in a job."""
+        self.jobs[job.key] = job
+        self.jobs_by_caller[job.caller] += 1
+
     def forget(self, job: Job) -> bool:
         """Drop a job; returns False if it was dropped before."""
         if self.jobs.get(job.key) is not job:
             return False
         del self.jobs[job.key]
+        self.jobs_by_caller[job.caller] -= 1
+        if not self.jobs_by_caller[job.caller]:
+            del self.jobs_by_caller[job.caller]
         self.queues[job.service].cancel(job.key)
         return True
--- a/apricotrail/entry/tests/test_system.py
+++ b/apricotrail/entry/tests/test_system.py
@@ -3,6 +3,8 @@
 import asyncio
 import unittest
 
+import orjson
+
 from apricotrail.entry.tests.system import System
 
 
@@ -132,3 +134,57 @@
             status, answer = await system.submit(others[0], "1", [{"run_ms": 1}] * 40)
             self.assertEqual(status, 200, answer)
             self.assertEqual(set(system.starts().values()), {1})
+
+    async def test_closed_connection_cancels_the_job_if_the_caller_asked_for_it(self):
+        async with System(targets=1) as system:
+            system.targets[0].gate.clear()
+            entry = system.entries[0]
+            for submission, cancels in (("stays", False), ("goes", True)):
+                more = {"cancel_on_disconnect": cancels}
+                reading = asyncio.ensure_future(system.submit(entry, submission, [{}] * 2, **more))
+                job = f"natal/{submission}"
+                await system.wait_until(lambda key=job: key in entry.dispatcher.jobs)
+                reading.cancel()
+                await asyncio.gather(reading, return_exceptions=True)
+            await system.wait_until(lambda: "natal/goes" not in entry.dispatcher.jobs)
+            self.assertIn("natal/stays", entry.dispatcher.jobs)
+            _, answer = await system.call(entry, "GET", "/v1/jobs/natal/goes?wait_ms=5000")
+            self.assertEqual(answer["error"]["kind"], "cancelled")
+
+    async def test_deadline_reports_each_task(self):
+        async with System(targets=1) as system:
+            system.targets[0].gate.clear()
+            status, answer = await system.submit(system.entries[0], "1", [{}] * 10, deadline_ms=700)
+            states = [task["state"] for task in answer["tasks"]]
+            self.assertEqual((status, answer["error"]["kind"]), (504, "deadline"))
+            self.assertEqual(states.count("may_have_run"), len(system.starts()))
+            self.assertEqual(states.count("not_run"), 10 - len(system.starts()))
+
+    async def test_caller_with_too_many_open_jobs_is_refused_before_anything_starts(self):
+        async with System(targets=1, settings={"entry.max_jobs_of_caller": 1}) as system:
+            system.targets[0].gate.clear()
+            entry = system.entries[0]
+            first = asyncio.ensure_future(system.submit(entry, "1", [{}]))
+            await system.wait_until(system.starts)
+            status, answer = await system.submit(entry, "2", [{}])
+            self.assertEqual((status, answer["error"]["kind"]), (429, "quota_exceeded"))
+            system.targets[0].gate.set()
+            self.assertEqual((await first)[0], 200)
+            self.assertEqual((await system.submit(entry, "2", [{}]))[0], 200)
+
+    async def test_asynchronous_job_is_read_from_any_entry(self):
+        async with System() as system:
+            body = {
+                "submission": "a",
+                "caller": "natal",
+                "service": "Repair",
+                "tasks": [{"body": "{}"}],
+            }
+            headers = (("Prefer", "respond-async"),)
+            reply = await system.client.request(
+                "POST", system.entries[0].address, "/v1/jobs", orjson.dumps(body), headers
+            )
+            self.assertEqual(reply.unwrap().status, 202)
+            for entry in system.entries:
+                status, answer = await system.call(entry, "GET", "/v1/jobs/natal/a?wait_ms=5000")
+                self.assertEqual((status, answer["state"]), (200, "complete"))
--- a/apricotrail/wire/tests/test_links.py
+++ b/apricotrail/wire/tests/test_links.py
@@ -2,7 +2,11 @@
 
 import asyncio
 import unittest
+from pathlib import Path
+from tempfile import TemporaryDirectory
 
+from hypothesis import given, settings
+from hypothesis import strategies as st
 from nose2.tools import params
 
 from apricotrail.settings import Settings
@@ -12,8 +16,11 @@
 FAST = Settings({"link.heartbeat_ms": 20, "link.silent_ms": 150, "link.redial_ms": 5})
 
 
-def make_endpoint(name: str, environment: str = "trial") -> LinkEndpoint:
-    return LinkEndpoint(Identity(name, "entry", "pipa", 1, ""), environment, KeyRing(None), FAST)
+def make_endpoint(
+    name: str, environment: str = "trial", keys: KeyRing | None = None
+) -> LinkEndpoint:
+    identity = Identity(name, "entry", "pipa", 1, "")
+    return LinkEndpoint(identity, environment, keys or KeyRing(None), FAST)
 
 
 async def wait_until(condition, timeout_s: float = 10.0) -> None:
@@ -66,6 +73,35 @@
             pair.left.links["right"].close()
             await wait_until(lambda: pair.left.links and pair.right.links)
 
+    async def test_malformed_frame_closes_that_link_alone(self):
+        async with Pair() as pair:
+            third = make_endpoint("third")
+            third.start()
+            third.dial(pair.right.identity.address)
+            await wait_until(lambda: "third" in pair.right.links)
+            kept = pair.right.links["third"]
+            broken = pair.left.links["right"]
+            broken._transport.write(b"\xff" * 64)
+            await wait_until(broken.closed.done)
+            await wait_until(lambda: "left" in pair.right.links)
+            self.assertIs(pair.right.links["third"], kept)
+            await third.stop()
+
+    async def test_wrong_key_is_refused_and_keys_are_replaced_without_a_stop(self):
+        with TemporaryDirectory() as folder:
+            files = [Path(folder) / name for name in ("left", "right")]
+            files[0].write_text("first-key-0123456789\n")
+            files[1].write_text("other-key-0123456789\n")
+            left, right = (make_endpoint(path.name, keys=KeyRing(path)) for path in files)
+            left.dial(await right.listen("127.0.0.1", 0))
+            await asyncio.sleep(0.1)
+            self.assertEqual((left.links, right.links), ({}, {}))
+            files[1].write_text("other-key-0123456789\nfirst-key-0123456789\n")
+            files[0].write_text("first-key-0123456789\nother-key-0123456789\n")
+            await wait_until(lambda: left.links and right.links)
+            await left.stop()
+            await right.stop()
+
     async def test_other_environment_is_refused(self):
         left, right = make_endpoint("left", "trial"), make_endpoint("right", "production")
         address = await right.listen("127.0.0.1", 0)
@@ -94,3 +130,16 @@
         cuts = range(0, len(data), step)
         frames = [frame for at in cuts for frame in reader.feed(data[at : at + step])]
         assert [frame.correlation for frame in frames] == list(range(5))
+
+
+@settings(derandomize=True, deadline=None, max_examples=300)
+@given(st.binary(max_size=200), st.integers(0, 60), st.integers(1, 50))
+def test_reader_gives_frames_or_a_wire_error_for_any_bytes(noise, at, step):
+    whole = encode_frame(Claim(3), 7)
+    data = whole[:at] + noise + whole
+    reader = FrameReader(max_frame_bytes=1_000)
+    try:
+        for start in range(0, len(data), step):
+            reader.feed(data[start : start + step])
+    except WireError as error:
+        assert error.problem.remedy
