--- a/apricotrail/entry/_application.py
+++ b/apricotrail/entry/_application.py
@@ -5,8 +5,6 @@
 from pathlib import Path
 from random import Random
 
-from returns.result import Failure, Result, Success
-
 from apricotrail.agent import GRANT_MS, make_hosted_agent
 from apricotrail.agent import RETENTION_S as LEDGER_RETENTION_S
 from apricotrail.application import STOP_MS, Application
@@ -19,6 +17,7 @@
 )
 from apricotrail.entry._agents import AgentTable
 from apricotrail.entry._announcements import MAX_ANNOUNCEMENTS, AnnouncementTable
+from apricotrail.entry._announcer import Announcer
 from apricotrail.entry._burn import EXCHANGE_S, BurnCounts
 from apricotrail.entry._callers import CallerParts, add_caller_routes
 from apricotrail.entry._claiming import CLAIM_CALL_MS, CLAIM_HEDGE_MS
@@ -26,15 +25,15 @@
 from apricotrail.entry._control_client import CONTROL_CALL_MS, ControlClient
 from apricotrail.entry._dispatch import AGENT_LOST_MS, STOP_GRACE_MS, Dispatcher
 from apricotrail.entry._hosting import REBALANCE_MS, Hosting, HostingParts
-from apricotrail.entry._job import Job, JobResult
+from apricotrail.entry._ledgers import LedgerReader
+from apricotrail.entry._observation import JobObserver, watch_dispatcher, watch_membership
 from apricotrail.entry._operating import OperatingParts, make_operator_router
 from apricotrail.entry._ownership import OwnershipParts
 from apricotrail.entry._placer import Placer
 from apricotrail.entry._relay import ConfigurationRelay
-from apricotrail.entry._submission import MAX_DEADLINE_MS, Submission, read_limits
+from apricotrail.entry._submission import MAX_DEADLINE_MS, read_limits
 from apricotrail.entry._succession import SYNC_MS, ViewSuccession
 from apricotrail.entry._takeover import TakeOverParts, make_take_over
-from apricotrail.entry._uncertainty import Vouching
 from apricotrail.entry._work import Work
 from apricotrail.entry.pipeline import Pipeline
 from apricotrail.errors import ApricotrailError, ErrorKind, Problem
@@ -89,12 +88,10 @@
     "agent.retention_s must be at least entry.retention_s",
     "Raise agent.retention_s: claims are rebuilt from the agents' ledgers.",
 )
-HTTP_OK = 200
 TICK_MS = 250
 POLL_MS = 20
 MS_PER_S = 1_000
 LEAVE_VIEW_MS = 2_000
-LEDGER_CALL_MS = 2_000
 
 EXCLUDED = declare_event(
     2002,
@@ -143,6 +140,14 @@
         self.succession = ViewSuccession(
             self.table, self.find_link, self.identity, monotonic_ms, settings.get(SYNC_MS)
         )
+        self.announcer = Announcer(self.announcements, lambda: self.relay.effective, self.endpoint)
+        self.ledgers = LedgerReader(
+            self.agents,
+            self.table,
+            self.succession,
+            lambda: self.relay.effective.targets,
+            monotonic_ms,
+        )
         self.metrics = make_metrics("entry")
         self.dispatcher = self._make_dispatcher()
         self.hosting = Hosting(self._hosting_parts())
@@ -155,7 +160,8 @@
             self.member_links,
             lambda: {member.name for member in self.succession.view.members},
         )
-        self.pipeline = Pipeline(self._ownership_parts(), self._observe_job)
+        self.observer = JobObserver(self.metrics, self.burn)
+        self.pipeline = Pipeline(self._ownership_parts(), self.observer.observe_job)
         limits = read_server_limits(settings)
         self.server = HttpServer(self._make_router(), limits)
         self.operators = HttpServer(make_operator_router(self._operating_parts()), limits)
@@ -197,56 +203,6 @@
         known = self.relay.effective.targets.get(target)
         return known.service if known is not None else None
 
-    def vouch(self) -> Vouching:
-        """Return what the ledgers of all targets cover."""
-        agents = [self.agents.by_target(target) for target in self.relay.effective.targets]
-        lost_ms = self.succession.lost_seen_ms
-        asked = [
-            agent
-            for agent in agents
-            if agent is not None and agent.ledger_since_ms and agent.ledger_read_ms >= lost_ms
-        ]
-        since_ms = max((agent.ledger_since_ms for agent in asked), default=0)
-        return Vouching(len(asked) == len(agents) and bool(agents), since_ms)
-
-    # ---- announcements ----
-
-    def announce(self, announcement: ttypes.Announcement) -> Result[str, Problem]:
-        """Take in a target's own announcement and share it with the other entries."""
-        taken = self._put_announcement(announcement)
-        if isinstance(taken, Success):
-            message = ttypes.ShareAnnouncements([announcement])
-            for link in self.endpoint.links.values():
-                if link.peer.role == "entry":
-                    link.send(message)
-        return taken
-
-    def leave(self, reference: str) -> Result[str, Problem]:
-        """Take in that a target leaves: it gets no new work."""
-        target = self._resolve_target(reference)
-        live = self.announcements.live().get(target)
-        if live is None:
-            message = f"No target {reference} is announced."
-            return Failure(Problem(ErrorKind.NOT_FOUND, message, "Check the name."))
-        live.leaving = True
-        return self.announce(live)
-
-    def _put_announcement(self, announcement: ttypes.Announcement) -> Result[str, Problem]:
-        target = self._resolve_target(announcement.target)
-        if not self.announcements.put(target, announcement):
-            message = "A newer incarnation of the target is announced, or too many targets are."
-            return Failure(Problem(ErrorKind.CONFLICT, message, "Announce a newer incarnation."))
-        return Success(target)
-
-    def _resolve_target(self, reference: str) -> str:
-        if reference in self.relay.effective.targets:
-            return reference
-        return self.relay.effective.resolve("target", reference).value_or(reference)
-
-    def _receive_announcements(self, link: Link, message: ttypes.ShareAnnouncements) -> None:
-        for announcement in message.announcements:
-            self._put_announcement(announcement)
-
     # ---- links ----
 
     def _state_heartbeat(self, link: Link) -> ttypes.Heartbeat:
@@ -279,27 +235,12 @@
             return
         self.dispatcher.connect(link)
         self.relay.push_to(link)
-        self.application.spawn(self._read_ledger(link))
+        self.application.spawn(self.ledgers.read(link))
 
     def _link_down(self, link: Link) -> None:
         if link.peer.role == "agent":
             self.dispatcher.disconnect(link)
 
-    async def _read_ledger(self, link: Link) -> None:
-        agent = self.agents.find(link.peer.name)
-        if agent is None:
-            return
-        asked_ms = monotonic_ms()
-        reply = await link.call(ttypes.LedgerRequest(agent.target), LEDGER_CALL_MS)
-        if not isinstance(reply, Success):
-            return
-        ledger = reply.unwrap()
-        if self.succession.lost_wall_ms:
-            for job in ledger.jobs or ():
-                self.table.store(ttypes.ClaimRecord(job.job, job.owner, 0, job.epoch, b"", 0))
-        agent.ledger_since_ms = wall_ms() - ledger.age_ms
-        agent.ledger_read_ms = asked_ms
-
     # ---- view ----
 
     def _configuration_applied(self) -> None:
@@ -307,6 +248,7 @@
         for member in view.members:
             if member.name != self.endpoint.identity.name:
                 self.endpoint.dial(member.address)
+        self.metrics.views_installed.add(int(view.epoch > self.succession.view.epoch))
         if self._was_member and view.epoch and not view.has(*self.identity()):
             self._begin_new_incarnation()
         self._was_member = view.has(*self.identity())
@@ -316,8 +258,7 @@
     async def _follow_view(self) -> None:
         await self.succession.follow(self.relay.view)
         if self.succession.lost_wall_ms:
-            links = [agent.link for agent in self.agents.connected()]
-            await asyncio.gather(*(self._read_ledger(link) for link in links))
+            await self.ledgers.read_all()
 
     def _begin_new_incarnation(self) -> None:
         """Give up all jobs: other entries may have taken them over."""
@@ -342,7 +283,6 @@
         endpoint.receive_heartbeat = self._receive_heartbeat
         endpoint.on_up(self._link_up)
         endpoint.on_down(self._link_down)
-        endpoint.on(ttypes.ShareAnnouncements, self._receive_announcements)
         endpoint.on(ttypes.TaskOutcomes, self.dispatcher.receive_outcomes)
         endpoint.on(ttypes.SlotOffer, self.dispatcher.receive_offer)
         endpoint.on(ttypes.Claim, self.pipeline.receive_claim)
@@ -351,7 +291,8 @@
         endpoint.on(ttypes.AttachJob, self.pipeline.receive_attach)
         endpoint.on(ttypes.CancelJob, self.pipeline.receive_cancel)
         endpoint.on(ttypes.ReportRequest, self.burn.answer_request)
-        self._watch_gauges()
+        watch_dispatcher(self.metrics, self.dispatcher, self.agents)
+        watch_membership(self.metrics, endpoint, self.relay, self.table, self.succession)
         self.relay.on_applied.append(self._configuration_applied)
         self.application.on_start(self._start)
         self.application.on_stop(self._stop)
@@ -429,7 +370,7 @@
             take_over,
             self.member_links,
             self.find_link,
-            self.vouch,
+            self.ledgers.vouch,
             monotonic_ms,
             self.settings.get(RETENTION_S) * MS_PER_S,
             self.stale_ms,
@@ -454,42 +395,16 @@
         parts = CallerParts(
             self.pipeline,
             read_limits(self.settings),
-            self.announce,
-            self.leave,
+            self.announcer.announce,
+            self.announcer.leave,
             lambda: self.ready and self.succession.is_ready() and self.relay.freshness.is_fresh(),
             self.retry_after_ms,
             self.metrics.render,
-            self._observe_refusal,
+            self.observer.observe_refusal,
         )
         add_caller_routes(router, parts)
         return router
 
-    def _observe_job(self, job: Job, result: JobResult, response_ms: float) -> None:
-        self.metrics.jobs.add("complete" if result.status == HTTP_OK else "failed")
-        self.metrics.response_ms.observe(response_ms)
-        if job.longest_ms:
-            self.metrics.response_over_ideal.observe(response_ms / job.longest_ms)
-        self.burn.observe_job(job, result, response_ms)
-
-    def _observe_refusal(self, submission: Submission, problem: Problem) -> None:
-        self.metrics.refusals.add(problem.kind.value)
-        self.burn.observe_refusal(submission.service, problem)
-
-    def _watch_gauges(self) -> None:
-        metrics = self.metrics
-        metrics.links.watch(self.endpoint.links.__len__)
-        metrics.config_version.watch(lambda: self.relay.configuration.version)
-        metrics.config_age_ms.watch(self.relay.freshness.age_ms)
-        metrics.queued_tasks.watch(self.dispatcher.count_all_queued)
-        metrics.running_tasks.watch(self.dispatcher.count_running)
-        metrics.slots.watch(lambda: sum(agent.slots for agent in self.agents.connected()))
-        metrics.free_slots.watch(
-            lambda: sum(agent.count_free() for agent in self.agents.connected())
-        )
-        metrics.targets_ejected.watch(lambda: len(self.dispatcher.work.health.ejected()))
-        metrics.claims.watch(self.table.__len__)
-        metrics.view_epoch.watch(lambda: self.succession.view.epoch)
-
     # ---- life cycle ----
 
     async def _start(self) -> None:
--- a/apricotrail/entry/pipeline.py
+++ b/apricotrail/entry/pipeline.py
@@ -102,6 +102,7 @@
     async def _begin(self, submission: Submission) -> Result["asyncio.Future[JobResult]", Problem]:
         known = self._parts.dispatcher.jobs.get(submission.job)
         if known is not None:
+            self._parts.dispatcher.work.metrics.jobs_attached.add()
             return _attach(known, submission)
         held = self._parts.table.find(submission.job)
         admitted: Admitted | None = None
@@ -110,6 +111,8 @@
             if isinstance(decision, Failure):
                 return decision
             admitted = decision.unwrap()
+        else:
+            self._parts.dispatcher.work.metrics.jobs_attached.add()
         return await self._ownership.acquire(submission, admitted, held)
 
     async def find(self, job: str, wait_ms: float) -> Result[JobResult | None, Problem]:
