--- a/apricotrail/reports/_plot.py
+++ b/apricotrail/reports/_plot.py
@@ -14,6 +14,8 @@
 LEFT, RIGHT, TOP, BOTTOM = 34, 6, 8, 20
 GRID_LINES = 4
 TIME_MARKS = 4
+DATE_MARKS = 2
+DAY_MS = 86_400_000
 
 
 def draw_burn(service: ServiceBurn, window: Window, now_ms: int) -> str:
@@ -107,10 +109,11 @@
             "stroke='currentColor' opacity='.12'/>"
             f"<text x='{LEFT - 4}' y='{y + 3:.1f}' text-anchor='end'>{_shorten(value)}</text>"
         )
-    for step in range(TIME_MARKS + 1):
-        time_ms = now_ms - window.length_ms * (1 - step / TIME_MARKS)
-        x = LEFT + step / TIME_MARKS * (WIDTH - LEFT - RIGHT)
-        anchor = "start" if step == 0 else "end" if step == TIME_MARKS else "middle"
+    marks = TIME_MARKS if window.length_ms < DAY_MS else DATE_MARKS
+    for step in range(marks + 1):
+        time_ms = now_ms - window.length_ms * (1 - step / marks)
+        x = LEFT + step / marks * (WIDTH - LEFT - RIGHT)
+        anchor = "start" if step == 0 else "end" if step == marks else "middle"
         label = _format_mark(time_ms, window)
         parts.append(f"<text x='{x:.1f}' y='{HEIGHT - 5}' text-anchor='{anchor}'>{label}</text>")
     return "".join(parts)
@@ -124,7 +127,7 @@
 
 
 def _format_mark(time_ms: float, window: Window) -> str:
-    form = "%H:%M" if window.length_ms < 86_400_000 else "%d %b %Hh"
+    form = "%H:%M" if window.length_ms < DAY_MS else "%d %b %Hh"
     return datetime.fromtimestamp(time_ms / 1000, UTC).strftime(form)
 
 
