--- a/apricotrail/entry/_claims.py
+++ b/apricotrail/entry/_claims.py
@@ -5,6 +5,7 @@
 is complete.
 """
 
+from bisect import bisect_right
 from collections import OrderedDict
 from typing import NamedTuple
 
@@ -98,6 +99,8 @@
         self._held: OrderedDict[str, _Held] = OrderedDict()
         self._answers_bytes = 0
         self._answered: OrderedDict[str, int] = OrderedDict()
+        # Keys in order at the last first page: a sealed epoch gets no further claims.
+        self._copy_order: list[str] = []
 
     def __len__(self) -> int:
         return len(self._held)
@@ -167,16 +170,22 @@
     def copy_page(self, request: ClaimsRequest) -> CopyClaims:
         """Seal the asked epoch and return one page of claims in job order."""
         self.seal(request.sealed_epoch)
-        keys = sorted(key for key in self._held if key > (request.after or ""))
+        if not request.after:
+            self._copy_order = sorted(self._held)
         page: list[ClaimRecord] = []
         size_bytes = 0
-        for key in keys[:COPY_PAGE_RECORDS]:
-            record = self._aged(self._held[key])
+        position = bisect_right(self._copy_order, request.after or "")
+        while position < len(self._copy_order) and len(page) < COPY_PAGE_RECORDS:
+            held = self._held.get(self._copy_order[position])
+            position += 1
+            if held is None:
+                continue
+            record = self._aged(held)
             size_bytes += len(record.answer or b"")
             page.append(record)
             if size_bytes > COPY_PAGE_BYTES:
                 break
-        return CopyClaims(self.ready_epoch, True, page, len(page) < len(keys))
+        return CopyClaims(self.ready_epoch, True, page, position < len(self._copy_order))
 
     def orphans(self, owners: set[tuple[str, int]]) -> list[ClaimRecord]:
         """Return unfinished claims whose owner is not among (name, incarnation) `owners`."""
