--- a/apricotrail/entry/_admission.py
+++ b/apricotrail/entry/_admission.py
@@ -29,6 +29,7 @@
 
 
 DEFAULT_DEADLINE_MS = 10_000
+AWAY_FACTOR = 2
 
 
 class Admitted(NamedTuple):
@@ -165,8 +166,7 @@
     if not targets:
         message = f"Service {service_id} has no target; not run."
         return Problem(ErrorKind.IMPOSSIBLE, message, "Add a target to the document.")
-    agents = [parts.agents.by_target(target.id) for target in targets]
-    slots = [agent.slots for agent in agents if agent is not None and agent.slots]
+    slots = [agent.slots for agent in _list_agents(parts, service_id) if agent.slots]
     if len(slots) < len(targets) or submission.slots_needed <= max(slots):
         return None
     message = f"No target of {service_id} has {submission.slots_needed} slots; not run."
@@ -174,16 +174,25 @@
     return Problem(ErrorKind.IMPOSSIBLE, message, remedy)
 
 
-def _list_usable(parts: AdmissionParts, service_id: str) -> list[AgentState]:
+def _list_agents(parts: AdmissionParts, service_id: str) -> list[AgentState]:
+    targets = parts.configuration().targets_of(service_id)
+    agents = (parts.agents.by_target(target.id) for target in targets)
+    return [agent for agent in agents if agent is not None]
+
+
+def _count_slots(parts: AdmissionParts, agents: list[AgentState]) -> int:
+    """Return the slots to reckon with: those in service, and as many that are expected back.
+
+    A zone that operators took out returns; refusing what it would have run loses work. The deadline
+    share of admission leaves room for a factor of `AWAY_FACTOR`.
+    """
     configuration, now_ms = parts.configuration(), parts.clock()
-    usable = []
-    for target in configuration.targets_of(service_id):
-        if not configuration.is_zone_in_service(target.zone):
-            continue
-        agent = parts.agents.by_target(target.id)
-        if agent is not None and agent.is_usable(now_ms):
-            usable.append(agent)
-    return usable
+    in_service = 0
+    for agent in agents:
+        known = configuration.targets.get(agent.target)
+        if known is not None and configuration.is_zone_in_service(known.zone):
+            in_service += agent.slots if agent.is_usable(now_ms) else 0
+    return min(sum(agent.slots for agent in agents), AWAY_FACTOR * in_service)
 
 
 def _describe_service(
@@ -193,13 +202,13 @@
     team: Team,
 ) -> ServiceState:
     configuration, dispatcher = parts.configuration(), parts.dispatcher
-    agents = _list_usable(parts, service_id)
+    agents = _list_agents(parts, service_id)
     queue = dispatcher.work.queues[service_id]
     tasks = len(submission.bodies)
     shares = sum(known.share for known in configuration.teams.values()) or team.share
     return ServiceState(
         queued_tasks=len(queue),
-        slots=sum(agent.slots for agent in agents),
+        slots=_count_slots(parts, agents),
         running=sum(agent.open_count for agent in agents),
         mean_task_ms=dispatcher.work.run_times.mean_ms(service_id),
         team_queued=queue.waiting_of_team(team.id),
