--- a/apricotrail/measure/_roles.py
+++ b/apricotrail/measure/_roles.py
@@ -27,11 +27,14 @@
         Ends it as planned.
     kill : callable
         Ends it at once; without effect on a role in this process but a hasty stop.
+    process_id : int or None
+        Process to send signals to, None for a role in this process.
     """
 
     name: str
     stop: Callable[[], Awaitable[None]]
     kill: Callable[[], Awaitable[None]]
+    process_id: int | None = None
 
 
 RoleRunner = Callable[[str, str, dict], Awaitable[RunningRole]]
@@ -63,7 +66,7 @@
                 stdout=log,
                 stderr=log,
             )
-        return RunningRole(name, lambda: _stop(process), lambda: _kill(process))
+        return RunningRole(name, lambda: _stop(process), lambda: _kill(process), process.pid)
 
     return run
 
