--- a/apricotrail/agent/tests/test_gate.py
+++ b/apricotrail/agent/tests/test_gate.py
@@ -49,6 +49,7 @@
     (OPEN._replace(standing=Standing(True, True, True)), {}, Reason.TARGET_LEAVING),
     (OPEN._replace(leaving=True), {}, Reason.TARGET_LEAVING),
     (OPEN._replace(stopping=True), {}, Reason.STOPPING),
+    (OPEN._replace(sender_in_view=False), {}, Reason.FENCED),
     (OPEN, {"target": "other"}, Reason.UNKNOWN_TARGET),
     (OPEN, {"incarnation": 6}, Reason.WRONG_INCARNATION),
     (OPEN, {"budget_ms": 0}, Reason.EXPIRED),
--- a/apricotrail/agent/tests/test_lost_links.py
+++ b/apricotrail/agent/tests/test_lost_links.py
@@ -135,6 +135,23 @@
             await wait_until(lambda: len(entry.loads) > beats + 20)
             self.assertEqual(links, [entry.link])
 
+    async def test_entry_process_outside_the_view_starts_nothing(self):
+        async with Scene() as scene:
+            strangers = (("another name", "entry-z", 1), ("a former process", "entry-b", 0))
+            for what, name, incarnation in strangers:
+                with self.subTest(what):
+                    stranger = StandInEntry(name, incarnation)
+                    stranger.items = scene.entry.items
+                    await stranger.endpoint.listen("127.0.0.1", 0)
+                    stranger.endpoint.start()
+                    scene.agent._endpoint.dial(stranger.endpoint.identity.address)
+                    await wait_until(lambda entry=stranger: entry.link)
+                    stranger.start_tasks("school/1", {})
+                    await wait_until(lambda entry=stranger: entry.outcomes)
+                    self.assertEqual(stranger.states(), [(0, TaskState.NOT_RUN, Reason.FENCED)])
+                    await stranger.stop()
+            self.assertEqual(scene.target.started, [])
+
     async def test_new_entry_incarnation_replaces_the_old_link(self):
         async with Scene() as scene:
             address = scene.entry.address
