--- a/apricotrail/entry/tests/test_claims.py
+++ b/apricotrail/entry/tests/test_claims.py
@@ -1,17 +1,27 @@
 """Claims, sealing and succession of views, with fake links."""
 
 import unittest
+from types import SimpleNamespace
 
 from nose2.tools import params
 from returns.result import Failure, Success
 
 from apricotrail.clocks import VirtualClock
+from apricotrail.entry._agents import AgentTable
 from apricotrail.entry._claims import ClaimTable, count_majority, count_read_quorum
+from apricotrail.entry._ledgers import LedgerReader
 from apricotrail.entry._succession import ViewSuccession, is_covered
 from apricotrail.entry._uncertainty import Vouching, is_certainly_new
 from apricotrail.errors import ErrorKind, Problem
 from apricotrail.membership import View, ViewMember
-from apricotrail.wire.generated.ttypes import Claim, ClaimRecord, ClaimsRequest, ClaimVerdict
+from apricotrail.wire.generated.ttypes import (
+    Claim,
+    ClaimRecord,
+    ClaimsRequest,
+    ClaimVerdict,
+    Ledger,
+    LedgerJob,
+)
 
 RETENTION_MS = 900_000
 
@@ -180,3 +190,31 @@
 )
 def test_unknown_submission_is_new_only_if_certain(name, id_ms, lost_ms, vouching, certain):
     assert is_certainly_new(id_ms, lost_ms, NOW, RETENTION_MS, vouching) is certain, name
+
+
+class LedgerLink:
+    """An agent's link that answers with one job."""
+
+    peer = SimpleNamespace(name="agent:r1", zone="pipa", role="agent", incarnation=1)
+
+    async def call(self, request, timeout_ms):
+        return Success(Ledger("r1", 1, 60_000, [LedgerJob("c/1", "a", 1)]))
+
+
+class TestLedgers(unittest.IsolatedAsyncioTestCase):
+    async def test_ledger_read_before_a_loss_vouches_for_nothing(self):
+        members = Members("a")
+        clock, table, succession = members.clock, members.tables["a"], members.successions["a"]
+        agents = AgentTable(clock, 50, 3_000)
+        link = LedgerLink()
+        agents.connect(link)
+        reader = LedgerReader(agents, table, succession, lambda: ["r1"], clock)
+        await reader.read(link)
+        self.assertTrue(reader.vouch().all_asked)
+        self.assertIsNone(table.find("c/1"), "nothing is lost yet")
+        clock.advance(10)
+        succession._note_loss(1_000)
+        self.assertFalse(reader.vouch().all_asked)
+        await reader.read(link)
+        self.assertTrue(reader.vouch().all_asked)
+        self.assertEqual(table.find("c/1").owner_incarnation, 0)
--- a/apricotrail/entry/tests/test_system.py
+++ b/apricotrail/entry/tests/test_system.py
@@ -5,7 +5,10 @@
 
 import orjson
 
+from apricotrail.entry import Entry
 from apricotrail.entry.tests.system import System
+from apricotrail.errors import ApricotrailError
+from apricotrail.settings import Settings
 
 
 class TestWholePath(unittest.IsolatedAsyncioTestCase):
@@ -188,3 +191,25 @@
             for entry in system.entries:
                 status, answer = await system.call(entry, "GET", "/v1/jobs/natal/a?wait_ms=5000")
                 self.assertEqual((status, answer["state"]), (200, "complete"))
+
+    async def test_job_is_impossible_only_once_every_target_is_known(self):
+        async with System(targets=2) as system:
+            entry = system.entries[0]
+            tasks = [{"body": "{}", "needs": {"slots": 9}}]
+            value = {"caller": "natal", "service": "Repair", "deadline_ms": 300, "tasks": tasks}
+            body = orjson.dumps(value | {"submission": "1"})
+            status, answer = await system.call(entry, "POST", "/v1/jobs", body)
+            self.assertEqual((status, answer["error"]["kind"]), (422, "impossible"))
+            away = entry.agents.by_target("r1")
+            away.slots = 0
+            away.link = None
+            body = orjson.dumps(value | {"submission": "2"})
+            status, _ = await system.call(entry, "POST", "/v1/jobs", body)
+            self.assertNotEqual(status, 422, "the target that is away may have nine slots")
+
+
+class TestSettings(unittest.TestCase):
+    def test_unknown_placement_names_the_known_ones(self):
+        with self.assertRaises(ApricotrailError) as raised:
+            Entry(Settings({"entry.placement": "lucky"}))
+        self.assertIn("late-binding", raised.exception.problem.remedy)
