--- a/apricotrail/cli/__init__.py
+++ b/apricotrail/cli/__init__.py
@@ -1,5 +1,6 @@
 """The command line: one module for each noun, loaded when its command is chosen."""
 
 from apricotrail.cli._main import main
+from apricotrail.cli._role import serve
 
-__all__ = ["main"]
+__all__ = ["main", "serve"]
--- a/apricotrail/clocks.py
+++ b/apricotrail/clocks.py
@@ -1,7 +1,7 @@
 """Clocks passed into protocol code, so that tests can run it on virtual time."""
 
 from collections.abc import Callable
-from time import monotonic_ns, time_ns
+from time import CLOCK_BOOTTIME, clock_gettime_ns, time_ns
 
 __all__ = ["Clock", "VirtualClock", "monotonic_ms", "wall_ms"]
 
@@ -12,8 +12,12 @@
 
 
 def monotonic_ms() -> float:
-    """Return the monotonic clock in milliseconds; its zero point is arbitrary."""
-    return monotonic_ns() / _NS_PER_MS
+    """Return a monotonic clock in milliseconds that also counts suspended time.
+
+    Its zero point is arbitrary. ``CLOCK_MONOTONIC`` stands still while a machine is suspended, so a
+    process that wakes would take leases and confirmations for younger than they are.
+    """
+    return clock_gettime_ns(CLOCK_BOOTTIME) / _NS_PER_MS
 
 
 def wall_ms() -> int:
--- a/apricotrail/control/_application.py
+++ b/apricotrail/control/_application.py
@@ -15,6 +15,7 @@
 from apricotrail.control._members import replica_name
 from apricotrail.control._meters import time_syncs, watch_service
 from apricotrail.control._node import Node
+from apricotrail.control._operations import QueueOperations
 from apricotrail.control._proposals import PROPOSE_MS, ProposalRouter
 from apricotrail.control._replica import Timing
 from apricotrail.control._service import ControlService, ServiceParts
@@ -41,6 +42,14 @@
     [],
     'All replicas as "name=host:port", this one included; empty or one entry for a single replica.',
 )
+SEEDS = declare_setting(
+    "control.seeds",
+    [],
+    "Link addresses of some replicas; with these, replicas find each other and replace lost ones.",
+)
+FOUND = declare_setting(
+    "control.found", True, "Whether replicas with empty folders may found a group."
+)
 STATUS_LISTEN = declare_setting(
     "control.status_listen",
     "",
@@ -68,6 +77,13 @@
 SNAPSHOT_ENTRIES = declare_setting(
     "control.snapshot_entries", 10_000, "Log entries between two snapshots.", minimum=10
 )
+SNAPSHOT_LOG_BYTES = declare_setting(
+    "control.snapshot_log_bytes",
+    32 * 1024 * 1024,
+    "Size of the log file that brings a snapshot forward.",
+    unit="bytes",
+    minimum=100_000,
+)
 declare_constraint(
     (ROUND_MS, ELECTION_MS),
     lambda round_ms, election_ms: round_ms * 3 <= election_ms,
@@ -93,6 +109,8 @@
         Life cycle.
     service : ControlService or None
         The running replica, once started.
+    operations : QueueOperations or None
+        Calls of operators of queues, once started.
     """
 
     def __init__(
@@ -102,8 +120,15 @@
         self._alter_files = alter_files
         self.application = Application("control")
         self.service: ControlService | None = None
+        self.operations: QueueOperations | None = None
         self.metrics = make_metrics("control")
-        self._peers = _read_peers(settings.get(PEERS), settings.get(NAME))
+        seeds = settings.get(SEEDS)
+        self._open_group = bool(seeds)
+        self._peers = (
+            {seed: seed for seed in seeds}
+            if seeds
+            else _read_peers(settings.get(PEERS), settings.get(NAME))
+        )
         self.application.on_start(self._start)
         add_status_listener(
             self.application,
@@ -144,7 +169,7 @@
         return service.node.confirmation_age_ms() < self.settings.get(CONFIG_STALE_MS)
 
     async def _form_if_single(self, service: ControlService) -> None:
-        if len(self._peers) == 1:
+        if len(self._peers) == 1 and service.parts.may_found:
             await found_group(service)
             service.node.tick()
             service.flush()
@@ -181,7 +206,10 @@
                 send=lambda replica_id, message: self.service.send(replica_id, message),
                 on_change=lambda: self.service.on_change(),
                 timing=Timing(settings.get(ROUND_MS), settings.get(ELECTION_MS)),
-                limits=Limits(snapshot_entries=settings.get(SNAPSHOT_ENTRIES)),
+                limits=Limits(
+                    snapshot_entries=settings.get(SNAPSHOT_ENTRIES),
+                    snapshot_log_bytes=settings.get(SNAPSHOT_LOG_BYTES),
+                ),
             )
         )
 
@@ -200,6 +228,8 @@
             float(settings.get(ENTRY_SILENT_MS)),
             float(settings.get(CONFIG_STALE_MS)),
             self.metrics,
+            self._open_group,
+            settings.get(FOUND),
         )
 
     def _connect(self, service: ControlService) -> None:
@@ -210,6 +240,7 @@
             settings.get(PROMOTION_KEY_FILE),
         )
         router = ProposalRouter(service, promotion, float(settings.get(PROPOSE_MS)))
+        self.operations = QueueOperations(service, router)
         service.connect()
         watch_service(self.metrics, service)
         service.endpoint.on(Propose, router.answer)
--- a/apricotrail/control/_commands.py
+++ b/apricotrail/control/_commands.py
@@ -1,9 +1,12 @@
 """What each command does to the state: checks first, then the items that it alters."""
 
 import json
+from base64 import b64encode
 from collections.abc import Callable
 from hashlib import sha256
 from typing import TYPE_CHECKING, Any
+from zlib import decompress
+from zlib import error as zlib_error
 
 from returns.result import Failure, Result, Success
 
@@ -14,6 +17,7 @@
     Command,
     InstallView,
     PutDocument,
+    PutQueues,
     SetTargetState,
     SetZoneState,
     ViewMember,
@@ -22,13 +26,23 @@
 if TYPE_CHECKING:
     from apricotrail.control._state import StateMachine
 
-__all__ = ["DOCUMENT_KEY", "MAX_DOCUMENT_BYTES", "decide_command", "encode_json"]
+__all__ = [
+    "DOCUMENT_KEY",
+    "MAX_DOCUMENT_BYTES",
+    "QUEUES_KEY",
+    "QUEUES_SOURCE_KEY",
+    "decide_command",
+    "encode_json",
+]
 
 MAX_DOCUMENT_BYTES = 8 * 1024 * 1024
 MAX_STATES = 65_536
 MAX_VIEW_MEMBERS = 256
 MAX_PREVIOUS_VIEWS = 8
 DOCUMENT_KEY = "document"
+QUEUES_KEY = "queues"
+QUEUES_SOURCE_KEY = "source/queues"
+_QUEUE_PREFIXES = ("queue/", "pool/")
 _DOCUMENT_PREFIXES = ("service/", "zone/", "target/", "team/")
 _READ_AGAIN = "Read the present state and decide again."
 
@@ -107,7 +121,8 @@
 ) -> Decision:
     key = f"{kind}-state/{name}"
     find = state.configuration.find
-    if find(f"{kind}/{name}") is None and find(key) is None:
+    has_document = find(DOCUMENT_KEY) is not None or find(QUEUES_KEY) is None
+    if has_document and find(f"{kind}/{name}") is None and find(key) is None:
         message = f"The document has no {kind} {name!r}."
         return _refuse(ErrorKind.UNKNOWN_NAME, message, f"Name a {kind} of the present document.")
     conflict = _find_conflict(state, command, key)
@@ -120,6 +135,25 @@
     return Success(Change({key: encoded}, key, sha256(encoded or b"").hexdigest()))
 
 
+def _decide_queues(state: "StateMachine", command: Command, put: PutQueues) -> Decision:
+    """Take queues of a higher version; those of the present or a lower one change nothing."""
+    present = state.read_item(QUEUES_KEY) or {"version": 0}
+    if (put.version or 0) <= present["version"]:
+        return Success(Change({}))
+    try:
+        document = json.loads(decompress(put.document or b""))
+    except (ValueError, zlib_error) as error:
+        message = f"The queues can't be read: {error}."
+        return _refuse(ErrorKind.MALFORMED, message, "Send them again as whole JSON.")
+    items: dict[str, bytes | None] = {
+        key: None for key in state.configuration.items() if key.startswith(_QUEUE_PREFIXES)
+    }
+    items.update({key: encode_json(value) for key, value in document.items()})
+    items[QUEUES_KEY] = encode_json({"version": put.version})
+    items[QUEUES_SOURCE_KEY] = encode_json(b64encode(put.source or b"").decode())
+    return Success(Change(items))
+
+
 def _decide_view(state: "StateMachine", command: Command, view: InstallView) -> Decision:
     present = state.read_item("view") or {"epoch": 0, "members": []}
     if view.epoch != present["epoch"] + 1:
@@ -224,6 +258,7 @@
 
 _DECIDERS: dict[str, Callable[["StateMachine", Command, Any], Decision]] = {
     "put_document": _decide_document,
+    "put_queues": _decide_queues,
     "set_zone_state": _decide_zone,
     "set_target_state": _decide_target,
     "install_view": _decide_view,
--- a/apricotrail/control/_formation.py
+++ b/apricotrail/control/_formation.py
@@ -26,7 +26,7 @@
     """Wait until this replica belongs to a group, founding it if that is its part."""
     node = service.node
     names = list(service.parts.peers)
-    if names and names[0] != replica_name(node.replica_id):
+    if not service.parts.may_found or (names and names[0] != replica_name(node.replica_id)):
         return
     while not node.is_formed and not service.failed.is_set():
         members = await _find_founders(service, names)
--- /dev/null
+++ b/apricotrail/control/_operations.py
@@ -0,0 +1,99 @@
+"""What operators of queues ask of any replica: put and read queues, take zones out and in."""
+
+import asyncio
+from base64 import b64decode
+from typing import NamedTuple
+from uuid import uuid4
+from zlib import compress, decompress
+
+from returns.result import Failure, Result, Success
+
+from apricotrail.clocks import monotonic_ms
+from apricotrail.control._commands import QUEUES_KEY, QUEUES_SOURCE_KEY, encode_json
+from apricotrail.control._proposals import ProposalRouter
+from apricotrail.control._service import ControlService
+from apricotrail.errors import ErrorKind, Problem
+from apricotrail.events import Level, declare_event, emit
+from apricotrail.wire.generated.ttypes import Command, ProposeReply, PutQueues, SetZoneState
+
+__all__ = ["QueueOperations", "StoredQueues"]
+
+READ_MS = 900.0  # under the second after which callers go to another replica
+POLL_MS = 10
+ZLIB_LEVEL = 6
+
+QUEUES_PUT = declare_event(
+    3101, "queues_put", Level.INFO, "Operators sent a document of queues; outcome and version."
+)
+ZONE_SET = declare_event(3102, "zone_set", Level.INFO, "Operators took a zone out, or back in.")
+QUEUES_READ = declare_event(
+    3103, "queues_read", Level.INFO, "Operators read the document of queues."
+)
+
+
+class StoredQueues(NamedTuple):
+    """The newest document of queues.
+
+    Attributes
+    ----------
+    version : int
+        Its version, 0 for none.
+    source : bytes
+        What operators sent.
+    """
+
+    version: int
+    source: bytes
+
+
+class QueueOperations:
+    """Carries out operators' calls at one replica.
+
+    Parameters
+    ----------
+    service : ControlService
+        Replica.
+    router : ProposalRouter
+        Brings commands to the leader.
+    """
+
+    def __init__(self, service: ControlService, router: ProposalRouter) -> None:
+        self._service = service
+        self._router = router
+
+    async def put_queues(self, version: int, items: dict, source: bytes) -> ProposeReply:
+        """Log a document; accepted once it is synced at a majority."""
+        document = compress(encode_json(items), ZLIB_LEVEL)
+        put = PutQueues(version, document, compress(source, ZLIB_LEVEL))
+        command = Command("", self._service.node.replica_id, put_queues=put)
+        reply = await self._router.carry_out(command)
+        emit(QUEUES_PUT, version=version, accepted=reply.accepted, at=reply.version)
+        return reply
+
+    async def set_zone(self, zone: str, in_service: bool) -> ProposeReply:
+        """Take a zone out of service, or back in."""
+        change = SetZoneState(zone, in_service)
+        author = self._service.node.replica_id
+        reply = await self._router.carry_out(Command(uuid4().hex, author, set_zone_state=change))
+        emit(ZONE_SET, zone=zone, open=in_service, accepted=reply.accepted, at=reply.version)
+        return reply
+
+    async def read_queues(self) -> Result[StoredQueues, Problem]:
+        """Return the newest document, once it is sure that nothing newer was accepted."""
+        asked_ms = monotonic_ms()
+        node = self._service.node
+        while True:
+            waited_ms = monotonic_ms() - asked_ms
+            if node.confirmation_age_ms() < waited_ms:
+                break
+            if waited_ms > READ_MS or self._service.failed.is_set():
+                emit(QUEUES_READ, sure=False, age_ms=round(node.confirmation_age_ms()))
+                message = "This replica can't confirm that it has the newest document."
+                return Failure(Problem(ErrorKind.NO_QUORUM, message, "Ask another replica."))
+            await asyncio.sleep(POLL_MS / 1000)
+        head = node.machine.read_item(QUEUES_KEY)
+        emit(QUEUES_READ, sure=True, version=head["version"] if head else 0)
+        if head is None:
+            return Success(StoredQueues(0, b""))
+        source = decompress(b64decode(node.machine.read_item(QUEUES_SOURCE_KEY)))
+        return Success(StoredQueues(head["version"], source))
--- a/apricotrail/control/_proposals.py
+++ b/apricotrail/control/_proposals.py
@@ -58,12 +58,15 @@
         problem = _check_command(message.command)
         if problem is not None:
             return self._refuse(problem)
+        return await self.carry_out(message.command, link.peer.role == "control")
+
+    async def carry_out(self, command: Command, forwarded: bool = False) -> ProposeReply:
+        """Carry out a command here, or on the leader unless it was `forwarded` from there."""
         deadline_ms = monotonic_ms() + self._propose_ms
-        forwarded = link.peer.role == "control"
         while True:
             left_ms = deadline_ms - monotonic_ms()
-            reply = await self._try_once(message.command, forwarded, left_ms)
-            if forwarded or not self._should_retry(message.command, reply):
+            reply = await self._try_once(command, forwarded, left_ms)
+            if forwarded or not self._should_retry(command, reply):
                 return reply
             if deadline_ms - monotonic_ms() <= RETRY_MS:
                 return reply
@@ -111,7 +114,9 @@
         kind = _read_kind(reply)
         if kind in _RETRIED_KINDS or kind == ErrorKind.UNREACHABLE.value:
             return True
-        return kind == ErrorKind.UNKNOWN_OUTCOME.value and bool(command.request_id)
+        # Queues of the same version change nothing when they arrive again.
+        is_repeatable = bool(command.request_id) or command.put_queues is not None
+        return kind == ErrorKind.UNKNOWN_OUTCOME.value and is_repeatable
 
     def _refuse(self, problem: Problem) -> ProposeReply:
         version = self._service.node.machine.version
--- a/apricotrail/control/_repair.py
+++ b/apricotrail/control/_repair.py
@@ -4,7 +4,7 @@
 removed, then the new one is promoted: one change at a time, each committed before the next.
 """
 
-from collections.abc import Mapping
+from collections.abc import Collection, Mapping
 
 from apricotrail.control._members import Member, replica_name
 from apricotrail.control._replica import ReplicaState, is_leader_ready
@@ -13,10 +13,14 @@
 __all__ = ["CAUGHT_UP_ENTRIES", "decide_member_change"]
 
 CAUGHT_UP_ENTRIES = 100
+MIN_VOTERS = 3  # with fewer, one loss more leaves no majority
 
 
 def decide_member_change(
-    replica: ReplicaState, linked: Mapping[str, str], peers: Mapping[str, str]
+    replica: ReplicaState,
+    linked: Mapping[str, str],
+    peers: Mapping[str, str],
+    gone: Collection[str] = (),
 ) -> ChangeMember | None:
     """Return the next change, or None.
 
@@ -27,7 +31,9 @@
     linked : dict
         Addresses of the replicas linked now, by id.
     peers : dict
-        Addresses by name of the replicas that the settings list.
+        Addresses by name of the replicas that may join.
+    gone : collection of str
+        Members that are taken to be gone for good.
     """
     if not is_leader_ready(replica) or replica.commit_index < replica.log.change_index:
         return None
@@ -44,6 +50,16 @@
         if lost is not None:
             return _change(lost, members[lost].address, "remove")
         return _change(replica_id, members[replica_id].address, "promote")
+    return _remove_gone(members, gone)
+
+
+def _remove_gone(members: Mapping[str, Member], gone: Collection[str]) -> ChangeMember | None:
+    """Return the removal of a member that is gone, while enough voters stay without it."""
+    voters = sum(member.voter for member in members.values())
+    for replica_id in sorted(gone):
+        member = members[replica_id]
+        if not member.voter or voters > MIN_VOTERS:
+            return _change(replica_id, member.address, "remove")
     return None
 
 
--- a/apricotrail/control/_service.py
+++ b/apricotrail/control/_service.py
@@ -1,7 +1,7 @@
 """A control replica as a process: links, loops, pushes to entries and the view's upkeep."""
 
 import asyncio
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 from typing import Any, NamedTuple
 
 from returns.result import Result
@@ -23,12 +23,16 @@
     ConfigurationChange,
     ConfigurationRequest,
     Heartbeat,
+    NodeList,
 )
 
 __all__ = ["ControlService", "ServiceParts"]
 
 OVERSEE_MS = 250
 MAX_COMMIT_TIMES = 1_024
+REPLACE_MS = 12_000  # above the outages that a replica with its disk usually returns from
+MAX_LISTED_NODES = 4_096
+_LISTED_ROLES = frozenset({"control", "dispatcher", "runner"})
 
 CONTROL_STOPPED = declare_event(
     3001, "control_storage_failed", Level.ERROR, "The disk failed; this replica has stopped."
@@ -61,6 +65,10 @@
         Age from which a node starts no task.
     metrics : ControlMetrics
         Instruments of this replica.
+    open_group : bool
+        Whether every linked replica may join and one that is gone for good is replaced.
+    may_found : bool
+        Whether this replica may found a group.
     """
 
     endpoint: LinkEndpoint
@@ -69,6 +77,8 @@
     entry_silent_ms: float
     stale_ms: float
     metrics: ControlMetrics
+    open_group: bool = False
+    may_found: bool = True
 
 
 class ControlService:
@@ -102,6 +112,9 @@
         self._leader = ""
         self._leading_since_ms: float | None = None
         self._closing: asyncio.Future | None = None
+        self._linked_ms: dict[str, float] = {}
+        self._followers: dict[Link, tuple[str, ...]] = {}
+        self._nodes_due = False
 
     def connect(self) -> None:
         """Register the handlers of the links."""
@@ -109,9 +122,11 @@
         for type_ in MESSAGE_TYPES:
             endpoint.on(type_, self._receive_protocol)
         endpoint.on(ConfigurationRequest, self._answer_configuration)
+        endpoint.on(NodeList, self._learn_nodes)
         endpoint.state_heartbeat = self._state_heartbeat
         endpoint.receive_heartbeat = self._receive_heartbeat
         endpoint.on_up(self._link_up)
+        endpoint.on_down(self._link_down)
 
     # ---- replica ----
 
@@ -182,6 +197,8 @@
         self._pushed_version = machine.version
         for link in self.entry_links():
             link.send(change)
+        for link, prefixes in self._followers.items():
+            link.send(_select_items(change, prefixes))
 
     def entry_links(self) -> list[Link]:
         """Return the links to entries."""
@@ -191,14 +208,33 @@
         """Return what the leader's next own command depends on."""
         links = self.endpoint.links.items()
         now_ms = monotonic_ms()
+        linked = {key: link.peer.address for key, link in links if link.peer.role == "control"}
+        peers = self.parts.peers
+        if self.parts.open_group:
+            peers = {replica_name(key): address for key, address in linked.items()}
         since_ms = self._leading_since_ms
         silent_ms = self.parts.entry_silent_ms
         return Upkeep(
             self.node,
-            {key: link.peer.address for key, link in links if link.peer.role == "control"},
-            self.parts.peers,
+            linked,
+            peers,
             self.entries.heard_within(now_ms, silent_ms),
             since_ms is not None and now_ms - since_ms >= silent_ms,
+            self._find_gone(linked, now_ms) if self.parts.open_group else frozenset(),
+            self.parts.open_group,
+        )
+
+    def _find_gone(self, linked: Mapping[str, str], now_ms: float) -> frozenset[str]:
+        """Return the members without a link for `REPLACE_MS`, counted while this replica leads."""
+        members = self.node.replica.log.members
+        since_ms = self._leading_since_ms if self._leading_since_ms is not None else now_ms
+        for replica_id in (*linked, self.node.replica_id):
+            self._linked_ms[replica_id] = now_ms
+        self._linked_ms = {key: at_ms for key, at_ms in self._linked_ms.items() if key in members}
+        return frozenset(
+            key
+            for key in members
+            if now_ms - max(since_ms, self._linked_ms.get(key, 0.0)) >= REPLACE_MS
         )
 
     # ---- loops ----
@@ -241,6 +277,8 @@
 
     def _oversee(self) -> None:
         self._dial_members()
+        if self._nodes_due:
+            self._share_nodes()
         if self.node.replica.is_leader and not self._proposing:
             command = decide_upkeep(self.upkeep())
             if command is not None:
@@ -267,6 +305,13 @@
             if name != own:
                 self.endpoint.dial(address)
 
+    def _learn_nodes(self, link: Link, listed: NodeList) -> None:
+        if not self.parts.open_group or link.peer.role != "control":
+            return
+        for node in listed.nodes or ():
+            if node.role == "control" and len(self.parts.peers) < MAX_LISTED_NODES:
+                self.parts.peers.setdefault(replica_name(node.name), node.address)
+
     def _receive_protocol(self, link: Link, message: Any) -> None:
         if link.peer.role != "control" or self.failed.is_set():
             return
@@ -276,7 +321,11 @@
     def _answer_configuration(
         self, link: Link, request: ConfigurationRequest
     ) -> ConfigurationChange:
-        return self.node.machine.configuration.changes_since(request.version or 0)
+        prefixes = tuple(request.prefixes or ())
+        if request.follow:
+            self._followers[link] = prefixes
+        change = self.node.machine.configuration.changes_since(request.version or 0)
+        return _select_items(change, prefixes) if prefixes else change
 
     def _state_heartbeat(self, link: Link) -> Heartbeat:
         age_ms = int(self.node.confirmation_age_ms()) + 1
@@ -290,4 +339,23 @@
             self.entries.note(link.peer, heartbeat, monotonic_ms())
 
     def _link_up(self, link: Link) -> None:
+        self._nodes_due = True
         link.beat()
+
+    def _link_down(self, link: Link) -> None:
+        self._nodes_due = True
+        self._followers.pop(link, None)
+
+    def _share_nodes(self) -> None:
+        """Tell every process that joins jobs and runners which processes are linked here."""
+        self._nodes_due = False
+        links = self.endpoint.links.values()
+        nodes = [self.endpoint.identity, *(link.peer for link in links)]
+        for link in list(links):
+            if link.peer.role in _LISTED_ROLES:
+                link.send(NodeList(nodes[:MAX_LISTED_NODES]))
+
+
+def _select_items(change: ConfigurationChange, prefixes: tuple[str, ...]) -> ConfigurationChange:
+    items = [item for item in change.items if item.key.startswith(prefixes)]
+    return ConfigurationChange(change.base_version, change.version, items)
--- a/apricotrail/control/_upkeep.py
+++ b/apricotrail/control/_upkeep.py
@@ -35,6 +35,10 @@
         Entries heard within the silence limit.
     settled : bool
         Whether this leader has listened for the silence limit.
+    gone : frozenset of str
+        Members that have been without a link for so long that they are replaced.
+    open_group : bool
+        Whether a replica that was removed may join again.
     """
 
     node: Node
@@ -42,14 +46,18 @@
     peers: Mapping[str, str]
     heard: Sequence[LinkedEntry]
     settled: bool
+    gone: frozenset[str] = frozenset()
+    open_group: bool = False
 
 
 def decide_upkeep(upkeep: Upkeep) -> Command | None:
     """Return the command to propose, or None."""
     node = upkeep.node
     removed = node.machine.removed
-    linked = {key: address for key, address in upkeep.linked.items() if key not in removed}
-    change = decide_member_change(node.replica, linked, upkeep.peers)
+    linked = upkeep.linked
+    if not upkeep.open_group:
+        linked = {key: address for key, address in linked.items() if key not in removed}
+    change = decide_member_change(node.replica, linked, upkeep.peers, upkeep.gone)
     if change is not None:
         emit(MEMBER_PROPOSED, name=change.name, action=change.action)
         return Command("", node.replica_id, change_member=change)
--- a/apricotrail/events.py
+++ b/apricotrail/events.py
@@ -2,7 +2,8 @@
 
 Each module declares the events that it emits beside the code that emits them. Number ranges:
 1000 wire, 1500 http, 2000 membership, 3000 control, 4000 entry, 5000 agent, 6000 document,
-7000 command line, 8000 measure, 9000 reports and application.
+7000 command line, 8000 measure, 9000 reports and application, 10000 queues, 11000 runners,
+12000 the platform adapter.
 """
 
 from enum import StrEnum
--- a/apricotrail/membership/__init__.py
+++ b/apricotrail/membership/__init__.py
@@ -6,6 +6,7 @@
     NEVER_CONFIRMED_AGE_MS,
     Freshness,
 )
+from apricotrail.membership._roster import Roster, RosterParts
 from apricotrail.membership._view import NO_VIEW, View, ViewMember, read_view
 
 __all__ = [
@@ -14,6 +15,8 @@
     "NO_VIEW",
     "Configuration",
     "Freshness",
+    "Roster",
+    "RosterParts",
     "View",
     "ViewMember",
     "read_view",
--- /dev/null
+++ b/apricotrail/queues/__init__.py
@@ -0,0 +1,16 @@
+"""Queues: jobs that are spread over leased runners by room, with further attempts."""
+
+from apricotrail.queues._application import QueueDispatcher
+from apricotrail.queues._document import Queue, QueueTable, make_queue_items
+from apricotrail.queues._jobs import JobAnswer, JobRequest, JobState, Step
+
+__all__ = [
+    "JobAnswer",
+    "JobRequest",
+    "JobState",
+    "Queue",
+    "QueueDispatcher",
+    "QueueTable",
+    "Step",
+    "make_queue_items",
+]
--- /dev/null
+++ b/apricotrail/queues/_application.py
@@ -0,0 +1,183 @@
+"""The dispatcher role: jobs of queues from callers to leased runners, and how it stops."""
+
+import asyncio
+from random import Random
+from typing import Any
+
+from apricotrail.application import Application
+from apricotrail.clocks import monotonic_ms, wall_ms
+from apricotrail.events import Level, declare_event, emit
+from apricotrail.membership import Roster, RosterParts
+from apricotrail.queues._dispatcher import Dispatcher, DispatcherParts
+from apricotrail.queues._document import POOL_PREFIX, QUEUE_PREFIX, QueueTable, read_queue_table
+from apricotrail.queues._jobs import JobAnswer, JobRequest
+from apricotrail.settings import Settings, declare_setting
+from apricotrail.wire import KeyRing, Link, LinkEndpoint
+from apricotrail.wire.generated.ttypes import Heartbeat, Identity, RunOutcomes
+
+__all__ = ["QueueDispatcher"]
+
+NAME = declare_setting(
+    "dispatcher.name", "dispatcher-1", "Name of this dispatcher, unique in its environment."
+)
+ZONE = declare_setting("dispatcher.zone", "", "Availability zone of this dispatcher.")
+SEEDS = declare_setting("dispatcher.seeds", [], "Link addresses of some control replicas.")
+ENVIRONMENT = declare_setting(
+    "dispatcher.environment", "production", "Environment of this dispatcher."
+)
+TICK_MS = 50
+POLL_MS = 20
+FORGET_TICKS = 100
+SETTLE_MS = 400  # for the runs of a job that is being stopped when it is sent again
+SETTLE_POLL_MS = 10
+
+TABLE_TAKEN = declare_event(
+    10101, "queues_taken", Level.INFO, "A newer document of queues is in force here."
+)
+DISPATCHER_TICK_FAILED = declare_event(
+    10102, "dispatcher_tick_failed", Level.ERROR, "A periodic step of a dispatcher failed."
+)
+DISPATCHER_DRAINING = declare_event(
+    10103, "dispatcher_draining", Level.INFO, "This dispatcher is being stopped."
+)
+
+
+class QueueDispatcher:
+    """One dispatcher process.
+
+    Parameters
+    ----------
+    settings : Settings
+        Values of ``dispatcher.*`` and ``link.*``.
+
+    Attributes
+    ----------
+    application : Application
+        Life cycle.
+    dispatcher : Dispatcher
+        Jobs under way.
+    table : QueueTable
+        Queues in force.
+    stopping : bool
+        Whether a planned stop has begun.
+    """
+
+    def __init__(self, settings: Settings) -> None:
+        self.settings = settings
+        self.application = Application("dispatcher")
+        self.table = QueueTable()
+        self.stopping = False
+        identity = Identity(
+            settings.get(NAME), "dispatcher", settings.get(ZONE), wall_ms(), settings.get(NAME)
+        )
+        self.endpoint = LinkEndpoint(
+            identity, settings.get(ENVIRONMENT), KeyRing(None), settings, monotonic_ms
+        )
+        self.dispatcher = Dispatcher(DispatcherParts(monotonic_ms, Random(), self._send))
+        self.roster = Roster(
+            RosterParts(
+                self.endpoint,
+                tuple(settings.get(SEEDS)),
+                settings.get(ZONE),
+                (QUEUE_PREFIX, POOL_PREFIX, "queues"),
+                monotonic_ms,
+                self._take_configuration,
+                "runner",
+            )
+        )
+        self.endpoint.on(RunOutcomes, self._receive_outcomes)
+        self.endpoint.on_up(self._link_up)
+        self.endpoint.on_down(self._link_down)
+        self.endpoint.state_heartbeat = self._state_heartbeat
+        self.endpoint.receive_heartbeat = self._receive_heartbeat
+        self.application.on_start(self._start)
+        self.application.on_stop(self.endpoint.stop)
+
+    def is_ready(self) -> bool:
+        """Return whether callers should come here."""
+        return not self.stopping and self.table.version > 0 and self._has_runners()
+
+    def begin_stop(self) -> None:
+        """Ask callers to go elsewhere; what comes all the same is still served."""
+        self.stopping = True
+        emit(DISPATCHER_DRAINING, jobs=len(self.dispatcher.jobs))
+
+    async def finish_jobs(self, deadline_ms: float) -> None:
+        """Wait until no job is under way, at most `deadline_ms` milliseconds."""
+        end_ms = monotonic_ms() + deadline_ms
+        while self.dispatcher.jobs and monotonic_ms() < end_ms:
+            await asyncio.sleep(POLL_MS / 1000)
+
+    async def run_job(
+        self, request: JobRequest, queue: Any, disconnected: asyncio.Future | None
+    ) -> JobAnswer | None:
+        """Run a job and return its answer; None if its caller left first."""
+        await self._wait_for_former(request.job_id)
+        answer = self.dispatcher.submit(request, queue)
+        if not answer.done() and disconnected is not None:
+            await asyncio.wait({answer, disconnected}, return_when=asyncio.FIRST_COMPLETED)
+        if answer.done() or disconnected is None:
+            return await answer
+        self.dispatcher.leave(request.job_id, answer)
+        return None
+
+    async def _wait_for_former(self, job_id: str) -> None:
+        """Wait for the runs of a stopped job of the same id to end."""
+        for _ in range(SETTLE_MS // SETTLE_POLL_MS):
+            job = self.dispatcher.jobs.get(job_id)
+            if job is None or not job.stopping:
+                return
+            await asyncio.sleep(SETTLE_POLL_MS / 1000)
+
+    async def _start(self) -> None:
+        self.endpoint.start()
+        self.roster.start()
+        self.application.spawn(self._tick_forever())
+
+    async def _tick_forever(self) -> None:
+        ticks = 0
+        while True:
+            try:
+                self.dispatcher.tick()
+                ticks += 1
+                if ticks % FORGET_TICKS == 0:
+                    self.roster.forget_old()
+            except Exception as error:
+                emit(DISPATCHER_TICK_FAILED, error=repr(error))
+            await asyncio.sleep(TICK_MS / 1000)
+
+    def _has_runners(self) -> bool:
+        return any(view.load is not None for view in self.dispatcher.board.views.values())
+
+    def _take_configuration(self) -> None:
+        self.table = read_queue_table(self.roster.configuration.items(), self.table)
+        emit(TABLE_TAKEN, version=self.table.version, queues=len(self.table.queues))
+
+    # ---- links ----
+
+    def _send(self, agent: str, message: Any) -> bool:
+        link = self.endpoint.links.get(agent)
+        return link is not None and link.send(message)
+
+    def _link_up(self, link: Link) -> None:
+        if link.peer.role == "runner":
+            self.dispatcher.link_up(link.peer.name)
+
+    def _link_down(self, link: Link) -> None:
+        if link.peer.role == "runner":
+            self.dispatcher.link_down(link.peer.name)
+
+    def _state_heartbeat(self, link: Link) -> Heartbeat:
+        return Heartbeat(config_version=self.roster.configuration.version)
+
+    def _receive_heartbeat(self, link: Link, heartbeat: Heartbeat, asked_ms: float | None) -> None:
+        if link.peer.role == "control":
+            self.roster.receive_heartbeat(link, heartbeat)
+        elif link.peer.role == "runner":
+            if heartbeat.runner_load is not None:
+                self.dispatcher.receive_load(link.peer.name, heartbeat.runner_load)
+            # The echo at once shows the agent that the owner of its runs is alive.
+            link.beat()
+
+    def _receive_outcomes(self, link: Link, message: RunOutcomes) -> None:
+        self.dispatcher.receive_outcomes(link.peer.name, message)
--- /dev/null
+++ b/apricotrail/queues/_dispatcher.py
@@ -0,0 +1,455 @@
+"""Spreads the tasks of jobs over leased runners and tries again what has certainly ended.
+
+A job lives in the memory of the dispatcher that received it. A task is started again only after its
+former run is known to have ended: by the agent's word, or because the runner's lease of a silent
+agent must have lapsed. Messages and the time come in, messages go out through `send`; no socket is
+touched here.
+"""
+
+import asyncio
+from collections import OrderedDict
+from collections.abc import Callable
+from random import Random
+from typing import Any, NamedTuple
+
+from apricotrail.clocks import Clock
+from apricotrail.events import Level, declare_event, emit
+from apricotrail.queues._admission import Admission, decide_admission
+from apricotrail.queues._board import RunnerBoard, RunnerView
+from apricotrail.queues._document import Queue
+from apricotrail.queues._jobs import Job, JobAnswer, JobRequest, JobState, Step, Task, TaskPhase
+from apricotrail.wire.generated.ttypes import (
+    ClaimRuns,
+    RunKey,
+    RunnerLoad,
+    RunOutcome,
+    RunOutcomes,
+    RunReason,
+    RunStart,
+    RunState,
+    StartRuns,
+    StopRuns,
+)
+
+__all__ = ["Dispatcher", "DispatcherParts"]
+
+MAX_JOBS = 8_192
+MAX_ANSWERS = 4_096
+ANSWER_KEPT_MS = 30_000.0  # above the seconds after which a caller may send a job again
+ORDER_VALID_MS = 400.0  # covers a loaded machine; under the time in which an owner is given up
+# Owner silent at the agent (700), its stop (100) and the overdue stop (400), then the lease of 1 s
+# on a clock that may be 2 % slow; the rest is margin.
+LOST_AGENT_MS = 2_300.0
+FROZEN_MS = 600.0  # under the agents' limit for a silent owner
+QUEUE_MS = 200  # longest wait at one agent before the task is placed anew
+CLOSED_RETRY_MS = 1_000.0
+MAX_UNSTARTED_MS = 600.0  # three stays in agents' queues; a job that none took by then is refused
+LATE_STOP_MS = 1_500.0  # callers that still wait after their own time budget are answered this late
+
+JOB_ADMITTED = declare_event(
+    10001, "job_admitted", Level.INFO, "A job was taken; its tasks are being placed."
+)
+JOB_REFUSED = declare_event(
+    10002, "job_refused", Level.INFO, "A job was refused before anything of it ran."
+)
+JOB_ANSWERED = declare_event(10003, "job_answered", Level.INFO, "A job got its final answer.")
+RUNS_SENT = declare_event(
+    10004, "runs_sent", Level.INFO, "Tasks of a job were sent to a runner's agent."
+)
+RUN_ENDED = declare_event(
+    10005, "run_ended", Level.INFO, "A run ended otherwise than done; its task may be tried again."
+)
+AGENT_LOST = declare_event(
+    10006, "runner_agent_lost", Level.WARNING, "The link to a runner's agent was lost."
+)
+AGENT_UP = declare_event(
+    10007, "runner_agent_up", Level.INFO, "A runner's agent is linked; runs there were claimed."
+)
+DISPATCHER_FROZE = declare_event(
+    10008,
+    "dispatcher_froze",
+    Level.WARNING,
+    "This process stood still; agents have stopped its runs, so its jobs were given up.",
+)
+RUNS_WRITTEN_OFF = declare_event(
+    10009,
+    "runs_written_off",
+    Level.WARNING,
+    "An agent stayed away so long that its runner's leases have lapsed; its runs are over.",
+)
+
+Send = Callable[[str, Any], bool]
+
+
+class DispatcherParts(NamedTuple):
+    """What a dispatcher is made of.
+
+    Attributes
+    ----------
+    clock : Clock
+        Monotonic time in milliseconds that counts suspended time.
+    random : Random
+        Source of samples and jitter.
+    send : callable
+        ``send(agent, message)`` sends without waiting; False if there is no link.
+    """
+
+    clock: Clock
+    random: Random
+    send: Send
+
+
+class _Finished(NamedTuple):
+    at_ms: float
+    answer: JobAnswer
+
+
+class Dispatcher:
+    """Jobs under way at one process and the runs of their tasks.
+
+    Parameters
+    ----------
+    parts : DispatcherParts
+        Clock, random source and links.
+
+    Attributes
+    ----------
+    board : RunnerBoard
+        Runners known.
+    jobs : dict of str to Job
+        Jobs under way by id.
+    draining : bool
+        Whether new jobs are refused.
+    """
+
+    def __init__(self, parts: DispatcherParts) -> None:
+        self._clock = parts.clock
+        self._random = parts.random
+        self._send = parts.send
+        self.board = RunnerBoard(parts.clock, parts.random)
+        self.jobs: dict[str, Job] = {}
+        self.draining = False
+        self.counts = dict.fromkeys(JobState, 0)
+        self._runs: dict[tuple[str, int], tuple[Job, Task]] = {}
+        self._finished: OrderedDict[str, _Finished] = OrderedDict()
+        self._lost_ms: dict[str, float] = {}
+        self._alive_ms = parts.clock()
+
+    # ---- jobs ----
+
+    def submit(self, request: JobRequest, queue: Queue) -> "asyncio.Future[JobAnswer]":
+        """Take a job, or refuse it at once; the future holds the answer."""
+        self._check_alive()
+        answer: asyncio.Future[JobAnswer] = asyncio.get_running_loop().create_future()
+        present = self.jobs.get(request.job_id)
+        if present is not None and present.stopping:
+            answer.set_result(JobAnswer(JobState.UNFINISHED, "being_stopped"))
+            return answer
+        if present is not None:
+            present.callers += 1
+            return present.answer
+        finished = self._finished.get(request.job_id)
+        if finished is not None:
+            answer.set_result(finished.answer)
+            return answer
+        admission = self._admit(request, queue)
+        if admission.refusal is not None:
+            self._refuse(request, queue, admission, answer)
+            return answer
+        job = Job(request, queue, self._clock(), answer)
+        job.callers = 1
+        self.jobs[request.job_id] = job
+        emit(
+            JOB_ADMITTED,
+            job=request.job_id,
+            queue=queue.name,
+            tasks=len(job.tasks),
+            free_cpu=admission.free_cpu,
+            runners=admission.runners,
+            wait_ms=round(admission.wait_ms),
+        )
+        self._place(job)
+        return answer
+
+    def leave(self, job_id: str, answer: "asyncio.Future[JobAnswer]") -> None:
+        """Note that a caller has gone; a job without callers is stopped."""
+        job = self.jobs.get(job_id)
+        if job is None or job.answer is not answer:
+            return
+        job.callers -= 1
+        if job.callers <= 0:
+            self._give_up(job, "caller_left")
+
+    def _admit(self, request: JobRequest, queue: Queue) -> Admission:
+        if self.draining:
+            return Admission("stopping", CLOSED_RETRY_MS)
+        if len(self.jobs) >= MAX_JOBS:
+            return Admission("too_many_jobs", CLOSED_RETRY_MS)
+        usable = self.board.list_usable(queue.pool)
+        return decide_admission(request, queue, usable, self._random)
+
+    def _refuse(
+        self,
+        request: JobRequest,
+        queue: Queue,
+        admission: Admission,
+        answer: "asyncio.Future[JobAnswer]",
+    ) -> None:
+        self.counts[JobState.REFUSED] += 1
+        emit(
+            JOB_REFUSED,
+            job=request.job_id,
+            queue=queue.name,
+            reason=admission.refusal,
+            free_cpu=admission.free_cpu,
+            runners=admission.runners,
+            wait_ms=round(admission.wait_ms),
+            retry_ms=round(admission.retry_after_ms),
+        )
+        reason = admission.refusal or ""
+        answer.set_result(JobAnswer(JobState.REFUSED, reason, admission.retry_after_ms))
+
+    # ---- agents ----
+
+    def link_up(self, agent: str) -> None:
+        """Begin to use an agent and claim the runs believed to be there."""
+        self._check_alive()
+        self._lost_ms.pop(agent, None)
+        view = self.board.add(agent)
+        starts = []
+        for (name, run), (job, task) in self._runs.items():
+            if task.agent == agent:
+                starts.append(_make_start(job, task, name, run, 0))
+                view.note_sent(job.request.steps[task.step])
+        self._send(agent, ClaimRuns(starts))
+        emit(AGENT_UP, agent=agent, claimed=len(starts))
+
+    def link_down(self, agent: str) -> None:
+        """Note that an agent can't be reached; its runs are written off after a while."""
+        self.board.remove(agent)
+        runs = sum(task.agent == agent for _, task in self._runs.values())
+        self._lost_ms[agent] = self._clock()
+        emit(AGENT_LOST, agent=agent, runs=runs)
+
+    def receive_load(self, agent: str, load: RunnerLoad) -> None:
+        """Take in an agent's report."""
+        view = self.board.views.get(agent)
+        if view is not None:
+            view.note_load(load, self._clock())
+
+    def receive_outcomes(self, agent: str, message: RunOutcomes) -> None:
+        """Take in how runs ended, then place what waits."""
+        self._check_alive()
+        if message.load is not None:
+            self.receive_load(agent, message.load)
+        touched: dict[str, Job] = {}
+        for outcome in message.outcomes or ():
+            found = self._runs.get((outcome.task, outcome.run))
+            if found is None or found[1].agent != agent:
+                continue
+            del self._runs[outcome.task, outcome.run]
+            self._end_run(*found, outcome)
+            touched[found[0].job_id] = found[0]
+        for job in touched.values():
+            self._place(job)
+
+    # ---- time ----
+
+    def tick(self) -> None:
+        """Write off runs of lost agents, place waiting tasks, end jobs that nobody waits for."""
+        self._check_alive()
+        now_ms = self._clock()
+        self._write_off(now_ms)
+        for job in list(self.jobs.values()):
+            if now_ms > job.give_up_ms + LATE_STOP_MS:
+                self._give_up(job, "late")
+            else:
+                self._place(job)
+        while self._finished:
+            job_id, finished = next(iter(self._finished.items()))
+            if now_ms - finished.at_ms < ANSWER_KEPT_MS and len(self._finished) <= MAX_ANSWERS:
+                break
+            del self._finished[job_id]
+
+    def _check_alive(self) -> None:
+        """Give up all jobs if this process stood still so long that agents stopped its runs."""
+        now_ms = self._clock()
+        gap_ms, self._alive_ms = now_ms - self._alive_ms, now_ms
+        if gap_ms < FROZEN_MS:
+            return
+        emit(DISPATCHER_FROZE, gap_ms=round(gap_ms), jobs=len(self.jobs))
+        for job in list(self.jobs.values()):
+            self._give_up(job, "dispatcher_froze")
+
+    def _write_off(self, now_ms: float) -> None:
+        for agent, lost_ms in list(self._lost_ms.items()):
+            if now_ms - lost_ms < LOST_AGENT_MS:
+                continue
+            del self._lost_ms[agent]
+            ended = [(key, it) for key, it in self._runs.items() if it[1].agent == agent]
+            if ended:
+                emit(RUNS_WRITTEN_OFF, agent=agent, runs=len(ended))
+            for (name, run), (job, task) in ended:
+                del self._runs[name, run]
+                outcome = RunOutcome(name, run, RunState.LOST, RunReason.OWNER_SILENT, 0, 0, 0)
+                self._end_run(job, task, outcome)
+
+    # ---- tasks ----
+
+    def _place(self, job: Job) -> None:
+        if job.stopping:
+            return
+        ready = job.list_ready()
+        if not ready:
+            return
+        usable = self.board.list_usable(job.queue.pool)
+        orders: dict[str, list[Task]] = {}
+        for task in ready:
+            step = job.request.steps[task.step]
+            view = self._choose(job, usable, step, task)
+            if view is not None:
+                view.note_sent(step)
+                task.agent = view.agent
+                orders.setdefault(view.agent, []).append(task)
+        for agent, tasks in orders.items():
+            self._order(job, agent, tasks)
+        if job.may_have_run or job.list_sent():
+            return
+        waited_ms = self._clock() - job.received_ms
+        reason = "overloaded" if usable else "no_runner"
+        if not usable or waited_ms > MAX_UNSTARTED_MS:
+            self._answer(job, JobAnswer(JobState.REFUSED, reason, CLOSED_RETRY_MS))
+
+    def _choose(
+        self, job: Job, usable: list[RunnerView], step: Step, task: Task
+    ) -> RunnerView | None:
+        if job.starts == 0 and task.index == 0:
+            trial = self.board.find_trial(usable, step)
+            if trial is not None:
+                return trial
+        limit = step.most_per_runner
+
+        def is_allowed(agent: str) -> bool:
+            if not limit:
+                return True
+            same = [it for it in job.tasks if it.step == task.step and it.agent == agent]
+            return sum(it.phase is not TaskPhase.WAITING for it in same) < limit
+
+        return self.board.choose(usable, step, task, is_allowed)
+
+    def _order(self, job: Job, agent: str, tasks: list[Task]) -> None:
+        now_ms = self._clock()
+        view = self.board.views[agent]
+        starts = []
+        for task in tasks:
+            task.run += 1
+            task.phase = TaskPhase.SENT
+            task.sent_ms = now_ms
+            job.starts += 1
+            self._runs[task.name, task.run] = (job, task)
+            starts.append(_make_start(job, task, task.name, task.run, QUEUE_MS))
+        valid_until_ms = view.load.clock_ms + (now_ms - view.heard_ms) + ORDER_VALID_MS
+        sent = self._send(agent, StartRuns(starts, int(valid_until_ms)))
+        emit(
+            RUNS_SENT,
+            job=job.job_id,
+            agent=agent,
+            runs=[[task.name.rpartition(".")[2], task.run] for task in tasks],
+            free_cpu=view.free_cpu(),
+            load_age_ms=round(now_ms - view.heard_ms),
+            sent=sent,
+        )
+
+    def _end_run(self, job: Job, task: Task, outcome: RunOutcome) -> None:
+        if outcome.state == RunState.DONE:
+            job.may_have_run = True
+            task.phase = TaskPhase.DONE
+            job.left[task.step] -= 1
+            if job.is_done() and not job.stopping:
+                self._answer(job, JobAnswer(JobState.COMPLETED))
+            elif job.stopping:
+                self._forget_if_over(job)
+            return
+        task.phase = TaskPhase.WAITING
+        job.may_have_run = job.may_have_run or outcome.state != RunState.NOT_RUN
+        state, reason = RunState._VALUES_TO_NAMES, RunReason._VALUES_TO_NAMES
+        emit(
+            RUN_ENDED,
+            job=job.job_id,
+            task=task.name,
+            run=outcome.run,
+            agent=task.agent,
+            state=state.get(outcome.state, ""),
+            reason=reason.get(outcome.reason, ""),
+            run_ms=outcome.run_ms,
+            waited_ms=outcome.waited_ms,
+            failures=task.failures,
+        )
+        if outcome.reason == RunReason.SUPERSEDED:
+            task.run = max(task.run, outcome.highest_run)
+        if outcome.state in (RunState.FAILED, RunState.LOST, RunState.STOPPED):
+            task.avoid.add(task.agent)
+        if job.stopping:
+            self._forget_if_over(job)
+            return
+        if outcome.state == RunState.FAILED:
+            task.failures += 1
+            if task.failures >= job.queue.attempts:
+                self._stop_runs(job)
+                self._answer(job, JobAnswer(JobState.FAILED, "attempts"))
+
+    # ---- ends of jobs ----
+
+    def _give_up(self, job: Job, reason: str) -> None:
+        if job.stopping:
+            return
+        if not job.may_have_run and not job.list_sent():
+            self._answer(job, JobAnswer(JobState.REFUSED, reason, CLOSED_RETRY_MS))
+            return
+        self._stop_runs(job)
+        self._answer(job, JobAnswer(JobState.UNFINISHED, reason))
+
+    def _stop_runs(self, job: Job) -> None:
+        by_agent: dict[str, list[RunKey]] = {}
+        for task in job.list_sent():
+            by_agent.setdefault(task.agent, []).append(RunKey(task.name, task.run))
+        for agent, keys in by_agent.items():
+            self._send(agent, StopRuns(keys))
+
+    def _answer(self, job: Job, answer: JobAnswer) -> None:
+        job.stopping = True
+        self.counts[answer.state] += 1
+        now_ms = self._clock()
+        if not job.answer.done():
+            job.answer.set_result(answer)
+        if answer.state in (JobState.COMPLETED, JobState.FAILED):
+            self._finished[job.job_id] = _Finished(now_ms, answer)
+        emit(
+            JOB_ANSWERED,
+            job=job.job_id,
+            queue=job.queue.name,
+            state=answer.state.value,
+            reason=answer.reason,
+            took_ms=round(now_ms - job.received_ms),
+            starts=job.starts,
+            tasks=len(job.tasks),
+        )
+        self._forget_if_over(job)
+
+    def _forget_if_over(self, job: Job) -> None:
+        if not job.list_sent() and self.jobs.get(job.job_id) is job:
+            del self.jobs[job.job_id]
+
+
+def _make_start(job: Job, task: Task, name: str, run: int, wait_ms: int) -> RunStart:
+    step = job.request.steps[task.step]
+    return RunStart(
+        name,
+        run,
+        job.request.spec,
+        step.cpu_millis,
+        step.memory_mb,
+        step.estimate_ms,
+        job.queue.priority,
+        wait_ms,
+    )
--- /dev/null
+++ b/apricotrail/runners/_application.py
@@ -0,0 +1,233 @@
+"""The agent beside a leased runner: its gate, its driver, its links, and how it stops."""
+
+import asyncio
+from collections import defaultdict
+
+from apricotrail.application import Application
+from apricotrail.clocks import monotonic_ms, wall_ms
+from apricotrail.events import Level, declare_event, emit
+from apricotrail.membership import Roster, RosterParts
+from apricotrail.runners._driver import RunnerDriver, RunnerPort
+from apricotrail.runners._gate import GateLimits, RunGate
+from apricotrail.runners._runs import Owner, RunnerReport
+from apricotrail.settings import Settings, declare_setting
+from apricotrail.wire import KeyRing, Link, LinkEndpoint, parse_address
+from apricotrail.wire.generated.ttypes import (
+    ClaimRuns,
+    Heartbeat,
+    Identity,
+    RunOutcome,
+    RunOutcomes,
+    StartRuns,
+    StopRuns,
+)
+
+__all__ = ["RunnerAgent"]
+
+NAME = declare_setting("runner.name", "runner-1", "Name of this agent, unique in its environment.")
+ZONE = declare_setting("runner.zone", "", "Availability zone of this agent and its runner.")
+LISTEN = declare_setting("runner.listen", "127.0.0.1:7090", "Address for links.")
+SEEDS = declare_setting("runner.seeds", [], "Link addresses of some control replicas.")
+ENVIRONMENT = declare_setting("runner.environment", "production", "Environment of this agent.")
+FINISH_MS = declare_setting(
+    "runner.finish_ms",
+    4_500,
+    "How long a stopping agent waits for the runs at its runner.",
+    unit="ms",
+    minimum=0,
+)
+ZONE_STATE_PREFIX = "zone-state/"
+TICK_MS = 50
+POLL_MS = 20
+FORGET_TICKS = 100
+
+AGENT_STOPPING = declare_event(
+    11201, "runner_agent_stopping", Level.INFO, "This agent starts nothing more and waits for runs."
+)
+AGENT_HANDED_ON = declare_event(
+    11202,
+    "runner_agent_handed_on",
+    Level.INFO,
+    "Leases were extended a last time; the next agent finds what still runs.",
+)
+ZONE_CHANGED = declare_event(
+    11203, "runner_zone_changed", Level.INFO, "The runner's zone was taken out of service, or back."
+)
+AGENT_TICK_FAILED = declare_event(
+    11204, "runner_tick_failed", Level.ERROR, "A periodic step of an agent failed."
+)
+
+
+class RunnerAgent:
+    """One agent process beside a leased runner.
+
+    Parameters
+    ----------
+    settings : Settings
+        Values of ``runner.*`` and ``link.*``.
+    port : RunnerPort
+        How calls reach the runner.
+
+    Attributes
+    ----------
+    application : Application
+        Life cycle.
+    gate : RunGate
+        Decides what starts.
+    roster : Roster
+        Processes and configuration known.
+    """
+
+    def __init__(self, settings: Settings, port: RunnerPort) -> None:
+        self.settings = settings
+        self.application = Application("runner")
+        identity = Identity(
+            settings.get(NAME), "runner", settings.get(ZONE), wall_ms(), settings.get(LISTEN)
+        )
+        self.endpoint = LinkEndpoint(
+            identity, settings.get(ENVIRONMENT), KeyRing(None), settings, monotonic_ms
+        )
+        self._outcomes: dict[Owner, list[RunOutcome]] = defaultdict(list)
+        self._received: dict[str, int] = defaultdict(int)
+        self._flush_due = False
+        self.gate = RunGate(monotonic_ms, GateLimits(), self._order, self._report, wall_ms())
+        self.driver = RunnerDriver(self.gate, port, monotonic_ms, self.application.spawn)
+        self.roster = Roster(
+            RosterParts(
+                self.endpoint,
+                tuple(settings.get(SEEDS)),
+                settings.get(ZONE),
+                (ZONE_STATE_PREFIX,),
+                monotonic_ms,
+                self._take_configuration,
+            )
+        )
+        self._connect()
+        self.application.on_start(self._start)
+        self.application.on_stop(self._stop)
+
+    def announce(self, report: RunnerReport) -> None:
+        """Take in what the runner says of itself."""
+        was_leaving = self.gate.runner is not None and self.gate.runner.leaving
+        self.gate.announce(report)
+        if report.leaving != was_leaving:
+            self._tell_owners()
+
+    def withdraw(self, runner: str) -> None:
+        """Note that the runner is leaving for good."""
+        self.gate.withdraw(runner)
+        self._tell_owners()
+
+    def _connect(self) -> None:
+        endpoint = self.endpoint
+        endpoint.on(StartRuns, self._receive_starts)
+        endpoint.on(StopRuns, self._receive_stops)
+        endpoint.on(ClaimRuns, self._receive_claim)
+        endpoint.on_up(self._link_up)
+        endpoint.state_heartbeat = self._state_heartbeat
+        endpoint.receive_heartbeat = self._receive_heartbeat
+
+    async def _start(self) -> None:
+        await self.endpoint.listen(*parse_address(self.settings.get(LISTEN)))
+        self.endpoint.start()
+        self.roster.start()
+        self.application.spawn(self.driver.hold_forever())
+        self.application.spawn(self._tick_forever())
+
+    async def _stop(self) -> None:
+        self.gate.begin_stop()
+        self._tell_owners()
+        emit(AGENT_STOPPING, runs=len(self.gate.list_running()))
+        deadline_ms = monotonic_ms() + self.settings.get(FINISH_MS)
+        while self.gate.list_running() and monotonic_ms() < deadline_ms:
+            await asyncio.sleep(POLL_MS / 1000)
+        self._flush()
+        await self.driver.extend_once()
+        emit(AGENT_HANDED_ON, runs=len(self.gate.list_running()))
+        await self.endpoint.stop()
+
+    async def _tick_forever(self) -> None:
+        ticks = 0
+        while True:
+            try:
+                self.gate.tick()
+                ticks += 1
+                if ticks % FORGET_TICKS == 0:
+                    self.roster.forget_old()
+            except Exception as error:
+                emit(AGENT_TICK_FAILED, error=repr(error))
+            await asyncio.sleep(TICK_MS / 1000)
+
+    # ---- effects of the gate ----
+
+    def _order(self, order) -> None:
+        self.driver.order(order)
+
+    def _report(self, owner: Owner, outcome: RunOutcome) -> None:
+        self._outcomes[owner].append(outcome)
+        if not self._flush_due:
+            self._flush_due = True
+            asyncio.get_running_loop().call_soon(self._flush)
+
+    def _flush(self) -> None:
+        """Send the outcomes of this pass; an owner without a link asks for them by its claim."""
+        self._flush_due = False
+        outcomes, self._outcomes = self._outcomes, defaultdict(list)
+        for owner, ended in outcomes.items():
+            link = self.endpoint.links.get(owner.name)
+            if link is not None and link.peer.incarnation == owner.incarnation:
+                load = self.gate.describe_load(self._received[owner.name])
+                link.send(RunOutcomes(ended, load))
+
+    def _tell_owners(self) -> None:
+        for link in list(self.endpoint.links.values()):
+            if link.peer.role == "dispatcher":
+                link.beat()
+
+    def _take_configuration(self) -> None:
+        items = self.roster.configuration
+        is_open = items.find(ZONE_STATE_PREFIX + self.settings.get(ZONE)) is None
+        if is_open == self.gate.zone_open:
+            return
+        self.gate.zone_open = is_open
+        emit(ZONE_CHANGED, zone=self.settings.get(ZONE), open=is_open, version=items.version)
+        self.gate.turn_away_if_closed()
+        self._tell_owners()
+
+    # ---- links ----
+
+    def _link_up(self, link: Link) -> None:
+        if link.peer.role != "dispatcher":
+            return
+        self._received[link.peer.name] = 0
+        self.gate.replace_owner(Owner(link.peer.name, link.peer.incarnation))
+        link.beat()
+
+    def _state_heartbeat(self, link: Link) -> Heartbeat:
+        heartbeat = Heartbeat(config_version=self.roster.configuration.version)
+        if link.peer.role == "dispatcher":
+            heartbeat.runner_load = self.gate.describe_load(self._received[link.peer.name])
+        return heartbeat
+
+    def _receive_heartbeat(self, link: Link, heartbeat: Heartbeat, asked_ms: float | None) -> None:
+        if link.peer.role == "control":
+            self.roster.receive_heartbeat(link, heartbeat)
+        elif link.peer.role == "dispatcher" and asked_ms is not None:
+            self.gate.hear_owner(Owner(link.peer.name, link.peer.incarnation), asked_ms)
+
+    def _receive_starts(self, link: Link, message: StartRuns) -> None:
+        owner = Owner(link.peer.name, link.peer.incarnation)
+        is_late = monotonic_ms() > (message.valid_until_ms or 0)
+        for start in message.starts or ():
+            self._received[link.peer.name] += 1
+            self.gate.receive_start(owner, start, is_late)
+
+    def _receive_stops(self, link: Link, message: StopRuns) -> None:
+        owner = Owner(link.peer.name, link.peer.incarnation)
+        self.gate.receive_stop(owner, [(key.task, key.run) for key in message.runs or ()])
+
+    def _receive_claim(self, link: Link, message: ClaimRuns) -> None:
+        owner = Owner(link.peer.name, link.peer.incarnation)
+        self._received[link.peer.name] += len(message.runs or ())
+        self.gate.receive_claim(owner, list(message.runs or ()))
+        link.beat()
--- a/apricotrail/settings/_files.py
+++ b/apricotrail/settings/_files.py
@@ -25,6 +25,7 @@
 TABLES = (
     "agent",
     "control",
+    "dispatcher",
     "entry",
     "http",
     "link",
@@ -34,6 +35,7 @@
     "policy",
     "process",
     "reports",
+    "runner",
 )
 
 _TYPE_NAMES = {bool: "true or false", int: "a whole number", float: "a number", str: "a string"}
--- a/apricotrail/tests/test_layout.py
+++ b/apricotrail/tests/test_layout.py
@@ -13,7 +13,7 @@
     ("cli",),
     ("measure",),
     ("entry",),
-    ("agent", "control", "operators"),
+    ("agent", "control", "operators", "queues", "runners"),
     ("document", "membership", "metrics", "policy", "reports"),
     ("http", "names", "wire"),
     ("application", "logs"),
--- a/apricotrail/wire/messages.thrift
+++ b/apricotrail/wire/messages.thrift
@@ -60,6 +60,27 @@
   6: optional i64 received,   // tasks received in StartTasks on the link that carries this load
 }
 
+// Room and health of one runner, as its agent sees them. Rooms count what is queued, starting, running
+// and being stopped.
+struct RunnerLoad {
+  1: string runner,
+  2: i64 boot,                // start of the runner, wall clock in milliseconds
+  3: string pool,
+  4: string zone,
+  5: list<string> labels,
+  6: i32 cpu_millis,
+  7: i32 memory_mb,
+  8: i32 free_cpu_millis,
+  9: i32 free_memory_mb,
+  10: i32 queued_cpu_millis,
+  11: bool accepting,         // false: leaving, zone out of service, or no runner announced
+  12: i32 trial_runs,         // runs that an unhealthy runner may still take; -1 for a healthy one
+  13: double slowness,        // run time over estimate, smoothed; 0 for unknown
+  14: i64 received,           // RunStart records received on the link that carries this load
+  15: i64 clock_ms,           // the agent's own clock, which counts suspended time
+  16: i32 queued_runs,
+}
+
 // echo is the highest sequence received from the peer: the sender of that sequence knows that this
 // message was written after it. config_age_ms is the age of the confirmation of config_version.
 struct Heartbeat {
@@ -71,6 +92,7 @@
   6: optional i64 ready_epoch,
   7: optional bool stopping,
   8: optional i64 confirmed_version,  // every node behind the sender has at least this version
+  9: optional RunnerLoad runner_load,  // from the agent beside a runner
 }
 
 // ---- configuration --------------------------------------------------------------------------
@@ -82,6 +104,13 @@
 
 struct ConfigurationRequest {
   1: i64 version,             // the version that the asking node has, 0 for none
+  2: optional list<string> prefixes,  // only items whose key begins with one of these
+  3: optional bool follow,    // send later changes on this link, too
+}
+
+// Processes linked to a control replica.
+struct NodeList {
+  1: list<Identity> nodes,
 }
 
 // base_version 0: items are the whole configuration, otherwise what changed since base_version.
@@ -218,6 +247,77 @@
   4: list<LedgerJob> jobs,
 }
 
+// ---- runs of leased runners ---------------------------------------------------------------------
+
+enum RunState {
+  DONE = 1,
+  FAILED = 2,
+  STOPPED = 3,
+  LOST = 4,                   // certainly ended: lease lapsed or runner restarted
+  NOT_RUN = 5,                // never started, and never will be
+}
+
+enum RunReason {
+  NONE = 0,
+  FULL = 1,
+  CLOSED = 2,                 // runner leaving, zone out of service or not announced
+  EXPIRED = 3,                // the order came too late
+  SUPERSEDED = 4,             // the runner has seen this run or a higher one
+  UNHEALTHY = 5,
+  STALLED = 6,
+  OWNER_SILENT = 7,
+  STOPPING = 8,
+  UNKNOWN_RUN = 9,
+  OVERLOADED = 10,
+}
+
+struct RunKey {
+  1: string task,
+  2: i32 run,
+}
+
+// valid_until_ms: on the agent's clock; an order read later starts nothing.
+struct RunStart {
+  1: string task,
+  2: i32 run,
+  3: binary spec,
+  4: i32 cpu_millis,
+  5: i32 memory_mb,
+  6: i32 estimate_ms,
+  7: i32 priority,
+  8: i32 wait_ms,             // longest time in the agent's queue
+}
+
+struct StartRuns {
+  1: list<RunStart> starts,
+  2: i64 valid_until_ms,
+}
+
+struct StopRuns {
+  1: list<RunKey> runs,
+}
+
+// Sent on each new link: the runs that the owner believes to be at this agent. All others of the
+// same owner are stopped; those that the agent never saw are answered NOT_RUN.
+struct ClaimRuns {
+  1: list<RunStart> runs,
+}
+
+struct RunOutcome {
+  1: string task,
+  2: i32 run,
+  3: RunState state,
+  4: RunReason reason,
+  5: i32 run_ms,
+  6: i32 highest_run,         // with SUPERSEDED: the highest run known
+  7: i32 waited_ms,
+}
+
+struct RunOutcomes {
+  1: list<RunOutcome> outcomes,
+  2: RunnerLoad load,
+}
+
 // ---- claims ---------------------------------------------------------------------------------
 
 struct ClaimRecord {
@@ -390,6 +490,13 @@
   4: string address,
 }
 
+// A queue document in the project's form, and the operator's own bytes for reading it back.
+struct PutQueues {
+  1: i64 version,
+  2: binary document,         // zlib
+  3: binary source,           // zlib
+}
+
 struct InstallView {
   1: i64 epoch,               // must be the present epoch + 1
   2: list<ViewMember> members,
@@ -423,6 +530,7 @@
   8: optional InstallView install_view,
   9: optional AssignHost assign_host,
   10: optional ChangeMember change_member,
+  11: optional PutQueues put_queues,
 }
 
 struct Propose {
