--- a/apricotrail/control/_application.py
+++ b/apricotrail/control/_application.py
@@ -1,7 +1,7 @@
 """The control role: one replica with real files, clocks and links."""
 
 import asyncio
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from pathlib import Path
 from random import Random
 
@@ -144,6 +144,12 @@
         """Address of the links, once started."""
         return self.service.endpoint.identity.address if self.service is not None else ""
 
+    def add_seeds(self, seeds: Iterable[str]) -> None:
+        """Look for the group at further addresses, too."""
+        if self._open_group:
+            for seed in seeds:
+                self._peers.setdefault(seed, seed)
+
     async def _start(self) -> None:
         node = self._open_node()
         self.service = ControlService(self._make_parts(node))
--- /dev/null
+++ b/apricotrail/runners/tests/test_gate.py
@@ -0,0 +1,262 @@
+"""Room, owners, leases and settled ends at one runner, on virtual time."""
+
+import unittest
+
+from apricotrail.runners._runs import OrderKind, Owner, StartReply
+from apricotrail.runners.tests.harness import ALICE, BOB, BOOT, GateCase, make_report, make_start
+from apricotrail.wire.generated.ttypes import RunReason, RunState
+
+START, STOP = OrderKind.START, OrderKind.STOP
+KEY = ("j.0.0.0", 1)
+
+
+class TestRoom(unittest.TestCase):
+    def test_never_over_the_runners_room_by_processor_or_memory(self):
+        case = GateCase()
+        for index in range(12):
+            case.start(make_start(f"j.0.0.{index}"))
+        self.assertEqual(len(case.ordered(START)), 10)
+        self.assertEqual([out.reason for _, out in case.reports], [RunReason.FULL, RunReason.FULL])
+
+    def test_what_is_being_stopped_counts_until_its_end_is_listed(self):
+        case = GateCase()
+        case.start(make_start("j.0.0.0", cpu=16_000))
+        case.gate.receive_stop(ALICE, [KEY])
+        case.gate.note_stopped(KEY, True)
+        case.start(make_start("k.0.0.0"), reply=None)
+        self.assertEqual(len(case.ordered(START)), 1)
+        case.list(ended=[(*KEY, "stopped")])
+        case.start(make_start("k.0.0.0", 2), reply=None)
+        self.assertEqual(case.ordered(START)[-1], ("k.0.0.0", 2))
+
+    def test_unanswered_order_counts_until_it_is_settled(self):
+        case = GateCase()
+        case.start(make_start(cpu=16_000), reply=StartReply.UNANSWERED)
+        self.assertEqual(case.ordered(STOP), [KEY])
+        case.start(make_start("k.0.0.0"), reply=None)
+        self.assertEqual(case.ordered(START), [KEY])
+
+    def test_queued_runs_start_by_priority_when_an_end_is_listed(self):
+        case = GateCase()
+        case.start(make_start(cpu=16_000))
+        case.start(make_start("b.0.0.0", cpu=9_000, wait_ms=500, priority=2), reply=None)
+        case.start(make_start("c.0.0.0", cpu=9_000, wait_ms=500, priority=0), reply=None)
+        case.list(ended=[(*KEY, "done")])
+        self.assertEqual(case.ordered(START), [KEY, ("c.0.0.0", 1)])
+
+    def test_queued_run_is_turned_away_after_its_wait(self):
+        case = GateCase()
+        case.start(make_start(cpu=16_000))
+        case.start(make_start("b.0.0.0", wait_ms=200), reply=None)
+        case.advance(250, running=[KEY])
+        self.assertEqual(case.outcomes(), [("b.0.0.0", 1, RunState.NOT_RUN)])
+
+    def test_nothing_starts_beside_a_run_of_unknown_size(self):
+        case = GateCase(announced=False)
+        case.list(running=[("old.0.0.0", 3, 50)])
+        case.gate.announce(make_report())
+        case.start(make_start(wait_ms=500), reply=None)
+        self.assertEqual(case.ordered(START), [])
+        case.gate.receive_claim(BOB, [make_start("old.0.0.0", 3, cpu=2_000)])
+        case.list(running=[("old.0.0.0", 3, 60)])
+        self.assertEqual(case.ordered(START), [KEY])
+
+
+class TestSettling(unittest.TestCase):
+    def test_stop_is_ordered_again_until_it_is_answered(self):
+        case = GateCase()
+        case.start(reply=StartReply.UNANSWERED)
+        for _ in range(3):
+            case.gate.note_stopped(KEY, False)
+        self.assertEqual(case.ordered(STOP), [KEY] * 4)
+        self.assertEqual(case.reports, [])
+
+    def test_listing_asked_before_the_stop_was_answered_proves_nothing(self):
+        case = GateCase()
+        case.start(reply=StartReply.UNANSWERED)
+        asked_ms = case.clock()
+        case.clock.advance(10)
+        case.gate.note_stopped(KEY, True)
+        case.list(asked_ms=asked_ms)
+        self.assertEqual(case.reports, [])
+        case.clock.advance(10)
+        case.list()
+        self.assertEqual(case.outcomes(), [(*KEY, RunState.NOT_RUN)])
+
+    def test_run_that_was_done_before_its_stop_is_reported_done(self):
+        case = GateCase()
+        case.start()
+        case.gate.receive_stop(ALICE, [KEY])
+        case.gate.note_stopped(KEY, True)
+        case.list(ended=[(*KEY, "done")])
+        self.assertEqual(case.outcomes(), [(*KEY, RunState.DONE)])
+
+    def test_order_found_in_a_listing_needs_no_answer(self):
+        case = GateCase()
+        case.start(reply=None)
+        case.list(running=[(*KEY, 5)])
+        case.gate.note_started(KEY, StartReply.UNANSWERED)
+        self.assertEqual(case.ordered(STOP), [])
+
+    def test_new_boot_ends_what_ran_at_the_former_one(self):
+        case = GateCase()
+        case.start()
+        case.gate.announce(make_report(boot=BOOT + 1, sequence=1))
+        self.assertEqual(case.outcomes(), [(*KEY, RunState.LOST)])
+
+    def test_late_announcement_of_a_dead_boot_is_dropped(self):
+        case = GateCase()
+        case.list(boot=BOOT + 1)
+        case.gate.announce(make_report(boot=BOOT + 1))
+        self.assertFalse(case.gate.announce(make_report(sequence=99, leaving=True)))
+        self.assertFalse(case.gate.runner.leaving)
+
+    def test_runs_of_a_runner_out_of_reach_are_lost_only_after_their_lease(self):
+        case = GateCase()
+        case.gate.note_lease(case.clock())
+        case.start()
+        fence = case.gate.fence
+        case.advance(1_000, running=None)
+        self.assertEqual(case.reports, [])
+        case.advance(100, running=None)
+        self.assertEqual(case.outcomes(), [(*KEY, RunState.LOST)])
+        self.assertGreater(case.gate.fence, fence)
+        self.assertEqual(len(case.gate.list_running()), 1)
+
+    def test_stop_of_an_unseen_run_forbids_its_later_start(self):
+        case = GateCase()
+        case.gate.receive_stop(ALICE, [KEY])
+        case.start(reply=None)
+        self.assertEqual(case.ordered(START), [])
+        self.assertEqual(case.outcomes(), [(*KEY, RunState.NOT_RUN)] * 2)
+
+
+class TestOwners(unittest.TestCase):
+    def test_runs_of_a_silent_owner_are_stopped(self):
+        case = GateCase()
+        case.start()
+        case.advance(650, running=[KEY], hear=())
+        self.assertEqual(case.ordered(STOP), [])
+        case.advance(50, running=[KEY], hear=())
+        self.assertEqual(case.ordered(STOP), [KEY])
+
+    def test_new_process_of_an_owner_ends_the_runs_of_the_former_one(self):
+        case = GateCase()
+        case.start()
+        case.gate.replace_owner(Owner("alice", 2))
+        self.assertEqual(case.ordered(STOP), [KEY])
+
+    def test_overdue_stop_ends_the_renewal_of_leases(self):
+        case = GateCase()
+        case.start()
+        case.start(make_start("k.0.0.0"))
+        self.assertTrue(case.gate.may_renew())
+        case.gate.receive_stop(ALICE, [KEY])
+        case.advance(400, running=[KEY, ("k.0.0.0", 1)])
+        self.assertFalse(case.gate.may_renew())
+
+    def test_claim_adopts_what_a_new_agent_found_and_the_rest_is_stopped(self):
+        case = GateCase(announced=False)
+        found = [("a.0.0.0", 1), ("b.0.0.0", 2)]
+        case.list(running=[(*key, 10) for key in found])
+        case.gate.receive_claim(BOB, [make_start(*found[0])])
+        case.advance(950, running=found, hear=(ALICE, BOB))
+        self.assertEqual(case.ordered(STOP), [found[1]])
+
+    def test_claim_of_an_unseen_run_is_settled_before_it_is_answered(self):
+        case = GateCase()
+        case.gate.receive_claim(ALICE, [make_start()])
+        self.assertEqual(case.ordered(STOP), [KEY])
+        self.assertEqual(case.reports, [])
+        case.gate.note_stopped(KEY, True)
+        case.clock.advance(1)
+        case.list()
+        self.assertEqual(case.outcomes(), [(*KEY, RunState.NOT_RUN)])
+
+    def test_runs_that_an_owner_no_longer_claims_are_stopped(self):
+        case = GateCase()
+        case.start()
+        case.gate.receive_claim(ALICE, [])
+        self.assertEqual(case.ordered(STOP), [KEY])
+
+    def test_outcome_missed_over_a_lost_link_is_told_again_on_claim(self):
+        case = GateCase()
+        case.start()
+        case.list(ended=[(*KEY, "done")])
+        case.gate.receive_claim(ALICE, [make_start()])
+        self.assertEqual(case.outcomes(), [(*KEY, RunState.DONE)] * 2)
+
+    def test_late_order_starts_nothing(self):
+        case = GateCase()
+        case.gate.receive_start(ALICE, make_start(), True)
+        self.assertEqual(case.orders, [])
+        self.assertEqual(case.reports[0][1].reason, RunReason.EXPIRED)
+
+
+class TestClosing(unittest.TestCase):
+    def test_nothing_starts_where_it_must_not(self):
+        def leave(case):
+            case.gate.announce(make_report(leaving=True, sequence=2))
+
+        def take_zone_out(case):
+            case.gate.zone_open = False
+
+        def stop(case):
+            case.gate.begin_stop()
+
+        def lose_sight(case):
+            case.clock.advance(900)
+            case.gate.hear_owner(ALICE, case.clock())
+
+        for close in (leave, take_zone_out, stop, lose_sight):
+            with self.subTest(close=close.__name__):
+                case = GateCase()
+                close(case)
+                case.start(reply=None)
+                self.assertEqual(case.orders, [])
+                self.assertEqual(case.outcomes(), [(*KEY, RunState.NOT_RUN)])
+                self.assertFalse(case.gate.describe_load(0).accepting)
+
+
+class TestHealth(unittest.TestCase):
+    def fail(self, case, job):
+        case.start(make_start(f"{job}.0.0.0"))
+        case.list(ended=[(f"{job}.0.0.0", 1, "failed")])
+
+    def test_runner_that_fails_everything_gets_single_trials(self):
+        case = GateCase()
+        for job in "abc":
+            self.fail(case, job)
+        self.assertEqual(case.gate.health.trials(), 0)
+        case.advance(600)
+        self.assertEqual(case.gate.health.trials(), 1)
+        case.start(make_start("d.0.0.0"))
+        case.start(make_start("e.0.0.0"), reply=None)
+        self.assertEqual(case.ordered(START)[-1], ("d.0.0.0", 1))
+
+    def test_one_hopeless_job_does_not_condemn_a_runner(self):
+        case = GateCase()
+        for run in range(1, 6):
+            case.start(make_start("a.0.0.0", run))
+            case.list(ended=[("a.0.0.0", run, "failed")])
+        self.assertEqual(case.gate.health.trials(), -1)
+
+    def test_run_without_progress_is_stopped(self):
+        case = GateCase()
+        case.start()
+        for _ in range(15):
+            case.clock.advance(50)
+            case.gate.hear_owner(ALICE, case.clock())
+            case.list(running=[(*KEY, 0)])
+            case.gate.tick()
+        self.assertEqual(case.ordered(STOP), [KEY])
+
+    def test_good_trials_restore_trust(self):
+        case = GateCase()
+        for job in "abc":
+            self.fail(case, job)
+        for job in "de":
+            case.advance(600)
+            case.start(make_start(f"{job}.0.0.0"))
+            case.list(ended=[(f"{job}.0.0.0", 1, "done")])
+        self.assertEqual(case.gate.health.trials(), -1)
