--- a/apricotrail/control/_service.py
+++ b/apricotrail/control/_service.py
@@ -31,6 +31,7 @@
 OVERSEE_MS = 250
 MAX_COMMIT_TIMES = 1_024
 REPLACE_MS = 12_000  # above the outages that a replica with its disk usually returns from
+CONFIRMED_MS = 1_500  # under the two seconds in which a change has to be in force
 MAX_LISTED_NODES = 4_096
 _LISTED_ROLES = frozenset({"control", "dispatcher", "runner"})
 
@@ -114,6 +115,7 @@
         self._closing: asyncio.Future | None = None
         self._linked_ms: dict[str, float] = {}
         self._followers: dict[Link, tuple[str, ...]] = {}
+        self._unanswered: dict[Link, ConfigurationRequest] = {}
         self._nodes_due = False
 
     def connect(self) -> None:
@@ -263,6 +265,7 @@
     def _tick(self) -> None:
         self.node.tick()
         self.flush()
+        self._answer_waiting()
 
     def _note_leader(self) -> None:
         replica = self.node.replica
@@ -317,16 +320,28 @@
             return
         self.node.receive(link.peer.name, message)
         self.flush_soon()
+        self._answer_waiting()
 
     def _answer_configuration(
         self, link: Link, request: ConfigurationRequest
-    ) -> ConfigurationChange:
+    ) -> ConfigurationChange | None:
         prefixes = tuple(request.prefixes or ())
+        if prefixes and self.node.confirmation_age_ms() > CONFIRMED_MS:
+            # After its start this replica may have far older items than the group.
+            self._unanswered[link] = request
+            return None
         if request.follow:
             self._followers[link] = prefixes
         change = self.node.machine.configuration.changes_since(request.version or 0)
         return _select_items(change, prefixes) if prefixes else change
 
+    def _answer_waiting(self) -> None:
+        if not self._unanswered or self.node.confirmation_age_ms() > CONFIRMED_MS:
+            return
+        waiting, self._unanswered = self._unanswered, {}
+        for link, request in waiting.items():
+            link.send(self._answer_configuration(link, request))
+
     def _state_heartbeat(self, link: Link) -> Heartbeat:
         age_ms = int(self.node.confirmation_age_ms()) + 1
         return Heartbeat(
@@ -345,6 +360,7 @@
     def _link_down(self, link: Link) -> None:
         self._nodes_due = True
         self._followers.pop(link, None)
+        self._unanswered.pop(link, None)
 
     def _share_nodes(self) -> None:
         """Tell every process that joins jobs and runners which processes are linked here."""
--- a/apricotrail/queues/_application.py
+++ b/apricotrail/queues/_application.py
@@ -175,7 +175,7 @@
             self.roster.receive_heartbeat(link, heartbeat)
         elif link.peer.role == "runner":
             if heartbeat.runner_load is not None:
-                self.dispatcher.receive_load(link.peer.name, heartbeat.runner_load)
+                self.dispatcher.receive_beat(link.peer.name, heartbeat.runner_load)
             # The echo at once shows the agent that the owner of its runs is alive.
             link.beat()
 
--- a/apricotrail/queues/_board.py
+++ b/apricotrail/queues/_board.py
@@ -11,10 +11,12 @@
 
 __all__ = ["RunnerBoard", "RunnerView"]
 
-LOAD_STALE_MS = 700  # three reports of 200 ms missed and some delay
+LOAD_STALE_MS = 450  # two reports of 200 ms missed and some delay
 SAMPLE = 3  # "The power of two choices", Mitzenmacher 2001; one more as reports lag
 SLOW_FACTOR = 2.2  # sound runners differ by 1.6 from slowest to fastest
-DRAIN_MS = 300.0  # typical run time of a task, for comparing queues
+NEXT_END_MS = 10.0  # reports are older than that: nothing starts sooner at a full runner
+LEAST_SPACING_MS = 5.0
+WAIT_JITTER_MS = 15.0  # dispatchers that read the same reports choose different runners
 
 
 class RunnerView:
@@ -30,6 +32,7 @@
         self.agent = agent
         self.load: RunnerLoad | None = None
         self.heard_ms = 0.0
+        self.beat_ms = 0.0
         self.sent = 0
         self._unreported: deque[tuple[int, int, int]] = deque()
         self._unreported_cpu = 0
@@ -63,10 +66,20 @@
         """Return whether a task would start at once."""
         return self.free_cpu() >= step.cpu_millis and self.free_memory() >= step.memory_mb
 
-    def wait_ms(self, step: Step) -> float:
-        """Return a rough wait until a task would start."""
-        missing = step.cpu_millis - self.free_cpu()
-        return max(0.0, missing / max(1, self.load.cpu_millis)) * DRAIN_MS
+    def wait_ms(self, step: Step, is_urgent: bool) -> float:
+        """Return the expected wait until a task would start."""
+        return 0.0 if self.has_room(step) else self.full_wait_ms(is_urgent)
+
+    def full_wait_ms(self, is_urgent: bool) -> float:
+        """Return the wait at a full runner; starts that no report holds yet are ahead."""
+        load = self.load
+        known_ms = load.urgent_start_ms if is_urgent else load.next_start_ms
+        ahead = max(0, len(self._unreported))
+        return max(NEXT_END_MS, known_ms or 0) + ahead * self.spacing_ms()
+
+    def spacing_ms(self) -> float:
+        """Return the time between two starts while the runner is full."""
+        return max(LEAST_SPACING_MS, self.load.start_spacing_ms or 0)
 
     def trials(self) -> int:
         """Return how many runs an unhealthy runner may still take; -1 for a healthy one."""
@@ -112,7 +125,12 @@
         ]
 
     def choose(
-        self, usable: list[RunnerView], step: Step, task: Task, is_allowed: Callable[[str], bool]
+        self,
+        usable: list[RunnerView],
+        step: Step,
+        task: Task,
+        is_allowed: Callable[[str], bool],
+        is_urgent: bool = False,
     ) -> RunnerView | None:
         """Return the runner for a task, or None if none can take it now.
 
@@ -124,6 +142,8 @@
             What is placed; runners in ``task.avoid`` come last.
         is_allowed : callable
             Whether another task of the step may go to the runner of an agent.
+        is_urgent : bool
+            Whether the task is due soon and so overtakes others.
         """
         fitting = [view for view in usable if _fits(view, step) and is_allowed(view.agent)]
         sound = self._list_sound(fitting)
@@ -133,7 +153,7 @@
             [view for view in fitting if view.trials() != 0],
         ):
             if group:
-                return self._choose_among(group, step)
+                return self._choose_among(group, step, is_urgent)
         return None
 
     def find_trial(self, usable: list[RunnerView], step: Step) -> RunnerView | None:
@@ -152,10 +172,13 @@
             if view.trials() < 0 and not (usual and view.load.slowness > usual * SLOW_FACTOR)
         ]
 
-    def _choose_among(self, views: list[RunnerView], step: Step) -> RunnerView:
+    def _choose_among(self, views: list[RunnerView], step: Step, is_urgent: bool) -> RunnerView:
         with_room = [view for view in views if view.has_room(step)]
         if not with_room:
-            return min(views, key=lambda view: view.wait_ms(step))
+            jitter = self._random.uniform
+            return min(
+                views, key=lambda it: it.wait_ms(step, is_urgent) + jitter(0.0, WAIT_JITTER_MS)
+            )
         near = [view for view in with_room if step.near and step.near in (view.load.labels or ())]
         sample = near or with_room
         if len(sample) > SAMPLE:
--- a/apricotrail/queues/_dispatcher.py
+++ b/apricotrail/queues/_dispatcher.py
@@ -14,9 +14,10 @@
 
 from apricotrail.clocks import Clock
 from apricotrail.events import Level, declare_event, emit
-from apricotrail.queues._admission import Admission, decide_admission
+from apricotrail.queues._admission import URGENT_MS, Admission, decide_admission
 from apricotrail.queues._board import RunnerBoard, RunnerView
 from apricotrail.queues._document import Queue
+from apricotrail.queues._estimates import RunEstimates
 from apricotrail.queues._jobs import Job, JobAnswer, JobRequest, JobState, Step, Task, TaskPhase
 from apricotrail.wire.generated.ttypes import (
     ClaimRuns,
@@ -37,11 +38,13 @@
 MAX_ANSWERS = 4_096
 ANSWER_KEPT_MS = 30_000.0  # above the seconds after which a caller may send a job again
 ORDER_VALID_MS = 400.0  # covers a loaded machine; under the time in which an owner is given up
-# Owner silent at the agent (700), its stop (100) and the overdue stop (400), then the lease of 1 s
-# on a clock that may be 2 % slow; the rest is margin.
-LOST_AGENT_MS = 2_300.0
-FROZEN_MS = 600.0  # under the agents' limit for a silent owner
-QUEUE_MS = 200  # longest wait at one agent before the task is placed anew
+# Owner silent at the agent (500), its tick (50) and the overdue stop (250), then the lease of 1 s
+# on a clock that may be 2 % slow (1,050); the rest is margin. It counts from the last heartbeat:
+# the agent can have had no later echo.
+LOST_AGENT_MS = 1_950.0
+FROZEN_MS = 400.0  # under the agents' limit for a silent owner
+MAX_QUEUE_MS = 200  # longest wait at one agent before the task is placed anew
+MIN_QUEUE_MS = 60  # a few round trips: placing anew costs one
 CLOSED_RETRY_MS = 1_000.0
 MAX_UNSTARTED_MS = 600.0  # three stays in agents' queues; a job that none took by then is refused
 LATE_STOP_MS = 1_500.0  # callers that still wait after their own time budget are answered this late
@@ -116,6 +119,8 @@
     ----------
     board : RunnerBoard
         Runners known.
+    estimates : RunEstimates
+        Run times by queue.
     jobs : dict of str to Job
         Jobs under way by id.
     draining : bool
@@ -127,6 +132,7 @@
         self._random = parts.random
         self._send = parts.send
         self.board = RunnerBoard(parts.clock, parts.random)
+        self.estimates = RunEstimates()
         self.jobs: dict[str, Job] = {}
         self.draining = False
         self.counts = dict.fromkeys(JobState, 0)
@@ -157,6 +163,7 @@
             self._refuse(request, queue, admission, answer)
             return answer
         job = Job(request, queue, self._clock(), answer)
+        job.slack = self.estimates.find_slack(request, queue)
         job.callers = 1
         self.jobs[request.job_id] = job
         emit(
@@ -186,7 +193,8 @@
         if len(self.jobs) >= MAX_JOBS:
             return Admission("too_many_jobs", CLOSED_RETRY_MS)
         usable = self.board.list_usable(queue.pool)
-        return decide_admission(request, queue, usable, self._random)
+        slack = self.estimates.find_slack(request, queue)
+        return decide_admission(request, slack, usable, self._random)
 
     def _refuse(
         self,
@@ -219,17 +227,26 @@
         starts = []
         for (name, run), (job, task) in self._runs.items():
             if task.agent == agent:
-                starts.append(_make_start(job, task, name, run, 0))
+                starts.append(self._make_start(job, task, name, run, 0))
                 view.note_sent(job.request.steps[task.step])
         self._send(agent, ClaimRuns(starts))
         emit(AGENT_UP, agent=agent, claimed=len(starts))
 
     def link_down(self, agent: str) -> None:
         """Note that an agent can't be reached; its runs are written off after a while."""
+        view = self.board.views.get(agent)
+        heard_ms = view.beat_ms if view is not None and view.beat_ms else self._clock()
         self.board.remove(agent)
         runs = sum(task.agent == agent for _, task in self._runs.values())
-        self._lost_ms[agent] = self._clock()
-        emit(AGENT_LOST, agent=agent, runs=runs)
+        self._lost_ms[agent] = min(heard_ms, self._lost_ms.get(agent, heard_ms))
+        emit(AGENT_LOST, agent=agent, runs=runs, heard_ms_ago=round(self._clock() - heard_ms))
+
+    def receive_beat(self, agent: str, load: RunnerLoad) -> None:
+        """Take in an agent's heartbeat, which is echoed at once."""
+        view = self.board.views.get(agent)
+        if view is not None:
+            view.beat_ms = self._clock()
+            self.receive_load(agent, load)
 
     def receive_load(self, agent: str, load: RunnerLoad) -> None:
         """Take in an agent's report."""
@@ -335,11 +352,14 @@
             same = [it for it in job.tasks if it.step == task.step and it.agent == agent]
             return sum(it.phase is not TaskPhase.WAITING for it in same) < limit
 
-        return self.board.choose(usable, step, task, is_allowed)
+        is_urgent = job.slack.due_ms - (self._clock() - job.received_ms) <= URGENT_MS
+        return self.board.choose(usable, step, task, is_allowed, is_urgent)
 
     def _order(self, job: Job, agent: str, tasks: list[Task]) -> None:
         now_ms = self._clock()
         view = self.board.views[agent]
+        left_ms = job.slack.due_ms - (now_ms - job.received_ms)
+        wait_ms = int(min(MAX_QUEUE_MS, max(MIN_QUEUE_MS, left_ms / 2)))
         starts = []
         for task in tasks:
             task.run += 1
@@ -347,7 +367,7 @@
             task.sent_ms = now_ms
             job.starts += 1
             self._runs[task.name, task.run] = (job, task)
-            starts.append(_make_start(job, task, task.name, task.run, QUEUE_MS))
+            starts.append(self._make_start(job, task, task.name, task.run, wait_ms))
         valid_until_ms = view.load.clock_ms + (now_ms - view.heard_ms) + ORDER_VALID_MS
         sent = self._send(agent, StartRuns(starts, int(valid_until_ms)))
         emit(
@@ -363,6 +383,7 @@
     def _end_run(self, job: Job, task: Task, outcome: RunOutcome) -> None:
         if outcome.state == RunState.DONE:
             job.may_have_run = True
+            self.estimates.note_run(job.queue.name, outcome.run_ms)
             task.phase = TaskPhase.DONE
             job.left[task.step] -= 1
             if job.is_done() and not job.stopping:
@@ -398,6 +419,22 @@
                 self._stop_runs(job)
                 self._answer(job, JobAnswer(JobState.FAILED, "attempts"))
 
+    def _make_start(self, job: Job, task: Task, name: str, run: int, wait_ms: int) -> RunStart:
+        step = job.request.steps[task.step]
+        passed_ms = self._clock() - job.received_ms
+        return RunStart(
+            name,
+            run,
+            job.request.spec,
+            step.cpu_millis,
+            step.memory_mb,
+            int(self.estimates.estimate_ms(job.queue.name, step.estimate_ms)),
+            job.queue.priority,
+            wait_ms,
+            int(job.slack.due_ms - passed_ms),
+            int(job.slack.late_due_ms - passed_ms),
+        )
+
     # ---- ends of jobs ----
 
     def _give_up(self, job: Job, reason: str) -> None:
@@ -439,17 +476,3 @@
     def _forget_if_over(self, job: Job) -> None:
         if not job.list_sent() and self.jobs.get(job.job_id) is job:
             del self.jobs[job.job_id]
-
-
-def _make_start(job: Job, task: Task, name: str, run: int, wait_ms: int) -> RunStart:
-    step = job.request.steps[task.step]
-    return RunStart(
-        name,
-        run,
-        job.request.spec,
-        step.cpu_millis,
-        step.memory_mb,
-        step.estimate_ms,
-        job.queue.priority,
-        wait_ms,
-    )
--- a/apricotrail/queues/_jobs.py
+++ b/apricotrail/queues/_jobs.py
@@ -6,7 +6,7 @@
 
 from apricotrail.queues._document import Queue
 
-__all__ = ["Job", "JobAnswer", "JobRequest", "JobState", "Step", "Task", "TaskPhase"]
+__all__ = ["Job", "JobAnswer", "JobRequest", "JobState", "Slack", "Step", "Task", "TaskPhase"]
 
 
 class Step(NamedTuple):
@@ -61,6 +61,21 @@
     budget_ms: float
 
 
+class Slack(NamedTuple):
+    """How long the start of a job's longest task may wait.
+
+    Attributes
+    ----------
+    due_ms : float
+        Wait that keeps the objective.
+    late_due_ms : float
+        Wait with which the job is late, but still of use.
+    """
+
+    due_ms: float
+    late_due_ms: float
+
+
 class JobState(StrEnum):
     """How a job was answered."""
 
@@ -138,6 +153,7 @@
         self.answer = answer
         self.callers = 0
         self.starts = 0
+        self.slack: Slack | None = None
         self.may_have_run = False
         self.stopping = False
         self.left = [step.count for step in request.steps]
--- a/apricotrail/runners/_driver.py
+++ b/apricotrail/runners/_driver.py
@@ -11,14 +11,16 @@
 
 __all__ = ["Call", "RunnerDriver", "RunnerPort", "StartResult", "StopResult"]
 
-START_MS = 130.0  # a call on the own machine takes a few ms, also on a machine 5 times slower
-START_TRIES = 2
-STOP_MS = 130.0
-STOP_PAUSE_MS = 60.0
-HOLD_WAIT_MS = 250  # three renewals within a lease
-HOLD_ANSWER_MS = 150.0  # on top of the wait
-IDLE_WAIT_MS = 500
-HOLD_PAUSE_MS = 60.0
+# A call on the own machine takes 1 to 2 ms, on a machine that is six times slower about 10. One
+# that is lost hides ends, so it is repeated soon.
+START_MS = 60.0
+START_TRIES = 3
+STOP_MS = 60.0
+STOP_PAUSE_MS = 20.0
+HOLD_WAIT_MS = 100
+HOLD_ANSWER_MS = 50.0  # on top of the wait
+IDLE_WAIT_MS = 400
+HOLD_PAUSE_MS = 20.0
 LEASE_MS = 1_000
 FENCE_STEP = 60_000  # above the jumps of wall clocks between two agents, in ms
 CLOCK_DRIFT = 0.97  # the runner's clock may be 2 % slow
--- a/apricotrail/runners/_gate.py
+++ b/apricotrail/runners/_gate.py
@@ -11,6 +11,7 @@
 
 from apricotrail.clocks import Clock
 from apricotrail.events import Level, declare_event, emit
+from apricotrail.runners._forecast import ExpectedEnd, Forecast, QueuedRun, predict_starts
 from apricotrail.runners._health import HealthChange, RunnerHealth
 from apricotrail.runners._runs import (
     EndedRow,
@@ -35,6 +36,8 @@
 __all__ = ["GateLimits", "RunGate"]
 
 MAX_QUEUED = 256
+URGENT_MS = 250.0  # as the dispatchers' admission tells urgent jobs from others
+LEAST_LEFT_MS = 5.0
 MAX_ENDED = 8_192
 
 RUNNER_ANNOUNCED = declare_event(
@@ -89,8 +92,8 @@
         Age of the last listing from which nothing is started.
     """
 
-    owner_silent_ms: float = 700.0
-    stop_overdue_ms: float = 400.0
+    owner_silent_ms: float = 500.0
+    stop_overdue_ms: float = 250.0
     stall_ms: float = 700.0
     claim_ms: float = 900.0
     lease_ms: float = 1_050.0
@@ -372,11 +375,12 @@
         clock_ms = int(self._clock())
         if runner is None:
             return RunnerLoad(
-                "", 0, "", "", [], 0, 0, 0, 0, 0, False, -1, 0.0, received, clock_ms, 0
+                "", 0, "", "", [], 0, 0, 0, 0, 0, False, -1, 0.0, received, clock_ms, 0, 0, 0, 0
             )
         used_cpu, used_memory = self._sum_room(queued=False)
         all_cpu, all_memory = self._sum_room(queued=True)
-        queued = sum(run.phase is RunPhase.QUEUED for run in self._runs.values())
+        queued = [run for run in self._runs.values() if run.phase is RunPhase.QUEUED]
+        forecast = self._predict(used_cpu, queued)
         return RunnerLoad(
             runner.runner,
             runner.boot,
@@ -393,7 +397,10 @@
             self.health.slowness(),
             received,
             clock_ms,
-            queued,
+            len(queued),
+            int(forecast.next_start_ms),
+            int(forecast.urgent_start_ms),
+            int(forecast.spacing_ms),
         )
 
     def list_running(self) -> list[Run]:
@@ -417,6 +424,23 @@
             if run.phase is not RunPhase.QUEUED:
                 self._finish(run, RunState.LOST, RunReason.NONE)
 
+    def _predict(self, used_cpu: int, queued: list[Run]) -> Forecast:
+        now_ms = self._clock()
+        under_way = [run for run in self._runs.values() if run.phase is not RunPhase.QUEUED]
+        ends = [ExpectedEnd(_predict_left(run, now_ms), run.start.cpu_millis) for run in under_way]
+        queued = sorted(queued, key=lambda run: run.rank(now_ms))
+        queue = [
+            QueuedRun(
+                run.start.cpu_millis,
+                float(run.start.estimate_ms or 0),
+                run.due_ms <= now_ms + URGENT_MS,
+            )
+            for run in queued
+        ]
+        sizes = [run.start.cpu_millis for run in (*under_way, *queued)]
+        usual_cpu = sum(sizes) // len(sizes) if sizes else 0
+        return predict_starts(self.runner.cpu_millis - used_cpu, ends, queue, usual_cpu)
+
     def _is_stalled(self, run: Run, now_ms: float) -> bool:
         stall_ms = self._limits.stall_ms
         is_listed = now_ms - self._listed_ms < stall_ms
@@ -459,7 +483,8 @@
         queued = [run for run in self._runs.values() if run.phase is RunPhase.QUEUED]
         if not queued:
             return
-        queued.sort(key=lambda run: (run.start.priority or 0, run.received_ms))
+        now_ms = self._clock()
+        queued.sort(key=lambda run: (run.rank(now_ms), run.start.priority or 0))
         for run in queued:
             if not self._start(run):
                 return
@@ -637,5 +662,15 @@
             emit(HEALTH_CHANGED, runner=runner, healthy=change.became_healthy)
 
 
+def _predict_left(run: Run, now_ms: float) -> float:
+    """Return the expected time until the end of a run, by its progress if that is known."""
+    seen_ms = run.progress_ms - run.started_ms
+    if run.percent > 0 and seen_ms > 0:
+        left_ms = seen_ms * (100 - run.percent) / run.percent - (now_ms - run.progress_ms)
+    else:
+        left_ms = float(run.start.estimate_ms or 0) - (now_ms - run.started_ms)
+    return max(LEAST_LEFT_MS, left_ms)
+
+
 def _job_of(run: Run) -> str:
     return run.start.task.partition(".")[0]
--- a/apricotrail/runners/_runs.py
+++ b/apricotrail/runners/_runs.py
@@ -197,6 +197,8 @@
         self.received_ms = now_ms
         self.phase = RunPhase.QUEUED
         self.queued_until_ms = now_ms + (start.wait_ms or 0)
+        self.due_ms = now_ms + (start.due_ms or 0)
+        self.late_due_ms = now_ms + (start.late_due_ms or 0)
         self.ordered_ms = 0.0
         self.started_ms = now_ms
         self.percent = 0
@@ -206,6 +208,14 @@
         self.stop_answered_ms: float | None = None
         self.is_reported = False
 
+    def rank(self, now_ms: float) -> float:
+        """Return its place in the queue, lowest first: the next time limit that still counts.
+
+        A run that can't keep its job's objective any more gives way to those that can, until the
+        time comes near from which it would be of no use. Admission keeps this from starving it.
+        """
+        return self.due_ms if now_ms <= self.due_ms else self.late_due_ms
+
     @property
     def key(self) -> RunKey:
         """Name of the task and number of the run."""
--- a/apricotrail/runners/tests/test_gate.py
+++ b/apricotrail/runners/tests/test_gate.py
@@ -36,14 +36,26 @@
         case.start(make_start("k.0.0.0"), reply=None)
         self.assertEqual(case.ordered(START), [KEY])
 
-    def test_queued_runs_start_by_priority_when_an_end_is_listed(self):
+    def test_queued_runs_start_by_the_time_they_are_due(self):
         case = GateCase()
         case.start(make_start(cpu=16_000))
-        case.start(make_start("b.0.0.0", cpu=9_000, wait_ms=500, priority=2), reply=None)
-        case.start(make_start("c.0.0.0", cpu=9_000, wait_ms=500, priority=0), reply=None)
+        case.start(make_start("b.0.0.0", cpu=9_000, wait_ms=500, due_ms=900), reply=None)
+        case.start(make_start("c.0.0.0", cpu=9_000, wait_ms=500, due_ms=150), reply=None)
         case.list(ended=[(*KEY, "done")])
         self.assertEqual(case.ordered(START), [KEY, ("c.0.0.0", 1)])
 
+    def test_late_run_gives_way_until_it_would_be_of_no_use(self):
+        for passed_ms, first in ((150, "b.0.0.0"), (450, "c.0.0.0")):
+            with self.subTest(passed_ms=passed_ms):
+                case = GateCase()
+                case.start(make_start(cpu=16_000))
+                late = make_start("c.0.0.0", cpu=9_000, wait_ms=900, due_ms=100, late_due_ms=500)
+                case.start(late, reply=None)
+                case.advance(passed_ms, running=[KEY])
+                case.start(make_start("b.0.0.0", cpu=9_000, wait_ms=500, due_ms=200), reply=None)
+                case.list(ended=[(*KEY, "done")])
+                self.assertEqual(case.ordered(START)[1], (first, 1))
+
     def test_queued_run_is_turned_away_after_its_wait(self):
         case = GateCase()
         case.start(make_start(cpu=16_000))
@@ -135,7 +147,7 @@
     def test_runs_of_a_silent_owner_are_stopped(self):
         case = GateCase()
         case.start()
-        case.advance(650, running=[KEY], hear=())
+        case.advance(450, running=[KEY], hear=())
         self.assertEqual(case.ordered(STOP), [])
         case.advance(50, running=[KEY], hear=())
         self.assertEqual(case.ordered(STOP), [KEY])
@@ -152,7 +164,7 @@
         case.start(make_start("k.0.0.0"))
         self.assertTrue(case.gate.may_renew())
         case.gate.receive_stop(ALICE, [KEY])
-        case.advance(400, running=[KEY, ("k.0.0.0", 1)])
+        case.advance(250, running=[KEY, ("k.0.0.0", 1)])
         self.assertFalse(case.gate.may_renew())
 
     def test_claim_adopts_what_a_new_agent_found_and_the_rest_is_stopped(self):
--- a/apricotrail/wire/messages.thrift
+++ b/apricotrail/wire/messages.thrift
@@ -79,6 +79,9 @@
   14: i64 received,           // RunStart records received on the link that carries this load
   15: i64 clock_ms,           // the agent's own clock, which counts suspended time
   16: i32 queued_runs,
+  17: i32 next_start_ms,      // predicted wait of one more run of usual size behind the queue
+  18: i32 urgent_start_ms,    // the same for a run that is due soon: behind such runs only
+  19: i32 start_spacing_ms,   // predicted time between two starts while the runner is full
 }
 
 // echo is the highest sequence received from the peer: the sender of that sequence knows that this
@@ -286,6 +289,8 @@
   6: i32 estimate_ms,
   7: i32 priority,
   8: i32 wait_ms,             // longest time in the agent's queue
+  9: i32 due_ms,              // from now: latest start that keeps the job's objective
+  10: i32 late_due_ms,        // from now: latest start with which the job is late, but still of use
 }
 
 struct StartRuns {
