--- a/apricotrail/queues/_application.py
+++ b/apricotrail/queues/_application.py
@@ -1,6 +1,7 @@
 """The dispatcher role: jobs of queues from callers to leased runners, and how it stops."""
 
 import asyncio
+from collections.abc import Callable
 from random import Random
 from typing import Any
 
@@ -30,6 +31,7 @@
 FORGET_TICKS = 100
 SETTLE_MS = 400  # for the runs of a job that is being stopped when it is sent again
 SETTLE_POLL_MS = 10
+START_WAIT_MS = 600  # links and queues of a new process are there within this, once others run
 
 TABLE_TAKEN = declare_event(
     10101, "queues_taken", Level.INFO, "A newer document of queues is in force here."
@@ -108,11 +110,25 @@
         while self.dispatcher.jobs and monotonic_ms() < end_ms:
             await asyncio.sleep(POLL_MS / 1000)
 
+    async def wait_for_queues(self) -> bool:
+        """Wait a moment for the first document; returns whether there is one."""
+        return await self._wait_until(lambda: self.table.version > 0)
+
+    async def _wait_until(self, condition: Callable[[], bool]) -> bool:
+        """Wait for what a process that has just started or woken lacks for some hundred ms."""
+        end_ms = monotonic_ms() + START_WAIT_MS
+        while not condition() and not self.stopping and monotonic_ms() < end_ms:
+            await asyncio.sleep(SETTLE_POLL_MS / 1000)
+        return condition()
+
     async def run_job(
         self, request: JobRequest, queue: Any, disconnected: asyncio.Future | None
     ) -> JobAnswer | None:
         """Run a job and return its answer; None if its caller left first."""
         await self._wait_for_former(request.job_id)
+        board = self.dispatcher.board
+        if not board.list_usable(queue.pool):
+            await self._wait_until(lambda: bool(board.list_usable(queue.pool)))
         answer = self.dispatcher.submit(request, queue)
         if not answer.done() and disconnected is not None:
             await asyncio.wait({answer, disconnected}, return_when=asyncio.FIRST_COMPLETED)
