--- a/apricotrail/http/_server.py
+++ b/apricotrail/http/_server.py
@@ -84,6 +84,11 @@
         """Ask every caller to close: responses carry ``Connection: close`` from now on."""
         self.draining = True
 
+    def close_idle(self) -> None:
+        """Close every connection without a request, so that callers open new ones elsewhere."""
+        for connection in list(self._connections):
+            connection.close_idle()
+
     async def stop(self, deadline_ms: float) -> None:
         """Stop accepting, wait for running requests, then close what is left.
 
@@ -124,8 +129,7 @@
         with suppress(TimeoutError):
             async with asyncio.timeout(self.limits.last_request_ms / 1000):
                 await self._wait_until_empty()
-        for connection in list(self._connections):
-            connection.close_idle()
+        self.close_idle()
         await self._wait_until_empty()
 
     async def _wait_until_empty(self) -> None:
--- a/apricotrail/queues/_application.py
+++ b/apricotrail/queues/_application.py
@@ -27,7 +27,6 @@
     "dispatcher.environment", "production", "Environment of this dispatcher."
 )
 TICK_MS = 50
-POLL_MS = 20
 FORGET_TICKS = 100
 SETTLE_MS = 400  # for the runs of a job that is being stopped when it is sent again
 SETTLE_POLL_MS = 10
@@ -104,12 +103,6 @@
         self.stopping = True
         emit(DISPATCHER_DRAINING, jobs=len(self.dispatcher.jobs))
 
-    async def finish_jobs(self, deadline_ms: float) -> None:
-        """Wait until no job is under way, at most `deadline_ms` milliseconds."""
-        end_ms = monotonic_ms() + deadline_ms
-        while self.dispatcher.jobs and monotonic_ms() < end_ms:
-            await asyncio.sleep(POLL_MS / 1000)
-
     async def wait_for_queues(self) -> bool:
         """Wait a moment for the first document; returns whether there is one."""
         return await self._wait_until(lambda: self.table.version > 0)
@@ -127,8 +120,8 @@
         """Run a job and return its answer; None if its caller left first."""
         await self._wait_for_former(request.job_id)
         board = self.dispatcher.board
-        if not board.list_usable(queue.pool):
-            await self._wait_until(lambda: bool(board.list_usable(queue.pool)))
+        if not board.is_complete(queue.pool):
+            await self._wait_until(lambda: self.dispatcher.would_admit(request, queue))
         answer = self.dispatcher.submit(request, queue)
         if not answer.done() and disconnected is not None:
             await asyncio.wait({answer, disconnected}, return_when=asyncio.FIRST_COMPLETED)
--- a/apricotrail/queues/_board.py
+++ b/apricotrail/queues/_board.py
@@ -124,6 +124,11 @@
             and now_ms - view.heard_ms < LOAD_STALE_MS
         ]
 
+    def is_complete(self, pool: str) -> bool:
+        """Return whether runners of a pool are usable and every linked agent knows its runner."""
+        unknown = [it for it in self.views.values() if it.load is None or not it.load.runner]
+        return not unknown and bool(self.list_usable(pool))
+
     def choose(
         self,
         usable: list[RunnerView],
--- a/apricotrail/queues/_dispatcher.py
+++ b/apricotrail/queues/_dispatcher.py
@@ -187,6 +187,10 @@
         if job.callers <= 0:
             self._give_up(job, "caller_left")
 
+    def would_admit(self, request: JobRequest, queue: Queue) -> bool:
+        """Return whether a new job would be taken now."""
+        return self._admit(request, queue).refusal is None
+
     def _admit(self, request: JobRequest, queue: Queue) -> Admission:
         if self.draining:
             return Admission("stopping", CLOSED_RETRY_MS)
