Test the dispatcher, its placement and admission; refuse truthfully a job that no agent took

Found by the test: a job whose tasks all came back from full queues was sent on for ever and never refused.

--- a/apricotrail/queues/_dispatcher.py
+++ b/apricotrail/queues/_dispatcher.py
@@ -324,6 +324,12 @@
         if not ready:
             return
         usable = self.board.list_usable(job.queue.pool)
+        has_begun = job.may_have_run or bool(job.list_sent())
+        waited_ms = self._clock() - job.received_ms
+        if not has_begun and (not usable or waited_ms > MAX_UNSTARTED_MS):
+            reason = "overloaded" if usable else "no_runner"
+            self._answer(job, JobAnswer(JobState.REFUSED, reason, CLOSED_RETRY_MS))
+            return
         orders: dict[str, list[Task]] = {}
         for task in ready:
             step = job.request.steps[task.step]
@@ -334,12 +340,6 @@
                 orders.setdefault(view.agent, []).append(task)
         for agent, tasks in orders.items():
             self._order(job, agent, tasks)
-        if job.may_have_run or job.list_sent():
-            return
-        waited_ms = self._clock() - job.received_ms
-        reason = "overloaded" if usable else "no_runner"
-        if not usable or waited_ms > MAX_UNSTARTED_MS:
-            self._answer(job, JobAnswer(JobState.REFUSED, reason, CLOSED_RETRY_MS))
 
     def _choose(
         self, job: Job, usable: list[RunnerView], step: Step, task: Task
--- /dev/null
+++ b/apricotrail/queues/tests/test_dispatcher.py
@@ -0,0 +1,174 @@
+"""Attempts, refusals, lost agents and frozen processes of one dispatcher, on virtual time."""
+
+import unittest
+
+from apricotrail.queues._jobs import JobState
+from apricotrail.queues.tests.harness import DispatchCase, make_request
+from apricotrail.wire.generated.ttypes import ClaimRuns, RunReason, RunState, StartRuns
+
+
+class TestJobs(unittest.IsolatedAsyncioTestCase):
+    async def test_job_is_completed_when_every_task_is_done(self):
+        case = DispatchCase("x", "y")
+        answer = case.submit(make_request(count=3))
+        for run in case.runs():
+            self.assertFalse(answer.done())
+            case.end(run)
+        self.assertEqual(answer.result().state, JobState.COMPLETED)
+        self.assertEqual(case.dispatcher.jobs, {})
+
+    async def test_steps_wait_for_those_they_depend_on(self):
+        case = DispatchCase("x")
+        request = make_request(count=2)
+        later = request.steps[0]._replace(count=1, depends_on=(0,))
+        answer = case.submit(request._replace(steps=(*request.steps, later)))
+        first = case.runs()
+        self.assertEqual(len(first), 2)
+        for run in first:
+            case.end(run)
+        self.assertEqual(case.runs()[2][1], "j.0.1.0")
+        case.end(case.runs()[2])
+        self.assertEqual(answer.result().state, JobState.COMPLETED)
+
+    async def test_same_id_attaches_while_under_way_and_gets_the_same_answer_after(self):
+        case = DispatchCase("x")
+        first, second = case.submit(), case.submit()
+        self.assertIs(first, second)
+        self.assertEqual(len(case.runs()), 1)
+        case.end(case.runs()[0])
+        self.assertEqual(case.submit().result().state, JobState.COMPLETED)
+        self.assertEqual(len(case.runs()), 1)
+
+    async def test_job_without_callers_is_stopped(self):
+        case = DispatchCase("x")
+        answer = case.submit()
+        case.submit()
+        case.dispatcher.leave("j", answer)
+        self.assertEqual(case.stops(), [])
+        case.dispatcher.leave("j", answer)
+        self.assertEqual(case.stops(), case.runs())
+        self.assertEqual(answer.result().state, JobState.UNFINISHED)
+
+    async def test_job_sent_again_while_its_runs_are_being_stopped_starts_nothing(self):
+        case = DispatchCase("x")
+        case.dispatcher.leave("j", case.submit())
+        self.assertEqual(case.submit().result().state, JobState.UNFINISHED)
+        self.assertEqual(len(case.runs()), 1)
+
+
+class TestAttempts(unittest.IsolatedAsyncioTestCase):
+    async def test_failed_run_is_tried_elsewhere_up_to_the_queues_attempts(self):
+        case = DispatchCase("x", "y", "z")
+        answer = case.submit()
+        for _ in range(2):
+            case.end(case.runs()[-1], RunState.FAILED)
+            self.assertFalse(answer.done())
+        self.assertEqual(len({agent for agent, _, _ in case.runs()}), 3)
+        self.assertEqual([run for _, _, run in case.runs()], [1, 2, 3])
+        case.end(case.runs()[-1], RunState.FAILED)
+        self.assertEqual(answer.result().state, JobState.FAILED)
+
+    async def test_run_without_an_end_is_never_started_beside(self):
+        case = DispatchCase("x", "y")
+        case.submit()
+        case.advance(1_500)
+        self.assertEqual(len(case.runs()), 1)
+
+    async def test_higher_run_known_to_the_runner_is_passed(self):
+        case = DispatchCase("x")
+        case.submit()
+        agent, task, run = case.runs()[0]
+        from apricotrail.wire.generated.ttypes import RunOutcome, RunOutcomes
+
+        outcome = RunOutcome(task, run, RunState.NOT_RUN, RunReason.SUPERSEDED, 0, 7, 0)
+        case.dispatcher.receive_outcomes(agent, RunOutcomes([outcome], None))
+        self.assertEqual(case.runs()[1][2], 8)
+
+    async def test_outcome_of_another_run_or_agent_changes_nothing(self):
+        case = DispatchCase("x", "y")
+        answer = case.submit()
+        agent, task, run = case.runs()[0]
+        other = "y" if agent == "x" else "x"
+        case.end((other, task, run))
+        case.end((agent, task, run + 1))
+        self.assertFalse(answer.done())
+
+
+class TestRefusals(unittest.IsolatedAsyncioTestCase):
+    async def test_job_is_refused_at_once_where_it_can_not_run(self):
+        cases = {
+            "no_runner": (DispatchCase(), make_request()),
+            "no_fitting_runner": (DispatchCase("x"), make_request(cpu=17_000)),
+        }
+        for reason, (case, request) in cases.items():
+            with self.subTest(reason=reason):
+                answer = case.submit(request).result()
+                self.assertEqual((answer.state, answer.reason), (JobState.REFUSED, reason))
+                self.assertGreater(answer.retry_after_ms, 0)
+                self.assertEqual(case.runs(), [])
+
+    async def test_job_that_ran_in_part_is_never_called_refused(self):
+        case = DispatchCase("x")
+        answer = case.submit(make_request(count=2))
+        case.end(case.runs()[0])
+        case.end(case.runs()[1], RunState.NOT_RUN, RunReason.FULL)
+        case.advance(4_000)
+        self.assertEqual(answer.result().state, JobState.UNFINISHED)
+
+    async def test_job_that_no_agent_took_is_refused_truthfully(self):
+        case = DispatchCase("x")
+        answer = case.submit()
+        while not answer.done() and len(case.runs()) < 30:
+            case.advance(100)
+            case.end(case.runs()[-1], RunState.NOT_RUN, RunReason.FULL)
+        self.assertEqual(answer.result().state, JobState.REFUSED)
+
+
+class TestLostAgents(unittest.IsolatedAsyncioTestCase):
+    async def test_runs_of_a_lost_agent_are_written_off_only_after_their_leases(self):
+        case = DispatchCase("x", "y")
+        case.submit()
+        agent = case.runs()[0][0]
+        case.dispatcher.link_down(agent)
+        case.advance(1_900)
+        self.assertEqual(len(case.runs()), 1)
+        case.advance(100)
+        self.assertEqual(len(case.runs()), 2)
+        self.assertNotEqual(case.runs()[1][0], agent)
+
+    async def test_runs_are_claimed_when_the_agent_is_back(self):
+        case = DispatchCase("x")
+        answer = case.submit()
+        run = case.runs()[0]
+        case.dispatcher.link_down("x")
+        case.advance(500)
+        case.dispatcher.link_up("x")
+        claim = [message for _, message in case.sent if isinstance(message, ClaimRuns)][-1]
+        self.assertEqual([(it.task, it.run) for it in claim.runs], [run[1:]])
+        case.end(run)
+        self.assertEqual(answer.result().state, JobState.COMPLETED)
+
+    async def test_silent_agent_gets_nothing(self):
+        case = DispatchCase("x", "y")
+        case.advance(500, silent=("x",))
+        case.submit(make_request(count=4))
+        self.assertEqual({agent for agent, _, _ in case.runs()}, {"y"})
+
+    async def test_order_is_valid_for_a_moment_on_the_agents_clock(self):
+        case = DispatchCase("x")
+        case.beat("x", clock_ms=90_000)
+        case.clock.advance(100)
+        case.submit()
+        order = next(message for _, message in case.sent if isinstance(message, StartRuns))
+        self.assertEqual(order.valid_until_ms, 90_000 + 100 + 400)
+
+
+class TestFrozen(unittest.IsolatedAsyncioTestCase):
+    async def test_process_that_stood_still_starts_nothing_for_its_former_jobs(self):
+        case = DispatchCase("x", "y")
+        answer = case.submit()
+        case.clock.advance(3_000)
+        case.end(case.runs()[0], RunState.STOPPED, RunReason.OWNER_SILENT)
+        self.assertEqual(answer.result().state, JobState.UNFINISHED)
+        case.advance(500)
+        self.assertEqual(len(case.runs()), 1)
--- /dev/null
+++ b/apricotrail/queues/tests/test_placement.py
@@ -0,0 +1,119 @@
+"""Where work goes, who waits and who is refused under loads seen on the users' deployments."""
+
+import unittest
+
+from apricotrail.queues._estimates import RunEstimates
+from apricotrail.queues._jobs import JobState
+from apricotrail.queues.tests.harness import QUEUE, DispatchCase, make_request
+
+FULL = {"free_cpu_millis": 0, "next_start_ms": 60, "urgent_start_ms": 60}
+
+
+class TestSpread(unittest.IsolatedAsyncioTestCase):
+    async def test_wide_job_at_full_runners_is_not_queued_at_one_of_them(self):
+        """Pattern: eight short tasks arrive while every runner is full (quote, at noon)."""
+        case = DispatchCase(*"abcd")
+        for agent in "abcd":
+            case.beat(agent, **FULL)
+        case.submit(make_request(count=8))
+        counts = [sum(run[0] == agent for run in case.runs()) for agent in "abcd"]
+        self.assertEqual(sum(counts), 8)
+        self.assertLessEqual(max(counts), 3)
+
+    async def test_starts_that_no_report_holds_yet_count(self):
+        """Pattern: jobs arrive faster than runners report."""
+        case = DispatchCase("a", "b")
+        for index in range(20):
+            case.submit(make_request(f"j{index}"))
+        self.assertEqual(sum(run[0] == "a" for run in case.runs()), 10)
+
+    async def test_slow_and_unhealthy_runners_come_last(self):
+        """Pattern: one runner turns six times slower, another fails everything it starts."""
+        case = DispatchCase(*"abcd")
+        case.beat("a", slowness=6.0)
+        case.beat("b", trial_runs=0)
+        for index in range(8):
+            case.submit(make_request(f"j{index}"))
+        self.assertEqual({run[0] for run in case.runs()}, {"c", "d"})
+
+    async def test_unhealthy_runner_gets_one_task_as_a_trial(self):
+        """Pattern: a runner that failed everything has recovered."""
+        case = DispatchCase("a", "b")
+        case.beat("a", trial_runs=1)
+        for index in range(4):
+            case.submit(make_request(f"j{index}", count=2))
+        self.assertEqual(sum(run[0] == "a" for run in case.runs()), 1)
+
+    async def test_bad_runners_alone_still_serve(self):
+        """Pattern: a service is never emptied by distrust."""
+        case = DispatchCase("a", "b")
+        for agent in "ab":
+            case.beat(agent, slowness=9.0)
+        case.submit()
+        self.assertEqual(len(case.runs()), 1)
+
+
+class TestOverload(unittest.IsolatedAsyncioTestCase):
+    def answer(self, urgent_ms, queued_ms, estimate_ms):
+        case = DispatchCase("a", "b")
+        for agent in "ab":
+            load = {"urgent_start_ms": urgent_ms, "next_start_ms": queued_ms}
+            case.beat(agent, free_cpu_millis=-8_000, **load)
+        return case.submit(make_request(estimate_ms=estimate_ms))
+
+    async def test_who_is_refused_depends_on_the_slack_of_the_job(self):
+        """Pattern: a burst of large jobs; short ones overtake them and are still taken."""
+        table = (
+            # urgent queue, whole queue, estimate, taken
+            (50, 1_500, 200, True),
+            (50, 1_500, 1_800, False),
+            (50, 900, 1_800, True),
+            (500, 600, 200, False),
+        )
+        for urgent_ms, queued_ms, estimate_ms, taken in table:
+            with self.subTest(urgent_ms=urgent_ms, queued_ms=queued_ms, estimate_ms=estimate_ms):
+                answer = self.answer(urgent_ms, queued_ms, estimate_ms)
+                self.assertEqual(answer.done(), not taken)
+                if not taken:
+                    self.assertEqual(answer.result().state, JobState.REFUSED)
+
+    async def test_refused_callers_do_not_come_back_together(self):
+        """Pattern: many callers are refused in the same moment."""
+        case = DispatchCase("a")
+        case.beat("a", free_cpu_millis=0, urgent_start_ms=900, next_start_ms=900)
+        answers = [case.submit(make_request(f"j{n}", estimate_ms=100)) for n in range(50)]
+        pauses = {answer.result().retry_after_ms for answer in answers}
+        self.assertGreater(max(pauses) / min(pauses), 1.5)
+
+    async def test_hopeless_job_fails_after_its_attempts_and_leaves_the_rest_alone(self):
+        """Pattern: many jobs come that can never be done."""
+        from apricotrail.wire.generated.ttypes import RunState
+
+        case = DispatchCase("a", "b")
+        hopeless = case.submit(make_request("bad"))
+        good = case.submit(make_request("good"))
+        for _ in range(QUEUE.attempts):
+            run = [it for it in case.runs() if it[1].startswith("bad")][-1]
+            case.end(run, RunState.FAILED)
+        self.assertEqual(hopeless.result().state, JobState.FAILED)
+        case.end(next(it for it in case.runs() if it[1].startswith("good")))
+        self.assertEqual(good.result().state, JobState.COMPLETED)
+
+
+class TestEstimates(unittest.TestCase):
+    def test_experience_corrects_estimates(self):
+        estimates = RunEstimates()
+        self.assertEqual(estimates.estimate_ms("q", 100), 100)
+        for _ in range(200):
+            estimates.note_run("q", 400)
+        self.assertAlmostEqual(estimates.estimate_ms("q", 100), 200, delta=1)
+        self.assertAlmostEqual(estimates.estimate_ms("q", 0), 400, delta=1)
+
+    def test_slack_follows_the_longest_chain_of_steps(self):
+        estimates = RunEstimates()
+        request = make_request(estimate_ms=100)
+        alone = estimates.find_slack(request, QUEUE)
+        self.assertAlmostEqual(alone.due_ms, 1.6 * 100 + 60 - 100 - 25)
+        later = request.steps[0]._replace(depends_on=(0,))
+        both = estimates.find_slack(request._replace(steps=(*request.steps, later)), QUEUE)
+        self.assertAlmostEqual(both.due_ms, 1.6 * 200 + 60 - 200 - 25)
