--- a/Makefile
+++ b/Makefile
@@ -15,6 +15,7 @@
 
 test: setup
 	$(BIN)/nose2 --config nose2.cfg
+	PYTHONPATH=platform $(BIN)/nose2 --config nose2.cfg -s platform -t platform
 
 lint: setup
 	$(BIN)/black --check --quiet .
--- a/apricotrail/http/_connection.py
+++ b/apricotrail/http/_connection.py
@@ -36,6 +36,7 @@
 STATUS_UNAVAILABLE = 503
 STATUS_CONTINUE = 100
 NO_BODY_STATUSES = frozenset({204, 304})
+FRAMING_HEADERS = frozenset({b"content-length", b"transfer-encoding"})
 
 
 class Phase(Enum):
@@ -162,6 +163,12 @@
         self._head = head
         self._body = []
         self._body_bytes = 0
+        names = {name for name, _ in head.headers}
+        if names >= FRAMING_HEADERS:
+            # RFC 9112, 6.1: another server on the way may have framed the body by the other one.
+            message = "The request has both Content-Length and Transfer-Encoding."
+            self._refuse(malformed(message), STATUS_BAD_REQUEST)
+            return
         length = next((value for name, value in head.headers if name == b"content-length"), b"0")
         if int(length) > self._limits.max_body_bytes:
             self._refuse_body()
--- a/apricotrail/http/tests/test_server.py
+++ b/apricotrail/http/tests/test_server.py
@@ -64,6 +64,11 @@
         (400, "malformed", [POST + b"Content-Length: " + b"9" * 400 + b"\r\n\r\n"]),
         (400, "malformed", [POST + b"Content-Length: 1\r\nContent-Length: 2\r\n\r\nab"]),
         (400, "malformed", [POST + b"Transfer-Encoding: chunked\r\n\r\nzz\r\n"]),
+        (
+            400,
+            "malformed",
+            [POST + b"Content-Length: 3\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n"],
+        ),
         (400, "malformed", [b"\x16\x03\x01\x02garbage\r\n\r\n"]),
         (400, "malformed", [b"GET http://a/ HTTP/1.1\r\n" + HOST + b"\r\n"]),
         (400, "malformed", [b"GET / HTTP/1.1\r\n\r\n"]),
