--- a/apricotrail/cli/_catalogue.py
+++ b/apricotrail/cli/_catalogue.py
@@ -21,6 +21,8 @@
     "show_metrics",
 ]
 
+_ROLES = ("entry", "agent", "control", "dispatcher", "runner")
+
 HEADING = """\
 # Log events
 
@@ -61,9 +63,7 @@
 
 def describe_metrics() -> str:
     """Return the metrics of every role as Markdown."""
-    return METRICS_HEADING + "".join(
-        _describe_role(make_metrics(role)) for role in ("entry", "agent", "control")
-    )
+    return METRICS_HEADING + "".join(_describe_role(make_metrics(role)) for role in _ROLES)
 
 
 def _describe_role(metrics: RoleMetrics) -> str:
--- a/apricotrail/logs.py
+++ b/apricotrail/logs.py
@@ -5,8 +5,12 @@
 that could hold a body or a secret are replaced by their length.
 """
 
+import asyncio
+import os
 import sys
+from collections import deque
 from collections.abc import Callable
+from contextlib import suppress
 from typing import Any, TextIO
 
 import structlog
@@ -14,7 +18,7 @@
 from apricotrail.clocks import Clock, monotonic_ms
 from apricotrail.settings import Settings, declare_setting
 
-__all__ = ["configure_logs", "make_rate_limit"]
+__all__ = ["LogWriter", "configure_logs", "make_rate_limit"]
 
 FORMAT = declare_setting(
     "log.format", "json", "Form of the log lines.", choices=("console", "json")
@@ -38,6 +42,8 @@
 )
 
 MAX_FIELD_CHARACTERS = 400
+MAX_PENDING_BYTES = 512 * 1024
+FLUSH_MS = 20
 _HIDDEN_FIELDS = frozenset(
     {"answer", "authorization", "body", "digest", "key", "keys", "nonce", "secret", "text", "token"}
 )
@@ -47,7 +53,9 @@
 Processor = Callable[[Any, str, EventFields], EventFields]
 
 
-def configure_logs(settings: Settings, role: str, stream: TextIO | None = None) -> None:
+def configure_logs(
+    settings: Settings, role: str, stream: "TextIO | LogWriter | None" = None
+) -> None:
     """Send the events of this process to `stream`.
 
     Parameters
@@ -63,6 +71,7 @@
         processors=[
             structlog.processors.add_log_level,
             make_rate_limit(settings.get(BURST), settings.get(WINDOW_MS), monotonic_ms),
+            *([stream.make_room] if isinstance(stream, LogWriter) else []),
             hide_contents,
             _make_role_field(role),
             structlog.processors.TimeStamper(fmt="iso", utc=True),
@@ -74,6 +83,72 @@
     )
 
 
+class LogWriter:
+    """Collects log lines and writes them without ever waiting for the reader.
+
+    Parameters
+    ----------
+    descriptor : int
+        Open file that the lines go to; it is set not to block.
+    max_bytes : int
+        Lines waiting to be written. From half of it on lines below warning are dropped, above it
+        all of them; the next line that is kept states how many in ``dropped``.
+    """
+
+    def __init__(self, descriptor: int, max_bytes: int = MAX_PENDING_BYTES) -> None:
+        self._descriptor = descriptor
+        self._max_bytes = max_bytes
+        self._pending: deque[bytes] = deque()
+        self._pending_bytes = 0
+        self._dropped = 0
+        with suppress(OSError):
+            os.set_blocking(descriptor, False)
+
+    def make_room(self, logger: Any, method: str, fields: EventFields) -> EventFields:
+        """Drop a line that the reader is too slow for; a processor of structlog."""
+        is_minor = _LEVEL_NUMBERS.get(method, 0) < _LEVEL_NUMBERS["warning"]
+        limit = self._max_bytes // 2 if is_minor else self._max_bytes
+        if self._pending_bytes >= limit:
+            self._dropped += 1
+            raise structlog.DropEvent
+        if self._dropped:
+            fields["dropped"], self._dropped = self._dropped, 0
+        return fields
+
+    def write(self, text: str) -> None:
+        """Take in text that is written soon."""
+        data = text.encode(errors="replace")
+        self._pending.append(data)
+        self._pending_bytes += len(data)
+
+    def flush(self) -> None:
+        """Do nothing: lines are written in groups."""
+
+    def drain(self) -> None:
+        """Write what the reader takes now."""
+        while self._pending:
+            data = b"".join(self._pending)
+            try:
+                written = os.write(self._descriptor, data)
+            except OSError:
+                # The pipe is full, or nobody reads it: lines are kept up to the bound.
+                self._keep(data)
+                return
+            self._keep(data[written:])
+
+    async def drain_forever(self) -> None:
+        """Write waiting lines every `FLUSH_MS`."""
+        while True:
+            await asyncio.sleep(FLUSH_MS / 1000)
+            self.drain()
+
+    def _keep(self, data: bytes) -> None:
+        self._pending.clear()
+        if data:
+            self._pending.append(data)
+        self._pending_bytes = len(data)
+
+
 def make_rate_limit(burst: int, window_ms: float, clock: Clock) -> Processor:
     """Return a processor that drops lines of an event beyond `burst` in each window.
 
--- a/apricotrail/metrics/__init__.py
+++ b/apricotrail/metrics/__init__.py
@@ -14,8 +14,10 @@
 from apricotrail.metrics._roles import (
     AgentMetrics,
     ControlMetrics,
+    DispatcherMetrics,
     EntryMetrics,
     RoleMetrics,
+    RunnerMetrics,
     make_metrics,
 )
 
@@ -26,11 +28,13 @@
     "AgentMetrics",
     "ControlMetrics",
     "Counter",
+    "DispatcherMetrics",
     "EntryMetrics",
     "Gauge",
     "Histogram",
     "LabelledCounter",
     "RoleMetrics",
+    "RunnerMetrics",
     "add_status_listener",
     "make_metrics",
     "watch_loop_lag",
--- a/apricotrail/metrics/_roles.py
+++ b/apricotrail/metrics/_roles.py
@@ -6,7 +6,15 @@
 from apricotrail.metrics._instruments import Counter, Gauge, Histogram, LabelledCounter
 from apricotrail.metrics._rendering import Instrument, make_renderer
 
-__all__ = ["AgentMetrics", "ControlMetrics", "EntryMetrics", "RoleMetrics", "make_metrics"]
+__all__ = [
+    "AgentMetrics",
+    "ControlMetrics",
+    "DispatcherMetrics",
+    "EntryMetrics",
+    "RoleMetrics",
+    "RunnerMetrics",
+    "make_metrics",
+]
 
 RESPONSE_BOUNDS_MS = (1, 2, 5, 10, 20, 50, 100, 200, 500, 1_000, 2_000, 5_000, 10_000, 30_000)
 RATIO_BOUNDS = (1.01, 1.02, 1.05, 1.1, 1.2, 1.5, 2, 3, 5, 10, 30)
@@ -113,6 +121,39 @@
         self.ledger_records = self._watch("ledger_records", "Attempts in the start ledger.")
 
 
+class DispatcherMetrics(RoleMetrics):
+    """Instruments of a dispatcher of queues."""
+
+    def __init__(self) -> None:
+        super().__init__("dispatcher")
+        self.jobs = self._label("jobs", "Jobs answered, by state.", "state")
+        self.runs = self._label("runs", "Runs ended, by state.", "state")
+        self.retries = self._label("retries", "Runs that did not end done, by reason.", "reason")
+        self.response_ms = self._measure(
+            "response_ms", "Time from submission to answer.", RESPONSE_BOUNDS_MS
+        )
+        self.placing_ms = self._measure(
+            "placing_ms", "Time that runs waited at their agents.", RESPONSE_BOUNDS_MS
+        )
+        self.open_jobs = self._watch("open_jobs", "Jobs under way.")
+        self.runners = self._watch("runners", "Runners that take work.")
+        self.free_cpu_millis = self._watch("free_cpu_millis", "Free room of these runners.")
+
+
+class RunnerMetrics(RoleMetrics):
+    """Instruments of the agent beside a leased runner."""
+
+    def __init__(self) -> None:
+        super().__init__("runner")
+        self.runs = self._label("runs", "Runs ended, by state.", "state")
+        self.refused_runs = self._label("refused_runs", "Runs not started, by reason.", "reason")
+        self.run_ms = self._measure("run_ms", "Run time of a run.", RESPONSE_BOUNDS_MS)
+        self.waited_ms = self._measure("waited_ms", "Time in the queue.", RESPONSE_BOUNDS_MS)
+        self.open_runs = self._watch("open_runs", "Runs queued or at the runner.")
+        self.free_cpu_millis = self._watch("free_cpu_millis", "Free room of the runner.")
+        self.lease_left_ms = self._watch("lease_left_ms", "Time until the leases end.")
+
+
 class ControlMetrics(RoleMetrics):
     """Instruments of a control replica."""
 
@@ -137,6 +178,10 @@
 def make_metrics(role: Literal["agent"]) -> AgentMetrics: ...
 @overload
 def make_metrics(role: Literal["control"]) -> ControlMetrics: ...
+@overload
+def make_metrics(role: Literal["dispatcher"]) -> DispatcherMetrics: ...
+@overload
+def make_metrics(role: Literal["runner"]) -> RunnerMetrics: ...
 
 
 def make_metrics(role: str) -> RoleMetrics:
@@ -145,7 +190,7 @@
     Parameters
     ----------
     role : str
-        ``entry``, ``agent`` or ``control``.
+        ``entry``, ``agent``, ``control``, ``dispatcher`` or ``runner``.
 
     Raises
     ------
@@ -159,5 +204,11 @@
     >>> b'apricotrail_tasks_started_total{role="agent"} 3' in metrics.render()
     True
     """
-    makers = {"agent": AgentMetrics, "control": ControlMetrics, "entry": EntryMetrics}
+    makers = {
+        "agent": AgentMetrics,
+        "control": ControlMetrics,
+        "dispatcher": DispatcherMetrics,
+        "entry": EntryMetrics,
+        "runner": RunnerMetrics,
+    }
     return makers[role]()
--- a/apricotrail/queues/_application.py
+++ b/apricotrail/queues/_application.py
@@ -9,6 +9,7 @@
 from apricotrail.clocks import monotonic_ms, wall_ms
 from apricotrail.events import Level, declare_event, emit
 from apricotrail.membership import Roster, RosterParts
+from apricotrail.metrics import add_status_listener
 from apricotrail.queues._dispatcher import Dispatcher, DispatcherParts
 from apricotrail.queues._document import POOL_PREFIX, QUEUE_PREFIX, QueueTable, read_queue_table
 from apricotrail.queues._jobs import JobAnswer, JobRequest
@@ -26,6 +27,11 @@
 ENVIRONMENT = declare_setting(
     "dispatcher.environment", "production", "Environment of this dispatcher."
 )
+STATUS_LISTEN = declare_setting(
+    "dispatcher.status_listen",
+    "",
+    "Address for /healthz, /readyz and /metrics; empty for none.",
+)
 TICK_MS = 50
 FORGET_TICKS = 100
 SETTLE_MS = 400  # for the runs of a job that is being stopped when it is sent again
@@ -91,7 +97,13 @@
         self.endpoint.on_down(self._link_down)
         self.endpoint.state_heartbeat = self._state_heartbeat
         self.endpoint.receive_heartbeat = self._receive_heartbeat
+        metrics = self.dispatcher.metrics
+        metrics.links.watch(lambda: len(self.endpoint.links))
+        metrics.config_version.watch(lambda: self.table.version)
         self.application.on_start(self._start)
+        add_status_listener(
+            self.application, settings.get(STATUS_LISTEN), metrics, self.is_ready, settings
+        )
         self.application.on_stop(self.endpoint.stop)
 
     def is_ready(self) -> bool:
@@ -173,6 +185,7 @@
             self.dispatcher.link_up(link.peer.name)
 
     def _link_down(self, link: Link) -> None:
+        self.dispatcher.metrics.links_lost.add()
         if link.peer.role == "runner":
             self.dispatcher.link_down(link.peer.name)
 
--- a/apricotrail/queues/_dispatcher.py
+++ b/apricotrail/queues/_dispatcher.py
@@ -14,8 +14,9 @@
 
 from apricotrail.clocks import Clock
 from apricotrail.events import Level, declare_event, emit
+from apricotrail.metrics import make_metrics
 from apricotrail.queues._admission import URGENT_MS, Admission, decide_admission
-from apricotrail.queues._board import RunnerBoard, RunnerView
+from apricotrail.queues._board import RunnerBoard, RunnerView, sum_free_cpu
 from apricotrail.queues._document import Queue
 from apricotrail.queues._estimates import RunEstimates
 from apricotrail.queues._jobs import Job, JobAnswer, JobRequest, JobState, Step, Task, TaskPhase
@@ -125,6 +126,8 @@
         Jobs under way by id.
     draining : bool
         Whether new jobs are refused.
+    metrics : DispatcherMetrics
+        Instruments.
     """
 
     def __init__(self, parts: DispatcherParts) -> None:
@@ -135,11 +138,14 @@
         self.estimates = RunEstimates()
         self.jobs: dict[str, Job] = {}
         self.draining = False
-        self.counts = dict.fromkeys(JobState, 0)
+        self.metrics = make_metrics("dispatcher")
         self._runs: dict[tuple[str, int], tuple[Job, Task]] = {}
         self._finished: OrderedDict[str, _Finished] = OrderedDict()
         self._lost_ms: dict[str, float] = {}
         self._alive_ms = parts.clock()
+        self.metrics.open_jobs.watch(lambda: len(self.jobs))
+        self.metrics.runners.watch(lambda: len(self._list_takers()))
+        self.metrics.free_cpu_millis.watch(lambda: sum_free_cpu(self._list_takers()))
 
     # ---- jobs ----
 
@@ -207,7 +213,8 @@
         admission: Admission,
         answer: "asyncio.Future[JobAnswer]",
     ) -> None:
-        self.counts[JobState.REFUSED] += 1
+        self.metrics.jobs.add(JobState.REFUSED.value)
+        self.metrics.refusals.add(admission.refusal or "")
         emit(
             JOB_REFUSED,
             job=request.job_id,
@@ -292,6 +299,9 @@
                 break
             del self._finished[job_id]
 
+    def _list_takers(self) -> list[RunnerView]:
+        return [it for it in self.board.views.values() if it.load and it.load.accepting]
+
     def _check_alive(self) -> None:
         """Give up all jobs if this process stood still so long that agents stopped its runs."""
         now_ms = self._clock()
@@ -385,6 +395,10 @@
         )
 
     def _end_run(self, job: Job, task: Task, outcome: RunOutcome) -> None:
+        state = RunState._VALUES_TO_NAMES.get(outcome.state, "")
+        reason = RunReason._VALUES_TO_NAMES.get(outcome.reason, "")
+        self.metrics.runs.add(state)
+        self.metrics.placing_ms.observe(outcome.waited_ms)
         if outcome.state == RunState.DONE:
             job.may_have_run = True
             self.estimates.note_run(job.queue.name, outcome.run_ms)
@@ -397,15 +411,15 @@
             return
         task.phase = TaskPhase.WAITING
         job.may_have_run = job.may_have_run or outcome.state != RunState.NOT_RUN
-        state, reason = RunState._VALUES_TO_NAMES, RunReason._VALUES_TO_NAMES
+        self.metrics.retries.add(reason)
         emit(
             RUN_ENDED,
             job=job.job_id,
             task=task.name,
             run=outcome.run,
             agent=task.agent,
-            state=state.get(outcome.state, ""),
-            reason=reason.get(outcome.reason, ""),
+            state=state,
+            reason=reason,
             run_ms=outcome.run_ms,
             waited_ms=outcome.waited_ms,
             failures=task.failures,
@@ -459,8 +473,9 @@
 
     def _answer(self, job: Job, answer: JobAnswer) -> None:
         job.stopping = True
-        self.counts[answer.state] += 1
         now_ms = self._clock()
+        self.metrics.jobs.add(answer.state.value)
+        self.metrics.response_ms.observe(now_ms - job.received_ms)
         if not job.answer.done():
             job.answer.set_result(answer)
         if answer.state in (JobState.COMPLETED, JobState.FAILED):
--- a/apricotrail/runners/_application.py
+++ b/apricotrail/runners/_application.py
@@ -7,6 +7,7 @@
 from apricotrail.clocks import monotonic_ms, wall_ms
 from apricotrail.events import Level, declare_event, emit
 from apricotrail.membership import Roster, RosterParts
+from apricotrail.metrics import add_status_listener
 from apricotrail.runners._driver import RunnerDriver, RunnerPort
 from apricotrail.runners._gate import GateLimits, RunGate
 from apricotrail.runners._runs import Owner, RunnerReport
@@ -36,6 +37,9 @@
     unit="ms",
     minimum=0,
 )
+STATUS_LISTEN = declare_setting(
+    "runner.status_listen", "", "Address for /healthz, /readyz and /metrics; empty for none."
+)
 ZONE_STATE_PREFIX = "zone-state/"
 TICK_MS = 50
 POLL_MS = 20
@@ -103,7 +107,13 @@
             )
         )
         self._connect()
+        metrics = self.gate.metrics
+        metrics.links.watch(lambda: len(self.endpoint.links))
+        metrics.config_version.watch(lambda: self.roster.configuration.version)
         self.application.on_start(self._start)
+        add_status_listener(
+            self.application, settings.get(STATUS_LISTEN), metrics, self._is_ready, settings
+        )
         self.application.on_stop(self._stop)
 
     def announce(self, report: RunnerReport) -> None:
@@ -118,6 +128,9 @@
         self.gate.withdraw(runner)
         self._tell_owners()
 
+    def _is_ready(self) -> bool:
+        return self.gate.describe_load(0).accepting
+
     def _connect(self) -> None:
         endpoint = self.endpoint
         endpoint.on(StartRuns, self._receive_starts)
--- a/apricotrail/runners/_gate.py
+++ b/apricotrail/runners/_gate.py
@@ -11,6 +11,7 @@
 
 from apricotrail.clocks import Clock
 from apricotrail.events import Level, declare_event, emit
+from apricotrail.metrics import make_metrics
 from apricotrail.runners._forecast import ExpectedEnd, Forecast, QueuedRun, predict_starts
 from apricotrail.runners._health import HealthChange, RunnerHealth
 from apricotrail.runners._runs import (
@@ -126,6 +127,8 @@
         Whether this agent is being stopped: it starts nothing.
     health : RunnerHealth
         Judgement of the runner.
+    metrics : RunnerMetrics
+        Instruments.
     """
 
     def __init__(
@@ -145,6 +148,7 @@
         self.zone_open = True
         self.stopping = False
         self.health = RunnerHealth(clock)
+        self.metrics = make_metrics("runner")
         self.last_end = 0
         self.fence = fence
         self._runs: dict[RunKey, Run] = {}
@@ -155,6 +159,9 @@
         self._listed_ms = clock()
         self._opened_ms = clock()
         self._is_listed = False
+        self.metrics.open_runs.watch(lambda: len(self._runs))
+        self.metrics.free_cpu_millis.watch(lambda: self.describe_load(0).free_cpu_millis)
+        self.metrics.lease_left_ms.watch(lambda: max(0.0, self._lease_end_ms - clock()))
 
     # ---- the runner's word ----
 
@@ -612,6 +619,7 @@
     def _turn_away(self, run: Run, reason: int) -> None:
         outcome = self._make_outcome(run, RunState.NOT_RUN, reason, 0.0)
         self._remember(outcome)
+        self.metrics.refused_runs.add(RunReason._VALUES_TO_NAMES.get(reason, ""))
         emit(
             RUN_TURNED_AWAY,
             task=run.start.task,
@@ -632,6 +640,9 @@
         run.is_reported = True
         outcome = self._make_outcome(run, state, reason, run_ms)
         self._remember(outcome)
+        self.metrics.runs.add(RunState._VALUES_TO_NAMES.get(state, ""))
+        self.metrics.run_ms.observe(run_ms)
+        self.metrics.waited_ms.observe(outcome.waited_ms)
         emit(
             RUN_OVER,
             task=run.start.task,
--- a/apricotrail/tests/test_logs.py
+++ b/apricotrail/tests/test_logs.py
@@ -1,6 +1,7 @@
 """Log lines: form, limit in a storm, hidden contents, and the catalogue of events."""
 
 import json
+import os
 import subprocess
 import sys
 from io import StringIO
@@ -12,7 +13,7 @@
 
 from apricotrail.clocks import VirtualClock
 from apricotrail.events import Level, declare_event, emit
-from apricotrail.logs import configure_logs, make_rate_limit
+from apricotrail.logs import LogWriter, configure_logs, make_rate_limit
 from apricotrail.settings import Settings
 
 EXAMPLE = declare_event(9990, "example_happened", Level.WARNING, "Example for the tests.")
@@ -59,6 +60,34 @@
         assert len(self.stream.getvalue().splitlines()) == 4
 
 
+class FullPipe(TestCase):
+    """A reader of the log that does not read."""
+
+    def setUp(self):
+        self.reader, descriptor = os.pipe()
+        self.addCleanup(os.close, self.reader)
+        self.addCleanup(os.close, descriptor)
+        self.writer = LogWriter(descriptor, max_bytes=20_000)
+        configure_logs(Settings({"log.burst": 100_000, "log.level": "debug"}), "x", self.writer)
+        self.addCleanup(structlog.reset_defaults)
+
+    def test_writing_never_blocks_and_a_warning_outlives_minor_lines(self):
+        for _ in range(5_000):
+            emit(OTHER, detail="x" * 100)
+        emit(EXAMPLE)
+        os.set_blocking(self.reader, False)
+        written = b""
+        for _ in range(50):
+            self.writer.drain()
+            try:
+                written += os.read(self.reader, 1_000_000)
+            except BlockingIOError:
+                break
+        last = json.loads(written.decode().splitlines()[-1])
+        assert last["event"] == "example_happened"
+        assert last["dropped"] > 4_000
+
+
 def test_the_line_after_a_storm_states_how_many_were_left_out():
     clock = VirtualClock()
     limit = make_rate_limit(2, 1_000, clock)
