--- a/apricotrail/queues/_dispatcher.py
+++ b/apricotrail/queues/_dispatcher.py
@@ -44,10 +44,10 @@
 # the agent can have had no later echo.
 LOST_AGENT_MS = 1_950.0
 FROZEN_MS = 400.0  # under the agents' limit for a silent owner
-MAX_QUEUE_MS = 200  # longest wait at one agent before the task is placed anew
+MAX_QUEUE_MS = 400  # longest wait at one agent before the task is placed anew
 MIN_QUEUE_MS = 60  # a few round trips: placing anew costs one
 CLOSED_RETRY_MS = 1_000.0
-MAX_UNSTARTED_MS = 600.0  # three stays in agents' queues; a job that none took by then is refused
+MAX_UNSTARTED_MS = 600.0  # more than a stay in a queue; a job that none took by then is refused
 LATE_STOP_MS = 1_500.0  # callers that still wait after their own time budget are answered this late
 
 JOB_ADMITTED = declare_event(
@@ -373,7 +373,9 @@
         now_ms = self._clock()
         view = self.board.views[agent]
         left_ms = job.slack.due_ms - (now_ms - job.received_ms)
-        wait_ms = int(min(MAX_QUEUE_MS, max(MIN_QUEUE_MS, left_ms / 2)))
+        # What is late already is not helped by moving from queue to queue.
+        wait_ms = MAX_QUEUE_MS if left_ms <= 0 else max(MIN_QUEUE_MS, left_ms / 2)
+        wait_ms = int(min(MAX_QUEUE_MS, wait_ms))
         starts = []
         for task in tasks:
             task.run += 1
--- a/apricotrail/queues/tests/test_dispatcher.py
+++ b/apricotrail/queues/tests/test_dispatcher.py
@@ -4,7 +4,14 @@
 
 from apricotrail.queues._jobs import JobState
 from apricotrail.queues.tests.harness import DispatchCase, make_request
-from apricotrail.wire.generated.ttypes import ClaimRuns, RunReason, RunState, StartRuns
+from apricotrail.wire.generated.ttypes import (
+    ClaimRuns,
+    RunOutcome,
+    RunOutcomes,
+    RunReason,
+    RunState,
+    StartRuns,
+)
 
 
 class TestJobs(unittest.IsolatedAsyncioTestCase):
@@ -78,8 +85,6 @@
         case = DispatchCase("x")
         case.submit()
         agent, task, run = case.runs()[0]
-        from apricotrail.wire.generated.ttypes import RunOutcome, RunOutcomes
-
         outcome = RunOutcome(task, run, RunState.NOT_RUN, RunReason.SUPERSEDED, 0, 7, 0)
         case.dispatcher.receive_outcomes(agent, RunOutcomes([outcome], None))
         self.assertEqual(case.runs()[1][2], 8)
--- a/apricotrail/queues/tests/test_placement.py
+++ b/apricotrail/queues/tests/test_placement.py
@@ -5,6 +5,7 @@
 from apricotrail.queues._estimates import RunEstimates
 from apricotrail.queues._jobs import JobState
 from apricotrail.queues.tests.harness import QUEUE, DispatchCase, make_request
+from apricotrail.wire.generated.ttypes import RunReason, RunState, StartRuns
 
 FULL = {"free_cpu_millis": 0, "next_start_ms": 60, "urgent_start_ms": 60}
 
@@ -53,6 +54,20 @@
         self.assertEqual(len(case.runs()), 1)
 
 
+class TestStays(unittest.IsolatedAsyncioTestCase):
+    async def test_late_task_stays_in_its_queue(self):
+        """Pattern: a lasting overload; moving late tasks from queue to queue only costs messages."""
+        case = DispatchCase("a")
+        case.beat("a", **FULL)
+        case.submit(make_request(estimate_ms=100))
+        first = next(message for _, message in case.sent if isinstance(message, StartRuns))
+        case.advance(400)
+        case.end(case.runs()[0], RunState.NOT_RUN, RunReason.FULL)
+        last = [message for _, message in case.sent if isinstance(message, StartRuns)][-1]
+        self.assertEqual(first.starts[0].wait_ms, 60)
+        self.assertEqual(last.starts[0].wait_ms, 400)
+
+
 class TestOverload(unittest.IsolatedAsyncioTestCase):
     def answer(self, urgent_ms, queued_ms, estimate_ms):
         case = DispatchCase("a", "b")
@@ -87,8 +102,6 @@
 
     async def test_hopeless_job_fails_after_its_attempts_and_leaves_the_rest_alone(self):
         """Pattern: many jobs come that can never be done."""
-        from apricotrail.wire.generated.ttypes import RunState
-
         case = DispatchCase("a", "b")
         hopeless = case.submit(make_request("bad"))
         good = case.submit(make_request("good"))
--- a/apricotrail/runners/_gate.py
+++ b/apricotrail/runners/_gate.py
@@ -491,7 +491,7 @@
         if not queued:
             return
         now_ms = self._clock()
-        queued.sort(key=lambda run: (run.rank(now_ms), run.start.priority or 0))
+        queued.sort(key=lambda run: run.rank(now_ms))
         for run in queued:
             if not self._start(run):
                 return
--- a/apricotrail/runners/_runs.py
+++ b/apricotrail/runners/_runs.py
@@ -18,6 +18,8 @@
     "StartReply",
 ]
 
+PRIORITY_MS = 150.0  # the objective of a short task: one level of priority is worth as much delay
+
 RunKey = tuple[str, int]
 """Name of a task and number of one of its runs."""
 
@@ -211,10 +213,13 @@
     def rank(self, now_ms: float) -> float:
         """Return its place in the queue, lowest first: the next time limit that still counts.
 
+        Each level of priority below the highest counts as if the run were due that much later.
+
         A run that can't keep its job's objective any more gives way to those that can, until the
         time comes near from which it would be of no use. Admission keeps this from starving it.
         """
-        return self.due_ms if now_ms <= self.due_ms else self.late_due_ms
+        limit_ms = self.due_ms if now_ms <= self.due_ms else self.late_due_ms
+        return limit_ms + PRIORITY_MS * (self.start.priority or 0)
 
     @property
     def key(self) -> RunKey:
--- a/apricotrail/runners/tests/harness.py
+++ b/apricotrail/runners/tests/harness.py
@@ -28,7 +28,8 @@
 def make_start(task="j.0.0.0", run=1, cpu=1_600, wait_ms=0, **changes) -> RunStart:
     due_ms = changes.get("due_ms", 1_000)
     late_ms = changes.get("late_due_ms", 3_000)
-    return RunStart(task, run, b"spec", cpu, 64, 400, 0, wait_ms, due_ms, late_ms)
+    priority = changes.get("priority", 0)
+    return RunStart(task, run, b"spec", cpu, 64, 400, priority, wait_ms, due_ms, late_ms)
 
 
 class GateCase:
--- a/apricotrail/runners/tests/test_gate.py
+++ b/apricotrail/runners/tests/test_gate.py
@@ -44,6 +44,18 @@
         case.list(ended=[(*KEY, "done")])
         self.assertEqual(case.ordered(START), [KEY, ("c.0.0.0", 1)])
 
+    def test_priority_counts_as_much_as_some_delay(self):
+        """Pattern: a lasting overload; short urgent tasks go before those of lower priority."""
+        for due_ms, first in ((250, "c.0.0.0"), (500, "b.0.0.0")):
+            with self.subTest(due_ms=due_ms):
+                case = GateCase()
+                case.start(make_start(cpu=16_000))
+                low = make_start("b.0.0.0", cpu=9_000, wait_ms=500, due_ms=300, priority=1)
+                case.start(low, reply=None)
+                case.start(make_start("c.0.0.0", cpu=9_000, wait_ms=500, due_ms=due_ms), reply=None)
+                case.list(ended=[(*KEY, "done")])
+                self.assertEqual(case.ordered(START)[1], (first, 1))
+
     def test_late_run_gives_way_until_it_would_be_of_no_use(self):
         for passed_ms, first in ((150, "b.0.0.0"), (450, "c.0.0.0")):
             with self.subTest(passed_ms=passed_ms):
