--- /dev/null
+++ b/apricotrail/control/tests/test_queues.py
@@ -0,0 +1,116 @@
+"""Documents of queues in the log, and replicas that find and replace each other."""
+
+import json
+from random import Random
+from zlib import compress
+
+from nose2.tools import params
+
+from apricotrail.control._log import ReplicatedLog
+from apricotrail.control._members import Member
+from apricotrail.control._repair import decide_member_change
+from apricotrail.control._replica import Progress, ReplicaState, Role, Timing
+from apricotrail.control._state import StateMachine
+from apricotrail.control.tests.simulation import DOCUMENTS
+from apricotrail.control.tests.test_state import apply
+from apricotrail.wire.generated.ttypes import PutQueues, SetZoneState
+
+A, B, C, D = "a#1", "b#1", "c#1", "d#1"
+
+
+def put(version: int, *names: str, source: bytes = b"source") -> PutQueues:
+    document = {f"queue/{name}": {"name": name, "of": version} for name in names}
+    return PutQueues(version, compress(json.dumps(document).encode()), compress(source))
+
+
+def list_queues(state: StateMachine) -> set[str]:
+    return {key for key in state.configuration.items() if key.startswith("queue/")}
+
+
+def test_highest_version_wins_and_lower_ones_are_accepted_without_effect():
+    state = StateMachine(DOCUMENTS)
+    assert apply(state, put_queues=put(7, "x", "y")).accepted
+    before = state.export()
+    for version, names in ((7, "z"), (3, "z"), (0, "z")):
+        assert apply(state, put_queues=put(version, *names)).accepted
+        assert state.export() == before
+    assert apply(state, put_queues=put(8, "y")).accepted
+    assert list_queues(state) == {"queue/y"}
+    assert state.read_item("queues") == {"version": 8}
+
+
+def test_unreadable_queues_change_nothing():
+    state = StateMachine(DOCUMENTS)
+    for document in (b"", b"nonsense", compress(b"{")):
+        outcome = apply(state, put_queues=PutQueues(4, document, b""))
+        assert not outcome.accepted
+        assert json.loads(outcome.answer)["remedy"]
+    assert state.read_item("queues") is None
+
+
+def test_zones_stay_out_over_changes_of_queues_and_restarts():
+    state = StateMachine(DOCUMENTS)
+    apply(state, put_queues=put(1, "x"))
+    assert apply(state, set_zone_state=SetZoneState("pipa", False)).accepted
+    apply(state, put_queues=put(2, "x"))
+    again = StateMachine(DOCUMENTS)
+    again.restore(state.export())
+    assert again.read_item("zone-state/pipa") == {"in_service": False}
+    assert again.read_item("queues") == {"version": 2}
+    assert apply(again, set_zone_state=SetZoneState("pipa", True)).accepted
+    assert again.read_item("zone-state/pipa") is None
+
+
+def test_an_unchanged_queue_is_not_sent_again():
+    state = StateMachine(DOCUMENTS)
+    apply(state, put_queues=put(1, *"abc"))
+    version = state.version
+    document = {f"queue/{name}": {"name": name, "of": 1} for name in "abcd"}
+    apply(state, put_queues=PutQueues(2, compress(json.dumps(document).encode()), b""))
+    change = state.configuration.changes_since(version)
+    keys = {item.key for item in change.items if not item.key.startswith("source/")}
+    assert keys == {"queue/d", "queues"}
+
+
+def make_leader(members: dict[str, Member], caught_up: tuple[str, ...] = ()) -> ReplicaState:
+    log = ReplicatedLog(lambda command: None, 1, 1, members, [])
+    state = ReplicaState(A, log, 1, "", Timing(), Random(1), 0.0, lambda: None)
+    state.role = Role.LEADER
+    state.commit_index = state.term_start_index = 1
+    for key in members:
+        if key != A:
+            state.progress[key] = Progress(2, 0.0)
+            state.progress[key].match_index = int(key in caught_up)
+    return state
+
+
+def voters(*keys: str) -> dict[str, Member]:
+    return {key: Member(key, True) for key in keys}
+
+
+@params(
+    # members, linked, gone, change
+    (voters(A, B, C), (B, C, D), (), ("add_learner", "d")),
+    ({**voters(A, B, C), D: Member(D, False)}, (B, C, D), (), ("promote", "d")),
+    (voters(A, B, C, D), (B, D), (C,), ("remove", "c")),
+    (voters(A, B, C), (B,), (C,), None),
+    ({**voters(A, B, C), D: Member(D, False)}, (B, C), (D,), ("remove", "d")),
+    (voters(A, B, C), (B, C, "c#2"), (), ("add_learner", "c")),
+    ({**voters(A, B, C), "c#2": Member("c", False)}, (B, "c#2"), (), ("remove", "c")),
+)
+def test_replicas_are_replaced_one_change_at_a_time(members, linked, gone, change):
+    leader = make_leader(members, caught_up=linked)
+    addresses = {key: key for key in linked}
+    peers = {key.partition("#")[0]: key for key in linked}
+    decided = decide_member_change(leader, addresses, peers, gone)
+    assert (decided and (decided.action, decided.name)) == change
+
+
+def test_lost_replicas_are_never_removed_below_three_voters():
+    members = voters(A, B, C, D)
+    change = decide_member_change(make_leader(members), {}, {}, (B, C, D))
+    left = {key: member for key, member in members.items() if key != f"{change.name}#1"}
+    assert (
+        decide_member_change(make_leader(left), {}, {}, tuple(key for key in left if key != A))
+        is None
+    )
--- a/apricotrail/queues/_admission.py
+++ b/apricotrail/queues/_admission.py
@@ -70,7 +70,8 @@
     if any(not _fits_somewhere(step, healthy) for step in request.steps):
         return Admission("no_fitting_runner", NO_RUNNER_RETRY_MS, free_cpu, len(healthy))
     wait_ms = _estimate_wait_ms(request, slack, healthy)
-    if wait_ms > max(slack.due_ms, 0.0) + TOLERATED_MS:
+    own_waves_ms = _count_further_waves(request, healthy) * slack.chain_ms
+    if wait_ms > max(slack.due_ms, 0.0) + TOLERATED_MS + own_waves_ms:
         retry_ms = max(MIN_RETRY_MS, wait_ms) * random.uniform(1.0, 2.0)
         return Admission("overloaded", retry_ms, free_cpu, len(healthy), wait_ms)
     return Admission(None, 0.0, free_cpu, len(healthy), wait_ms)
@@ -101,6 +102,15 @@
     return longest_ms
 
 
+def _count_further_waves(request: JobRequest, views: list[RunnerView]) -> int:
+    """Return how many times a job's widest step would have to wait for itself on idle runners."""
+    most = 0
+    for step in request.steps:
+        slots = sum(view.load.cpu_millis // max(1, step.cpu_millis) for view in views)
+        most = max(most, (step.count - 1) // max(1, slots))
+    return most
+
+
 def _fits_somewhere(step: Step, views: list[RunnerView]) -> bool:
     return any(
         view.load.cpu_millis >= step.cpu_millis
--- a/apricotrail/queues/_estimates.py
+++ b/apricotrail/queues/_estimates.py
@@ -48,7 +48,7 @@
         chain_ms = self._measure_chain(request, queue)
         objective_ms = queue.slack * chain_ms + queue.objective_ms
         used_ms = chain_ms + OVERHEAD_MS
-        return Slack(objective_ms - used_ms, LATE_FACTOR * objective_ms - used_ms)
+        return Slack(objective_ms - used_ms, LATE_FACTOR * objective_ms - used_ms, chain_ms)
 
     def _measure_chain(self, request: JobRequest, queue: Queue) -> float:
         """Return the expected time of the longest chain of dependent steps."""
--- a/apricotrail/queues/_jobs.py
+++ b/apricotrail/queues/_jobs.py
@@ -70,10 +70,13 @@
         Wait that keeps the objective.
     late_due_ms : float
         Wait with which the job is late, but still of use.
+    chain_ms : float
+        Expected time of the job's longest chain of tasks.
     """
 
     due_ms: float
     late_due_ms: float
+    chain_ms: float
 
 
 class JobState(StrEnum):
--- /dev/null
+++ b/apricotrail/runners/tests/test_driver.py
@@ -0,0 +1,95 @@
+"""Calls to a runner that are lost, fenced or answered late."""
+
+import asyncio
+import unittest
+
+from apricotrail.runners import Listing, RunnerPort, StartReply, StartResult, StopResult
+from apricotrail.runners._driver import RunnerDriver
+from apricotrail.runners.tests.harness import BOOT, GateCase, make_start
+
+KEY = ("j.0.0.0", 1)
+
+
+class DriverCase(GateCase):
+    """A gate whose orders a driver carries out by scripted answers."""
+
+    def __init__(self, starts=(), stops=(), holds=()) -> None:
+        super().__init__()
+        self.calls = []
+        self.answers = {"start": list(starts), "stop": list(stops), "hold": list(holds)}
+        self.driver = RunnerDriver(
+            self.gate, RunnerPort(self._start, self._stop, self._hold), self.clock, self._spawn
+        )
+        self.gate._order = self.driver.order
+        self.tasks = []
+
+    def _spawn(self, work):
+        self.tasks.append(asyncio.ensure_future(work))
+
+    def _next(self, kind, call, default):
+        self.calls.append((kind, call))
+        return self.answers[kind].pop(0) if self.answers[kind] else default
+
+    async def _start(self, call, task, run, spec):
+        return self._next("start", call, StartResult(StartReply.STARTED, 500))
+
+    async def _stop(self, call, task, run):
+        return self._next("stop", call, StopResult(True))
+
+    async def _hold(self, call, last_end, wait_ms):
+        return self._next("hold", call, Listing(BOOT, 500, (), ()))
+
+    async def settle(self):
+        while self.tasks:
+            await self.tasks.pop(0)
+
+    def made(self, kind):
+        return [call for name, call in self.calls if name == kind]
+
+
+class TestStarts(unittest.IsolatedAsyncioTestCase):
+    async def test_lost_answer_is_asked_again_under_the_same_run(self):
+        case = DriverCase(starts=[StartResult(StartReply.UNANSWERED)])
+        case.start(reply=None)
+        await case.settle()
+        self.assertEqual(len(case.made("start")), 2)
+        self.assertEqual(case.made("stop"), [])
+
+    async def test_order_that_stays_unanswered_is_stopped(self):
+        case = DriverCase(starts=[StartResult(StartReply.UNANSWERED)] * 3)
+        case.start(reply=None)
+        await case.settle()
+        self.assertEqual(len(case.made("stop")), 1)
+        self.assertEqual(case.reports, [])
+
+    async def test_higher_token_of_a_former_agent_is_passed(self):
+        case = DriverCase(starts=[StartResult(StartReply.FENCED, 500)])
+        case.start(reply=None)
+        await case.settle()
+        first, second = case.made("start")
+        self.assertGreater(second.fence, first.fence)
+
+    async def test_unanswered_stop_is_repeated(self):
+        case = DriverCase(stops=[StopResult(False), StopResult(False)])
+        case.start(reply=None)
+        await case.settle()
+        case.gate.receive_stop(case.gate._runs[KEY].owner, [KEY])
+        await case.settle()
+        self.assertEqual(len(case.made("stop")), 3)
+
+
+class TestLeases(unittest.IsolatedAsyncioTestCase):
+    async def test_leases_are_renewed_only_while_something_runs(self):
+        case = DriverCase(holds=[Listing(BOOT, 700, (), ())])
+        await case.driver.extend_once()
+        self.assertIsNone(case.made("hold")[0].lease_until_ms)
+        case.start(make_start(), reply=None)
+        await case.settle()
+        await case.driver.extend_once()
+        self.assertGreaterEqual(case.made("hold")[1].lease_until_ms, 1_400)
+
+    async def test_fenced_hold_takes_a_higher_token(self):
+        case = DriverCase(holds=[True])
+        fence = case.gate.fence
+        await case.driver.extend_once()
+        self.assertGreater(case.gate.fence, fence)
