--- a/apricotrail/cli/_main.py
+++ b/apricotrail/cli/_main.py
@@ -24,6 +24,7 @@
     "document": ("apricotrail.cli._operator_commands", "OPERATOR_COMMANDS"),
     "entry": ("apricotrail.cli._role", "run_entry"),
     "events": ("apricotrail.cli._catalogue", "EVENTS_COMMANDS"),
+    "explain": ("apricotrail.cli.explain", "explain"),
     "job": ("apricotrail.cli._job", "JOB_COMMANDS"),
     "measure": ("apricotrail.measure", "MEASURE_COMMANDS"),
     "member": ("apricotrail.cli._operator_commands", "OPERATOR_COMMANDS"),
--- a/apricotrail/queues/_dispatcher.py
+++ b/apricotrail/queues/_dispatcher.py
@@ -73,7 +73,7 @@
     10008,
     "dispatcher_froze",
     Level.WARNING,
-    "This process stood still; agents have stopped its runs, so its jobs were given up.",
+    "This process stood still and agents have stopped its runs: its jobs start nothing more.",
 )
 RUNS_WRITTEN_OFF = declare_event(
     10009,
@@ -303,14 +303,18 @@
         return [it for it in self.board.views.values() if it.load and it.load.accepting]
 
     def _check_alive(self) -> None:
-        """Give up all jobs if this process stood still so long that agents stopped its runs."""
+        """Bar all jobs from further starts if this process stood still for long.
+
+        Agents have stopped its runs then, and callers may have sent the jobs to others. What was
+        done all the same is still answered.
+        """
         now_ms = self._clock()
         gap_ms, self._alive_ms = now_ms - self._alive_ms, now_ms
         if gap_ms < FROZEN_MS:
             return
         emit(DISPATCHER_FROZE, gap_ms=round(gap_ms), jobs=len(self.jobs))
-        for job in list(self.jobs.values()):
-            self._give_up(job, "dispatcher_froze")
+        for job in self.jobs.values():
+            job.may_start = False
 
     def _write_off(self, now_ms: float) -> None:
         for agent, lost_ms in list(self._lost_ms.items()):
@@ -333,6 +337,9 @@
         ready = job.list_ready()
         if not ready:
             return
+        if not job.may_start:
+            self._give_up(job, "dispatcher_froze")
+            return
         usable = self.board.list_usable(job.queue.pool)
         has_begun = job.may_have_run or bool(job.list_sent())
         waited_ms = self._clock() - job.received_ms
--- a/apricotrail/queues/_jobs.py
+++ b/apricotrail/queues/_jobs.py
@@ -158,6 +158,7 @@
         self.starts = 0
         self.slack: Slack | None = None
         self.may_have_run = False
+        self.may_start = True
         self.stopping = False
         self.left = [step.count for step in request.steps]
         self.tasks = [
--- a/apricotrail/queues/tests/test_dispatcher.py
+++ b/apricotrail/queues/tests/test_dispatcher.py
@@ -177,3 +177,20 @@
         self.assertEqual(answer.result().state, JobState.UNFINISHED)
         case.advance(500)
         self.assertEqual(len(case.runs()), 1)
+
+    async def test_what_was_done_meanwhile_is_still_answered(self):
+        """Found in the operators' incident: finished jobs were answered as unfinished."""
+        case = DispatchCase("x", "y")
+        answer = case.submit(make_request(count=2))
+        case.clock.advance(3_000)
+        for run in case.runs():
+            case.end(run)
+        self.assertEqual(answer.result().state, JobState.COMPLETED)
+
+    async def test_job_received_after_waking_is_served(self):
+        case = DispatchCase("x")
+        case.clock.advance(3_000)
+        case.beat("x")
+        answer = case.submit()
+        case.end(case.runs()[0])
+        self.assertEqual(answer.result().state, JobState.COMPLETED)
