Settle claimed runs only after a new agent's first listing

Cause: a claim that reached a restarted agent before its first look at the runner was answered with stops, so a planned restart lost its runs. Found by a new test of the whole path; the gate's test failed first.

--- a/apricotrail/runners/_gate.py
+++ b/apricotrail/runners/_gate.py
@@ -159,6 +159,7 @@
         self._listed_ms = clock()
         self._opened_ms = clock()
         self._is_listed = False
+        self._unseen: list[Run] = []
         self.metrics.open_runs.watch(lambda: len(self._runs))
         self.metrics.free_cpu_millis.watch(lambda: self.describe_load(0).free_cpu_millis)
         self.metrics.lease_left_ms.watch(lambda: max(0.0, self._lease_end_ms - clock()))
@@ -220,6 +221,7 @@
         for run in [it for it in self._runs.values() if it.key not in running]:
             self._note_absent(run, asked_ms)
         self._is_listed = True
+        self._settle_unseen()
         self._start_queued()
 
     def note_started(self, key: RunKey, reply: StartReply) -> None:
@@ -323,11 +325,24 @@
                 self._claim_unseen(owner, claimed[key])
 
     def _claim_unseen(self, owner: Owner, start: RunStart) -> None:
-        """Settle a run that this agent has never seen: a former agent may have ordered it."""
+        """Take in a run that this agent has not seen: a former agent may have ordered it.
+
+        It is settled by a stop, but not before the first listing shows whether it runs.
+        """
         run = Run(start, owner, self._clock())
         run.phase = RunPhase.STARTING
         self._runs[run.key] = run
-        self._stop(run, RunReason.UNKNOWN_RUN)
+        if self._is_listed:
+            self._stop(run, RunReason.UNKNOWN_RUN)
+        else:
+            self._unseen.append(run)
+
+    def _settle_unseen(self) -> None:
+        """Settle the claimed runs that the first listing lacks."""
+        unseen, self._unseen = self._unseen, []
+        for run in unseen:
+            if run.phase is RunPhase.STARTING and self._runs.get(run.key) is run:
+                self._stop(run, RunReason.UNKNOWN_RUN)
 
     # ---- time ----
 
--- a/apricotrail/runners/tests/test_gate.py
+++ b/apricotrail/runners/tests/test_gate.py
@@ -187,6 +187,17 @@
         case.advance(950, running=found, hear=(ALICE, BOB))
         self.assertEqual(case.ordered(STOP), [found[1]])
 
+    def test_claim_that_comes_before_the_first_listing_stops_nothing_that_runs(self):
+        """Found by the restart of an agent in the whole path: its runs were stopped."""
+        case = GateCase(announced=False)
+        lost = ("k.0.0.0", 1)
+        case.gate.receive_claim(ALICE, [make_start(), make_start(*lost)])
+        self.assertEqual(case.orders, [])
+        case.list(running=[(*KEY, 30)])
+        self.assertEqual(case.ordered(STOP), [lost])
+        case.list(ended=[(*KEY, "done")])
+        self.assertEqual(case.outcomes(), [(*KEY, RunState.DONE)])
+
     def test_claim_of_an_unseen_run_is_settled_before_it_is_answered(self):
         case = GateCase()
         case.gate.receive_claim(ALICE, [make_start()])
