Control without a disk: a learner in memory that takes calls and never votes

Cause: with two control processes a zone (needed where two disks may be lost at once) one may land on a machine without a disk. Its empty data folder meant the working folder: read-only on the platform, and a voter in the test. Ruled out: a separate relay role (a second code path for reads and forwarding). The replica's identity says that its log is in memory: leaders never promote it, founders count it as a learner, and the first seed with a disk founds.

--- a/apricotrail/control/_application.py
+++ b/apricotrail/control/_application.py
@@ -10,9 +10,9 @@
 from apricotrail.control._acceptance import PROMOTION_KEY_FILE, TRIAL_ENVIRONMENT, Promotion
 from apricotrail.control._answers import StatusRouter
 from apricotrail.control._changes import DocumentFunctions
-from apricotrail.control._files import FileLayer, make_file_layer
+from apricotrail.control._files import FileLayer, make_file_layer, make_memory_layer
 from apricotrail.control._formation import found_group
-from apricotrail.control._members import replica_name
+from apricotrail.control._members import make_memory_identity, replica_name
 from apricotrail.control._meters import time_syncs, watch_service
 from apricotrail.control._node import Node
 from apricotrail.control._operations import QueueOperations
@@ -20,6 +20,7 @@
 from apricotrail.control._replica import Timing
 from apricotrail.control._service import ControlService, ServiceParts
 from apricotrail.control._setup import Limits, Setup
+from apricotrail.control._storage import make_random_identity
 from apricotrail.document import check_succession, make_items, parse_document
 from apricotrail.errors import ApricotrailError, ErrorKind, Problem
 from apricotrail.membership import CONFIG_STALE_MS
@@ -35,7 +36,10 @@
 ENVIRONMENT = declare_setting("control.environment", "production", "Environment of this replica.")
 LISTEN = declare_setting("control.listen", "127.0.0.1:7070", "Address for links.")
 DATA_FOLDER = declare_setting(
-    "control.data_folder", "data/control", "Folder on a disk; locked by the replica that uses it."
+    "control.data_folder",
+    "data/control",
+    "Folder on a disk, locked by the replica that uses it; empty for a replica that keeps its log "
+    "in memory and never votes.",
 )
 PEERS = declare_setting(
     "control.peers",
@@ -201,7 +205,9 @@
 
     def _open_node(self) -> Node:
         settings = self.settings
-        files = self._alter_files(make_file_layer(Path(settings.get(DATA_FOLDER))))
+        folder = settings.get(DATA_FOLDER)
+        layer = make_file_layer(Path(folder)) if folder else make_memory_layer()
+        files = self._alter_files(layer)
         return Node(
             Setup(
                 name=settings.get(NAME),
@@ -216,6 +222,7 @@
                     snapshot_entries=settings.get(SNAPSHOT_ENTRIES),
                     snapshot_log_bytes=settings.get(SNAPSHOT_LOG_BYTES),
                 ),
+                make_identity=make_random_identity if folder else make_memory_identity,
             )
         )
 
--- a/apricotrail/control/_files.py
+++ b/apricotrail/control/_files.py
@@ -8,7 +8,7 @@
 
 from apricotrail.errors import ApricotrailError, ErrorKind, Problem
 
-__all__ = ["FileLayer", "StorageError", "make_file_layer"]
+__all__ = ["FileLayer", "StorageError", "make_file_layer", "make_memory_layer"]
 
 LOCK_NAME = "lock"
 
@@ -111,6 +111,30 @@
     return FileLayer(read, write, append, truncate, sync, rename, sync_folder, close)
 
 
+def make_memory_layer() -> FileLayer:
+    """Return the operations on files that last as long as this process."""
+    files: dict[str, bytearray] = {}
+
+    def read(name: str) -> bytes | None:
+        return bytes(files[name]) if name in files else None
+
+    def write(name: str, data: bytes) -> None:
+        files[name] = bytearray(data)
+
+    def append(name: str, data: bytes) -> None:
+        files.setdefault(name, bytearray()).extend(data)
+
+    def truncate(name: str, size_bytes: int) -> None:
+        del files[name][size_bytes:]
+
+    def rename(old: str, new: str) -> None:
+        files[new] = files.pop(old)
+
+    return FileLayer(
+        read, write, append, truncate, lambda name: None, rename, lambda: None, files.clear
+    )
+
+
 def _lock_folder(folder: Path) -> int:
     try:
         folder.mkdir(parents=True, exist_ok=True, mode=0o700)
--- a/apricotrail/control/_formation.py
+++ b/apricotrail/control/_formation.py
@@ -1,7 +1,8 @@
 """Founds a group once every listed replica is linked and has an empty folder.
 
-Only the first of the list founds. All must be present, so that a replica that lost its disk never
-founds a second group beside one that exists: it finds the others formed and joins as a learner.
+Only the first of the list that has a disk founds. All must be present, so that a replica that lost
+its disk never founds a second group beside one that exists: it finds the others formed and joins as
+a learner. Replicas without a disk become learners.
 """
 
 import asyncio
@@ -9,7 +10,7 @@
 
 from returns.result import Success
 
-from apricotrail.control._members import Member, replica_name
+from apricotrail.control._members import Member, keeps_log, replica_name
 from apricotrail.control._service import CONTROL_FORMED, ControlService
 from apricotrail.events import emit
 from apricotrail.wire import Link
@@ -26,11 +27,13 @@
     """Wait until this replica belongs to a group, founding it if that is its part."""
     node = service.node
     names = list(service.parts.peers)
-    if not service.parts.may_found or (names and names[0] != replica_name(node.replica_id)):
+    own_name = replica_name(node.replica_id)
+    may_found = service.parts.may_found and keeps_log(node.replica_id)
+    if not may_found or (names and own_name not in names):
         return
     while not node.is_formed and not service.failed.is_set():
         members = await _find_founders(service, names)
-        if members is not None and not node.is_formed:
+        if members is not None and not node.is_formed and _is_first(own_name, names, members):
             node.form(members)
             emit(CONTROL_FORMED, members=sorted(members))
             service.flush()
@@ -51,10 +54,16 @@
             continue
         if name not in links or not await _is_empty(links[name]):
             return None
-        founders[links[name].peer.name] = Member(links[name].peer.address, True)
+        peer = links[name].peer
+        founders[peer.name] = Member(peer.address, keeps_log(peer.name))
     return founders
 
 
+def _is_first(own_name: str, names: list[str], members: dict[str, Member]) -> bool:
+    voters = {replica_name(key) for key, member in members.items() if member.voter}
+    return not names or own_name == next(name for name in names if name in voters)
+
+
 async def _is_empty(link: Link) -> bool:
     reply = await link.call(StatusRequest(FORMATION_QUESTION, 0), ASK_MS)
     if not isinstance(reply, Success):
--- a/apricotrail/control/_members.py
+++ b/apricotrail/control/_members.py
@@ -6,6 +6,7 @@
 """
 
 from collections.abc import Iterable, Mapping
+from secrets import token_hex
 from typing import NamedTuple
 
 from apricotrail.wire.generated.ttypes import ChangeMember
@@ -15,12 +16,15 @@
     "Members",
     "apply_member_change",
     "is_quorum",
+    "keeps_log",
+    "make_memory_identity",
     "make_replica_id",
     "quorum_value",
     "replica_name",
 ]
 
 _SEPARATOR = "#"
+_MEMORY_PREFIX = "memory-"
 
 
 class Member(NamedTuple):
@@ -53,6 +57,22 @@
     return f"{name}{_SEPARATOR}{identity}"
 
 
+def make_memory_identity() -> str:
+    """Return a new identity for a replica that keeps its log in memory only."""
+    return _MEMORY_PREFIX + token_hex(8)
+
+
+def keeps_log(replica_id: str) -> bool:
+    """Return whether a replica's log outlives its process, so that it may vote.
+
+    Examples
+    --------
+    >>> keeps_log("pipa-1#c0ffee"), keeps_log("pipa-2#memory-c0ffee")
+    (True, False)
+    """
+    return not replica_id.partition(_SEPARATOR)[2].startswith(_MEMORY_PREFIX)
+
+
 def replica_name(replica_id: str) -> str:
     """Return the name in a replica's id.
 
--- a/apricotrail/control/_repair.py
+++ b/apricotrail/control/_repair.py
@@ -1,12 +1,13 @@
 """Decides how the leader brings a replica with an empty disk back into the group.
 
 The new identity joins as a learner. Once it has caught up, the lost identity of the same name is
-removed, then the new one is promoted: one change at a time, each committed before the next.
+removed, then the new one is promoted: one change at a time, each committed before the next. A
+replica without a disk stays a learner: it would forget its vote and what it acknowledged.
 """
 
 from collections.abc import Collection, Mapping
 
-from apricotrail.control._members import Member, replica_name
+from apricotrail.control._members import Member, keeps_log, replica_name
 from apricotrail.control._replica import ReplicaState, is_leader_ready
 from apricotrail.wire.generated.ttypes import ChangeMember
 
@@ -49,7 +50,8 @@
         lost = _find_lost(members, linked, replica_id)
         if lost is not None:
             return _change(lost, members[lost].address, "remove")
-        return _change(replica_id, members[replica_id].address, "promote")
+        if keeps_log(replica_id):
+            return _change(replica_id, members[replica_id].address, "promote")
     return _remove_gone(members, gone)
 
 
--- a/apricotrail/control/tests/test_process.py
+++ b/apricotrail/control/tests/test_process.py
@@ -209,6 +209,50 @@
         self.assertEqual(node.machine.texts[1], DOCUMENT)
 
 
+class TestReplicasWithoutDisks(ControlCase):
+    async def start_seeded(self, port: int, seeds: list[str], folder: str) -> Control:
+        address = f"127.0.0.1:{port}"
+        values = {
+            **FAST,
+            "control.name": address,
+            "control.listen": address,
+            "control.seeds": seeds,
+            "control.data_folder": folder and str(self.folder / folder),
+        }
+        control = Control(Settings(values))
+        await control.application.start()
+        self.running.append(control.application.stop)
+        return control
+
+    async def test_they_carry_out_calls_and_never_vote(self):
+        ports = _find_ports(4)
+        seeds = [f"127.0.0.1:{port}" for port in ports[:3]]
+        # The first seed has no disk: the second one founds the group.
+        folders = ("", "b", "c", "d")
+        controls = [
+            await self.start_seeded(port, seeds, folder)
+            for port, folder in zip(ports, folders, strict=True)
+        ]
+        diskless, *others = [control.service.node for control in controls]
+        await wait_until(lambda: sum(it.voter for it in diskless.replica.log.members.values()) == 3)
+        await wait_until(lambda: diskless.replica.leader)
+        self.assertTrue(all(node.replica.is_voter for node in others))
+        self.assertFalse(diskless.replica.is_voter)
+        operations = controls[0].operations
+        for version in range(1, 4):
+            reply = await operations.put_queues(version, {"queue/x": {"of": version}}, b"text")
+            self.assertTrue(reply.accepted, reply.answer)
+        self.assertEqual((await operations.read_queues()).unwrap().version, 3)
+        await self.running.pop(0)()
+        again = await self.start_seeded(ports[0], seeds, "")
+        node = again.service.node
+        self.assertNotEqual(node.replica_id, diskless.replica_id)
+        await wait_until(lambda: node.replica_id in node.replica.log.members)
+        await wait_until(lambda: diskless.replica_id not in node.replica.log.members)
+        self.assertEqual((await again.operations.read_queues()).unwrap().version, 3)
+        self.assertFalse(node.replica.is_voter)
+
+
 def _find_ports(count: int) -> list[int]:
     sockets = [socket.socket() for _ in range(count)]
     for held in sockets:
--- a/apricotrail/control/tests/test_queues.py
+++ b/apricotrail/control/tests/test_queues.py
@@ -16,6 +16,7 @@
 from apricotrail.wire.generated.ttypes import PutQueues, SetZoneState
 
 A, B, C, D = "a#1", "b#1", "c#1", "d#1"
+M = "m#memory-1"
 
 
 def put(version: int, *names: str, source: bytes = b"source") -> PutQueues:
@@ -97,6 +98,16 @@
     ({**voters(A, B, C), D: Member(D, False)}, (B, C), (D,), ("remove", "d")),
     (voters(A, B, C), (B, C, "c#2"), (), ("add_learner", "c")),
     ({**voters(A, B, C), "c#2": Member("c", False)}, (B, "c#2"), (), ("remove", "c")),
+    # Replicas without a disk: taken in, never promoted, forgotten once another took their place.
+    (voters(A, B, C), (B, C, M), (), ("add_learner", "m")),
+    ({**voters(A, B, C), M: Member("m", False)}, (B, C, M), (), None),
+    ({**voters(A, B, C), M: Member("m", False)}, (B, C), (M,), ("remove", "m")),
+    (
+        {**voters(A, B, C), M: Member("m", False), f"{M}2": Member("m", False)},
+        (B, C, f"{M}2"),
+        (),
+        ("remove", "m"),
+    ),
 )
 def test_replicas_are_replaced_one_change_at_a_time(members, linked, gone, change):
     leader = make_leader(members, caught_up=linked)
