--- a/apricotrail/queues/_dispatcher.py
+++ b/apricotrail/queues/_dispatcher.py
@@ -124,8 +124,6 @@
         Run times by queue.
     jobs : dict of str to Job
         Jobs under way by id.
-    draining : bool
-        Whether new jobs are refused.
     metrics : DispatcherMetrics
         Instruments.
     """
@@ -137,7 +135,6 @@
         self.board = RunnerBoard(parts.clock, parts.random)
         self.estimates = RunEstimates()
         self.jobs: dict[str, Job] = {}
-        self.draining = False
         self.metrics = make_metrics("dispatcher")
         self._runs: dict[tuple[str, int], tuple[Job, Task]] = {}
         self._finished: OrderedDict[str, _Finished] = OrderedDict()
@@ -198,8 +195,6 @@
         return self._admit(request, queue).refusal is None
 
     def _admit(self, request: JobRequest, queue: Queue) -> Admission:
-        if self.draining:
-            return Admission("stopping", CLOSED_RETRY_MS)
         if len(self.jobs) >= MAX_JOBS:
             return Admission("too_many_jobs", CLOSED_RETRY_MS)
         usable = self.board.list_usable(queue.pool)
@@ -223,6 +218,7 @@
             free_cpu=admission.free_cpu,
             runners=admission.runners,
             wait_ms=round(admission.wait_ms),
+            slack_ms=round(self.estimates.find_slack(request, queue).due_ms),
             retry_ms=round(admission.retry_after_ms),
         )
         reason = admission.refusal or ""
