--- a/apricotrail/runners/_gate.py
+++ b/apricotrail/runners/_gate.py
@@ -5,15 +5,15 @@
 gives orders for the runner and outcomes for the owners out; no socket is touched here.
 """
 
-from collections import OrderedDict
 from collections.abc import Callable
 from typing import NamedTuple
 
 from apricotrail.clocks import Clock
 from apricotrail.events import Level, declare_event, emit
 from apricotrail.metrics import make_metrics
-from apricotrail.runners._forecast import ExpectedEnd, Forecast, QueuedRun, predict_starts
 from apricotrail.runners._health import HealthChange, RunnerHealth
+from apricotrail.runners._load import describe_load, describe_unknown_runner, sum_room
+from apricotrail.runners._records import RunRecords
 from apricotrail.runners._runs import (
     EndedRow,
     Listing,
@@ -37,9 +37,6 @@
 __all__ = ["GateLimits", "RunGate"]
 
 MAX_QUEUED = 256
-URGENT_MS = 250.0  # as the dispatchers' admission tells urgent jobs from others
-LEAST_LEFT_MS = 5.0
-MAX_ENDED = 8_192
 
 _ENDS = {"done": RunState.DONE, "failed": RunState.FAILED, "stopped": RunState.STOPPED}
 
@@ -154,8 +151,7 @@
         self.last_end = 0
         self.fence = fence
         self._runs: dict[RunKey, Run] = {}
-        self._ended: OrderedDict[RunKey, RunOutcome] = OrderedDict()
-        self._highest: OrderedDict[str, int] = OrderedDict()
+        self._records = RunRecords()
         self._owners_ms: dict[Owner, float] = {}
         self._lease_end_ms = 0.0
         self._listed_ms = clock()
@@ -284,8 +280,9 @@
         if present is not None:
             present.owner = owner
             return
-        if key in self._ended:
-            self._report(owner, self._ended[key])
+        ended = self._records.find_end(key)
+        if ended is not None:
+            self._report(owner, ended)
             return
         run = Run(start, owner, self._clock())
         reason = RunReason.EXPIRED if is_late else self._find_refusal(run)
@@ -303,12 +300,12 @@
             run = self._runs.get(key)
             if run is not None:
                 self._stop(run, RunReason.NONE)
-            elif key in self._ended:
-                self._report(owner, self._ended[key])
-            else:
+                continue
+            outcome = self._records.find_end(key)
+            if outcome is None:
                 outcome = RunOutcome(*key, RunState.NOT_RUN, RunReason.UNKNOWN_RUN, 0, 0, 0)
-                self._remember(outcome)
-                self._report(owner, outcome)
+                self._records.remember(outcome)
+            self._report(owner, outcome)
 
     def receive_claim(self, owner: Owner, starts: list[RunStart]) -> None:
         """Match the runs that an owner believes to be here with those that are."""
@@ -322,8 +319,9 @@
         if claimed:
             emit(RUNS_ADOPTED, owner=owner.name, claimed=len(claimed), present=len(self._runs))
         for key in claimed:
-            if key in self._ended:
-                self._report(owner, self._ended[key])
+            ended = self._records.find_end(key)
+            if ended is not None:
+                self._report(owner, ended)
             elif key not in self._runs:
                 self._claim_unseen(owner, claimed[key])
 
@@ -398,36 +396,11 @@
 
     def describe_load(self, received: int) -> RunnerLoad:
         """Return the report for one owner that has sent `received` starts on its link."""
-        runner = self.runner
-        clock_ms = int(self._clock())
-        if runner is None:
-            return RunnerLoad(
-                "", 0, "", "", [], 0, 0, 0, 0, 0, False, -1, 0.0, received, clock_ms, 0, 0, 0, 0
-            )
-        used_cpu, used_memory = self._sum_room(queued=False)
-        all_cpu, all_memory = self._sum_room(queued=True)
-        queued = [run for run in self._runs.values() if run.phase is RunPhase.QUEUED]
-        forecast = self._predict(used_cpu, queued)
-        return RunnerLoad(
-            runner.runner,
-            runner.boot,
-            runner.pool,
-            runner.zone,
-            list(runner.labels),
-            runner.cpu_millis,
-            runner.memory_mb,
-            runner.cpu_millis - all_cpu,
-            runner.memory_mb - all_memory,
-            all_cpu - used_cpu,
-            self._is_open(),
-            self.health.trials(),
-            self.health.slowness(),
-            received,
-            clock_ms,
-            len(queued),
-            int(forecast.next_start_ms),
-            int(forecast.urgent_start_ms),
-            int(forecast.spacing_ms),
+        now_ms = self._clock()
+        if self.runner is None:
+            return describe_unknown_runner(received, now_ms)
+        return describe_load(
+            self.runner, list(self._runs.values()), self._is_open(), self.health, received, now_ms
         )
 
     def list_running(self) -> list[Run]:
@@ -446,28 +419,11 @@
         if not had_boot:
             return
         self.health.reset()
-        self._highest.clear()
+        self._records.forget_numbers()
         for run in list(self._runs.values()):
             if run.phase is not RunPhase.QUEUED:
                 self._finish(run, RunState.LOST, RunReason.NONE)
 
-    def _predict(self, used_cpu: int, queued: list[Run]) -> Forecast:
-        now_ms = self._clock()
-        under_way = [run for run in self._runs.values() if run.phase is not RunPhase.QUEUED]
-        ends = [ExpectedEnd(_predict_left(run, now_ms), run.start.cpu_millis) for run in under_way]
-        queued = sorted(queued, key=lambda run: run.rank(now_ms))
-        queue = [
-            QueuedRun(
-                run.start.cpu_millis,
-                float(run.start.estimate_ms or 0),
-                run.due_ms <= now_ms + URGENT_MS,
-            )
-            for run in queued
-        ]
-        sizes = [run.start.cpu_millis for run in (*under_way, *queued)]
-        usual_cpu = sum(sizes) // len(sizes) if sizes else 0
-        return predict_starts(self.runner.cpu_millis - used_cpu, ends, queue, usual_cpu)
-
     def _is_stalled(self, run: Run, now_ms: float) -> bool:
         stall_ms = self._limits.stall_ms
         is_listed = now_ms - self._listed_ms < stall_ms
@@ -491,7 +447,7 @@
             return RunReason.STOPPING
         if not self._is_open():
             return RunReason.CLOSED
-        if self._highest.get(start.task, 0) >= start.run:
+        if self._records.highest_run(start.task) >= start.run:
             return RunReason.SUPERSEDED
         if self.runner.cpu_millis < start.cpu_millis or self.runner.memory_mb < start.memory_mb:
             return RunReason.FULL
@@ -501,11 +457,6 @@
             return RunReason.FULL
         return None
 
-    def _sum_room(self, queued: bool) -> tuple[int, int]:
-        runs = [it for it in self._runs.values() if queued or it.phase is not RunPhase.QUEUED]
-        cpu = sum(it.start.cpu_millis for it in runs)
-        return cpu, sum(it.start.memory_mb for it in runs)
-
     def _start_queued(self) -> None:
         queued = [run for run in self._runs.values() if run.phase is RunPhase.QUEUED]
         if not queued:
@@ -520,7 +471,7 @@
         """Order a run if there is room for it and for no unknown run beside it."""
         if not self._is_open() or any(it.owner is None for it in self._runs.values()):
             return False
-        used_cpu, used_memory = self._sum_room(queued=False)
+        used_cpu, used_memory = sum_room(self.list_running())
         if used_cpu + run.start.cpu_millis > self.runner.cpu_millis:
             return False
         if used_memory + run.start.memory_mb > self.runner.memory_mb:
@@ -532,10 +483,7 @@
             self.health.note_trial()
         run.phase = RunPhase.STARTING
         run.ordered_ms = self._clock()
-        self._highest[run.start.task] = run.start.run
-        self._highest.move_to_end(run.start.task)
-        while len(self._highest) > MAX_ENDED:
-            self._highest.popitem(last=False)
+        self._records.note_number(run.start.task, run.start.run)
         self._order(Order(OrderKind.START, *run.key, run.start.spec or b""))
         emit(
             RUN_ORDERED,
@@ -576,7 +524,9 @@
         if run is None:
             # Ordered by a former agent: its owner asks for the outcome by its claim.
             state = _ENDS.get(row.how, RunState.LOST)
-            self._remember(RunOutcome(row.task, row.run, state, RunReason.NONE, 0, row.run, 0))
+            self._records.remember(
+                RunOutcome(row.task, row.run, state, RunReason.NONE, 0, row.run, 0)
+            )
             return
         run_ms = self._clock() - run.started_ms
         if row.how == "done":
@@ -643,7 +593,7 @@
 
     def _turn_away(self, run: Run, reason: int) -> None:
         outcome = self._make_outcome(run, RunState.NOT_RUN, reason, 0.0)
-        self._remember(outcome)
+        self._records.remember(outcome)
         self.metrics.refused_runs.add(RunReason._VALUES_TO_NAMES.get(reason, ""))
         emit(
             RUN_TURNED_AWAY,
@@ -664,7 +614,7 @@
             return
         run.is_reported = True
         outcome = self._make_outcome(run, state, reason, run_ms)
-        self._remember(outcome)
+        self._records.remember(outcome)
         self.metrics.runs.add(RunState._VALUES_TO_NAMES.get(state, ""))
         self.metrics.run_ms.observe(run_ms)
         self.metrics.waited_ms.observe(outcome.waited_ms)
@@ -680,33 +630,18 @@
             self._report(run.owner, outcome)
 
     def _make_outcome(self, run: Run, state: int, reason: int, run_ms: float) -> RunOutcome:
-        highest = self._highest.get(run.start.task, 0)
+        highest = self._records.highest_run(run.start.task)
         ordered_ms = run.ordered_ms or self._clock()
         waited_ms = int(ordered_ms - run.received_ms)
         return RunOutcome(
             run.start.task, run.start.run, state, reason, int(run_ms), highest, waited_ms
         )
 
-    def _remember(self, outcome: RunOutcome) -> None:
-        self._ended[outcome.task, outcome.run] = outcome
-        while len(self._ended) > MAX_ENDED:
-            self._ended.popitem(last=False)
-
     def _note_health(self, change: HealthChange) -> None:
         if change.became_healthy or change.became_unhealthy:
             runner = self.runner.runner if self.runner is not None else ""
             emit(HEALTH_CHANGED, runner=runner, healthy=change.became_healthy)
 
 
-def _predict_left(run: Run, now_ms: float) -> float:
-    """Return the expected time until the end of a run, by its progress if that is known."""
-    seen_ms = run.progress_ms - run.started_ms
-    if run.percent > 0 and seen_ms > 0:
-        left_ms = seen_ms * (100 - run.percent) / run.percent - (now_ms - run.progress_ms)
-    else:
-        left_ms = float(run.start.estimate_ms or 0) - (now_ms - run.started_ms)
-    return max(LEAST_LEFT_MS, left_ms)
-
-
 def _job_of(run: Run) -> str:
     return run.start.task.partition(".")[0]
