--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 VENV ?= .venv
 BIN := $(VENV)/bin
 
-.PHONY: setup test lint format demo binary generate catalogue
+.PHONY: setup test soak lint format demo binary generate catalogue
 
 setup: $(VENV)/.ready
 
@@ -17,6 +17,10 @@
 	$(BIN)/nose2 --config nose2.cfg
 	PYTHONPATH=platform $(BIN)/nose2 --config nose2.cfg -s platform -t platform
 
+# Fifty seeds of the fault soak; docs/soak.md.
+soak: setup
+	PYTHONPATH=platform $(BIN)/python -m apricotrail_soak --seeds 50
+
 lint: setup
 	$(BIN)/black --check --quiet .
 	$(BIN)/ruff check .
--- a/apricotrail/wire/_endpoint.py
+++ b/apricotrail/wire/_endpoint.py
@@ -28,6 +28,11 @@
 CONNECT_MS = declare_setting(
     "link.connect_ms", 1_000, "Time for a connection and its handshake.", unit="ms", minimum=10
 )
+ADVERTISE = declare_setting(
+    "link.advertise",
+    "",
+    "Address under which others reach this process, if it isn't the one it listens at.",
+)
 _REDIAL_GROWTH_LIMIT = 10
 
 _REPLY_TYPES = frozenset(
@@ -97,6 +102,7 @@
         self._redial_ms = settings.get(REDIAL_MS)
         self._connect_ms = settings.get(CONNECT_MS)
         self._max_links = settings.get(MAX_LINKS)
+        self._advertise = settings.get(ADVERTISE)
         self._handlers: dict[type, Handler] = {}
         self._up_hooks: list[Callable[[Link], None]] = []
         self._down_hooks: list[Callable[[Link], None]] = []
@@ -137,7 +143,7 @@
         loop = asyncio.get_running_loop()
         self._server = await loop.create_server(lambda: Link(self, dialing=False), host, port)
         bound_port = self._server.sockets[0].getsockname()[1]
-        self.identity.address = f"{host}:{bound_port}"
+        self.identity.address = self._advertise or f"{host}:{bound_port}"
         return self.identity.address
 
     def start(self) -> None:
