Ends are final at the runner only when their owner has them

Cause: an agent told the runner at once that it had taken note of an end, also while it was cut off from the owner, which started the task again 1.95 s later. Now: owners confirm ends as done; unconfirmed ones hold the number back that the runner may forget up to. With a silent owner the agent releases them if it was in touch with a majority of control well after the silence began; else it lets the lease lapse, which makes them void. Owners write the runs of a lost agent off only while they are in touch with control and no replica lists it. Ruled out: answering 504 for all runs of a lost agent (loses the jobs that a void end lets us finish); deciding by the other owners' heartbeats (wrong when a zone is cut off).

--- a/apricotrail/membership/_roster.py
+++ b/apricotrail/membership/_roster.py
@@ -26,6 +26,7 @@
 MAX_NODES = 4_096
 FORGET_MS = 60_000.0  # above a restart and the time in which a replica notices it
 BEHIND_MS = 250.0  # a push that is on its way arrives earlier
+IN_TOUCH_MS = 1_200.0  # two heartbeats of a replica and a slow answer
 
 CONTROL_LINKED = declare_event(2101, "control_linked", Level.INFO, "A control replica is linked.")
 CONTROL_LOST = declare_event(
@@ -69,6 +70,11 @@
     dialed_role: str = ""
 
 
+class _Listed(NamedTuple):
+    names: frozenset[str]
+    replicas: frozenset[str]
+
+
 class Roster:
     """Processes and configuration known to one process.
 
@@ -85,6 +91,8 @@
         self._followed: Link | None = None
         self._behind_since: dict[str, float] = {}
         self._listed_ms: dict[str, float] = {}
+        self._lists: dict[str, _Listed] = {}
+        self._echoed_ms: dict[str, float] = {}
         parts.endpoint.on(NodeList, self._receive_nodes)
         parts.endpoint.on(ConfigurationChange, self._receive_change)
         parts.endpoint.on_up(self._link_up)
@@ -103,9 +111,31 @@
         """Return the links to control replicas."""
         return [link for link in self._endpoint.links.values() if link.peer.role == "control"]
 
-    def receive_heartbeat(self, link: Link, heartbeat: Heartbeat) -> None:
+    def is_listed(self, name: str) -> bool:
+        """Return whether a replica that is linked here says that it is linked to a process."""
+        return any(name in listed.names for listed in self._lists.values())
+
+    def in_touch_ms(self) -> float:
+        """Return the latest own time at which a majority of the replicas was in touch.
+
+        A replica was in touch when this process sent the last heartbeat that it echoed, so that
+        both directions are known to work.
+        """
+        known = set(self._echoed_ms).union(*(it.replicas for it in self._lists.values()))
+        echoed = sorted((self._echoed_ms.get(name, 0.0) for name in known), reverse=True)
+        return echoed[len(echoed) // 2] if echoed else 0.0
+
+    def is_in_touch(self) -> bool:
+        """Return whether a majority of the replicas was in touch lately."""
+        return self._parts.clock() - self.in_touch_ms() < IN_TOUCH_MS
+
+    def receive_heartbeat(
+        self, link: Link, heartbeat: Heartbeat, asked_ms: float | None = None
+    ) -> None:
         """Ask a replica that states a newer version than arrived from the one followed."""
         name = link.peer.name
+        if asked_ms is not None:
+            self._echoed_ms[name] = max(asked_ms, self._echoed_ms.get(name, 0.0))
         if (heartbeat.config_version or 0) <= self.configuration.version:
             self._behind_since.pop(name, None)
             return
@@ -143,6 +173,8 @@
         if link.peer.role != "control":
             return
         emit(CONTROL_LOST, replica=link.peer.name)
+        self._lists.pop(link.peer.name, None)
+        self._echoed_ms.pop(link.peer.name, None)
         if link is not self._followed:
             return
         self._followed = None
@@ -174,7 +206,10 @@
     def _receive_nodes(self, link: Link, listed: NodeList) -> None:
         if link.peer.role != "control":
             return
-        for node in listed.nodes or ():
+        nodes = listed.nodes or ()
+        replicas = frozenset(node.name for node in nodes if node.role == "control")
+        self._lists[link.peer.name] = _Listed(frozenset(node.name for node in nodes), replicas)
+        for node in nodes:
             if self._is_wanted(node):
                 self._dial(node.address)
 
--- /dev/null
+++ b/apricotrail/membership/tests/test_roster.py
@@ -0,0 +1,116 @@
+"""What a process knows of others through control: who is listed, and whether it is in touch."""
+
+import unittest
+from typing import NamedTuple
+
+from apricotrail.clocks import VirtualClock
+from apricotrail.membership import Roster, RosterParts
+from apricotrail.wire.generated.ttypes import Heartbeat, Identity, NodeList
+
+
+class FakeLink(NamedTuple):
+    peer: Identity
+
+    def send(self, message, *more):
+        pass
+
+    def beat(self):
+        pass
+
+
+class FakeEndpoint:
+    """Keeps what a roster registers."""
+
+    def __init__(self) -> None:
+        self.links = {}
+        self.handlers = {}
+        self.dialed = []
+
+    def on(self, type_, handler):
+        self.handlers[type_] = handler
+
+    def on_up(self, hook):
+        self.up = hook
+
+    def on_down(self, hook):
+        self.down = hook
+
+    def dial(self, address):
+        self.dialed.append(address)
+
+
+class RosterCase:
+    """A roster that is linked to control replicas."""
+
+    def __init__(self, *replicas: str) -> None:
+        self.clock = VirtualClock(50_000.0)
+        self.endpoint = FakeEndpoint()
+        self.roster = Roster(
+            RosterParts(self.endpoint, (), "pipa", ("x/",), self.clock, lambda: None)
+        )
+        self.links = {}
+        for name in replicas:
+            self.link(name)
+
+    def link(self, name: str) -> None:
+        link = FakeLink(Identity(name, "control", "pipa", 1, name))
+        self.links[name] = self.endpoint.links[name] = link
+        self.endpoint.up(link)
+
+    def lose(self, name: str) -> None:
+        self.endpoint.links.pop(name)
+        self.endpoint.down(self.links[name])
+
+    def tell(self, replica: str, *runners: str, replicas=()) -> None:
+        nodes = [Identity(name, "runner", "pipa", 1, name) for name in runners]
+        nodes += [Identity(name, "control", "pipa", 1, name) for name in (replica, *replicas)]
+        self.endpoint.handlers[NodeList](self.links[replica], NodeList(nodes))
+
+    def echo(self, replica: str, asked_ms: float | None) -> None:
+        self.roster.receive_heartbeat(self.links[replica], Heartbeat(config_version=0), asked_ms)
+
+
+class TestListed(unittest.TestCase):
+    def test_a_process_is_listed_while_any_linked_replica_lists_it(self):
+        case = RosterCase("a", "b")
+        self.assertFalse(case.roster.is_listed("r-1"))
+        case.tell("a", "r-1", "r-2")
+        case.tell("b", "r-1")
+        case.tell("a", "r-2")
+        self.assertTrue(case.roster.is_listed("r-1"))
+        case.lose("b")
+        self.assertFalse(case.roster.is_listed("r-1"))
+        self.assertTrue(case.roster.is_listed("r-2"))
+
+
+class TestTouch(unittest.TestCase):
+    def test_a_majority_of_the_replicas_must_have_echoed(self):
+        case = RosterCase("a", "b")
+        case.tell("a", replicas=("b", "c", "d"))
+        self.assertFalse(case.roster.is_in_touch())
+        for name, at_ms in (("a", 49_990.0), ("b", 49_980.0)):
+            case.echo(name, at_ms)
+        self.assertEqual(case.roster.in_touch_ms(), 0.0)
+        case.link("c")
+        case.echo("c", 49_000.0)
+        self.assertEqual(case.roster.in_touch_ms(), 49_000.0)
+        self.assertTrue(case.roster.is_in_touch())
+        case.clock.advance(500)
+        self.assertFalse(case.roster.is_in_touch())
+
+    def test_heartbeats_without_an_echo_prove_nothing(self):
+        case = RosterCase("a")
+        case.echo("a", None)
+        self.assertFalse(case.roster.is_in_touch())
+        case.echo("a", 49_999.0)
+        self.assertTrue(case.roster.is_in_touch())
+
+    def test_lost_replicas_count_until_the_others_no_longer_list_them(self):
+        case = RosterCase("a", "b")
+        for name in "ab":
+            case.tell(name, replicas="ab")
+            case.echo(name, 49_990.0)
+        case.lose("b")
+        self.assertFalse(case.roster.is_in_touch())
+        case.tell("a")
+        self.assertTrue(case.roster.is_in_touch())
--- a/apricotrail/queues/_application.py
+++ b/apricotrail/queues/_application.py
@@ -80,7 +80,9 @@
         self.endpoint = LinkEndpoint(
             identity, settings.get(ENVIRONMENT), KeyRing(None), settings, monotonic_ms
         )
-        self.dispatcher = Dispatcher(DispatcherParts(monotonic_ms, Random(), self._send))
+        self.dispatcher = Dispatcher(
+            DispatcherParts(monotonic_ms, Random(), self._send, self._is_agent_gone)
+        )
         self.roster = Roster(
             RosterParts(
                 self.endpoint,
@@ -180,6 +182,10 @@
         link = self.endpoint.links.get(agent)
         return link is not None and link.send(message)
 
+    def _is_agent_gone(self, agent: str) -> bool:
+        """Return whether control, and not only this process, has lost an agent."""
+        return self.roster.is_in_touch() and not self.roster.is_listed(agent)
+
     def _link_up(self, link: Link) -> None:
         if link.peer.role == "runner":
             self.dispatcher.link_up(link.peer.name)
@@ -194,7 +200,7 @@
 
     def _receive_heartbeat(self, link: Link, heartbeat: Heartbeat, asked_ms: float | None) -> None:
         if link.peer.role == "control":
-            self.roster.receive_heartbeat(link, heartbeat)
+            self.roster.receive_heartbeat(link, heartbeat, asked_ms)
         elif link.peer.role == "runner":
             if heartbeat.runner_load is not None:
                 self.dispatcher.receive_beat(link.peer.name, heartbeat.runner_load)
--- a/apricotrail/queues/_dispatcher.py
+++ b/apricotrail/queues/_dispatcher.py
@@ -22,6 +22,7 @@
 from apricotrail.queues._jobs import Job, JobAnswer, JobRequest, JobState, Step, Task, TaskPhase
 from apricotrail.wire.generated.ttypes import (
     ClaimRuns,
+    OutcomesTaken,
     RunKey,
     RunnerLoad,
     RunOutcome,
@@ -96,11 +97,15 @@
         Source of samples and jitter.
     send : callable
         ``send(agent, message)`` sends without waiting; False if there is no link.
+    is_agent_gone : callable
+        ``is_agent_gone(agent)`` tells whether control has lost an agent, too. Only then are its
+        ends void that did not arrive here.
     """
 
     clock: Clock
     random: Random
     send: Send
+    is_agent_gone: Callable[[str], bool] = lambda agent: True
 
 
 class _Finished(NamedTuple):
@@ -132,6 +137,7 @@
         self._clock = parts.clock
         self._random = parts.random
         self._send = parts.send
+        self._is_agent_gone = parts.is_agent_gone
         self.board = RunnerBoard(parts.clock, parts.random)
         self.estimates = RunEstimates()
         self.jobs: dict[str, Job] = {}
@@ -266,6 +272,13 @@
         self._check_alive()
         if message.load is not None:
             self.receive_load(agent, message.load)
+        done = [
+            RunKey(outcome.task, outcome.run)
+            for outcome in message.outcomes or ()
+            if outcome.state == RunState.DONE
+        ]
+        if done:
+            self._send(agent, OutcomesTaken(done))
         touched: dict[str, Job] = {}
         for outcome in message.outcomes or ():
             found = self._runs.get((outcome.task, outcome.run))
@@ -316,8 +329,14 @@
         for agent, lost_ms in list(self._lost_ms.items()):
             if now_ms - lost_ms < LOST_AGENT_MS:
                 continue
-            del self._lost_ms[agent]
-            ended = [(key, it) for key, it in self._runs.items() if it[1].agent == agent]
+            is_gone = self._is_agent_gone(agent)
+            if is_gone:
+                del self._lost_ms[agent]
+            ended = [
+                (key, it)
+                for key, it in self._runs.items()
+                if it[1].agent == agent and (is_gone or it[0].stopping)
+            ]
             if ended:
                 emit(RUNS_WRITTEN_OFF, agent=agent, runs=len(ended))
             for (name, run), (job, task) in ended:
--- a/apricotrail/queues/tests/harness.py
+++ b/apricotrail/queues/tests/harness.py
@@ -58,7 +58,10 @@
         self.sent = []
         self.received = dict.fromkeys(agents, 0)
         self.loads = dict.fromkeys(agents, {})
-        self.dispatcher = Dispatcher(DispatcherParts(self.clock, Random(7), self._send))
+        self.gone = True
+        self.dispatcher = Dispatcher(
+            DispatcherParts(self.clock, Random(7), self._send, lambda agent: self.gone)
+        )
         for agent in agents:
             self.dispatcher.link_up(agent)
             self.beat(agent)
--- a/apricotrail/queues/tests/test_dispatcher.py
+++ b/apricotrail/queues/tests/test_dispatcher.py
@@ -6,6 +6,7 @@
 from apricotrail.queues.tests.harness import DispatchCase, make_request
 from apricotrail.wire.generated.ttypes import (
     ClaimRuns,
+    OutcomesTaken,
     RunOutcome,
     RunOutcomes,
     RunReason,
@@ -153,6 +154,40 @@
         case.end(run)
         self.assertEqual(answer.result().state, JobState.COMPLETED)
 
+    async def test_runs_are_not_written_off_while_control_still_sees_the_agent(self):
+        """Found by the soak (seed 15): their ends may be final, and the tasks ran again."""
+        case = DispatchCase("x", "y")
+        answer = case.submit()
+        agent = case.runs()[0][0]
+        case.gone = False
+        case.dispatcher.link_down(agent)
+        case.advance(3_000)
+        self.assertEqual(len(case.runs()), 1)
+        case.gone = True
+        case.advance(50)
+        self.assertEqual(len(case.runs()), 2)
+        self.assertFalse(answer.done())
+
+    async def test_jobs_that_wait_for_an_unreachable_agent_end_and_are_forgotten(self):
+        case = DispatchCase("x")
+        answer = case.submit()
+        case.gone = False
+        case.dispatcher.link_down("x")
+        case.advance(6_000)
+        self.assertEqual(answer.result().state, JobState.UNFINISHED)
+        self.assertEqual(case.dispatcher.jobs, {})
+
+    async def test_ends_as_done_are_confirmed_to_the_agent(self):
+        case = DispatchCase("x")
+        case.submit(make_request(count=2))
+        done, failed = case.runs()
+        case.end(done)
+        case.end(failed, RunState.FAILED)
+        case.end(("x", "unknown.0.0.0", 3))
+        taken = [message for _, message in case.sent if isinstance(message, OutcomesTaken)]
+        keys = [(key.task, key.run) for message in taken for key in message.runs]
+        self.assertEqual(keys, [done[1:], ("unknown.0.0.0", 3)])
+
     async def test_silent_agent_gets_nothing(self):
         case = DispatchCase("x", "y")
         case.advance(500, silent=("x",))
--- a/apricotrail/runners/_application.py
+++ b/apricotrail/runners/_application.py
@@ -17,6 +17,7 @@
     ClaimRuns,
     Heartbeat,
     Identity,
+    OutcomesTaken,
     RunOutcome,
     RunOutcomes,
     StartRuns,
@@ -106,6 +107,7 @@
                 self._take_configuration,
             )
         )
+        self.gate.in_touch_ms = self.roster.in_touch_ms
         self._connect()
         metrics = self.gate.metrics
         metrics.links.watch(lambda: len(self.endpoint.links))
@@ -136,6 +138,7 @@
         endpoint.on(StartRuns, self._receive_starts)
         endpoint.on(StopRuns, self._receive_stops)
         endpoint.on(ClaimRuns, self._receive_claim)
+        endpoint.on(OutcomesTaken, self._receive_confirmation)
         endpoint.on_up(self._link_up)
         endpoint.state_heartbeat = self._state_heartbeat
         endpoint.receive_heartbeat = self._receive_heartbeat
@@ -224,7 +227,7 @@
 
     def _receive_heartbeat(self, link: Link, heartbeat: Heartbeat, asked_ms: float | None) -> None:
         if link.peer.role == "control":
-            self.roster.receive_heartbeat(link, heartbeat)
+            self.roster.receive_heartbeat(link, heartbeat, asked_ms)
         elif link.peer.role == "dispatcher" and asked_ms is not None:
             self.gate.hear_owner(Owner(link.peer.name, link.peer.incarnation), asked_ms)
 
@@ -239,6 +242,11 @@
         owner = Owner(link.peer.name, link.peer.incarnation)
         self.gate.receive_stop(owner, [(key.task, key.run) for key in message.runs or ()])
 
+    def _receive_confirmation(self, link: Link, message: OutcomesTaken) -> None:
+        self.gate.confirm_outcomes([(key.task, key.run) for key in message.runs or ()])
+        if not self.gate.has_unconfirmed:
+            self.driver.note_confirmed()
+
     def _receive_claim(self, link: Link, message: ClaimRuns) -> None:
         owner = Owner(link.peer.name, link.peer.incarnation)
         self._received[link.peer.name] += len(message.runs or ())
--- a/apricotrail/runners/_driver.py
+++ b/apricotrail/runners/_driver.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from collections.abc import Awaitable, Callable
+from contextlib import suppress
 from typing import NamedTuple
 
 from apricotrail.clocks import Clock
@@ -21,6 +22,7 @@
 HOLD_ANSWER_MS = 50.0  # on top of the wait
 IDLE_WAIT_MS = 250  # two lost calls in a row stay under the age at which a listing is stale
 HOLD_PAUSE_MS = 20.0
+CONFIRM_MS = 25.0  # several round trips between zones; an end has to be final within 100 ms
 LEASE_MS = 1_000
 FENCE_STEP = 60_000  # above the jumps of wall clocks between two agents, in ms
 CLOCK_DRIFT = 0.97  # the runner's clock may be 2 % slow
@@ -136,6 +138,7 @@
         self._runner_clock_ms: int | None = None
         self._clock_read_ms = 0.0
         self._silent = False
+        self._confirmed = asyncio.Event()
 
     def order(self, order: Order) -> None:
         """Give an order without waiting."""
@@ -147,6 +150,19 @@
         while True:
             if not await self._hold(self._wait_ms()):
                 await asyncio.sleep(HOLD_PAUSE_MS / 1000)
+            elif self._gate.has_unconfirmed:
+                # The runner would answer at once while it has ends that are not taken note of.
+                await self._wait_for_confirmation()
+
+    def note_confirmed(self) -> None:
+        """Note that an owner has confirmed ends."""
+        self._confirmed.set()
+
+    async def _wait_for_confirmation(self) -> None:
+        self._confirmed.clear()
+        with suppress(TimeoutError):
+            async with asyncio.timeout(CONFIRM_MS / 1000):
+                await self._confirmed.wait()
 
     async def extend_once(self) -> None:
         """Extend all leases as far as possible, for the agent that comes next."""
@@ -162,7 +178,7 @@
         if renews:
             gate.note_lease(asked_ms)
         call = self._make_call(wait_ms + HOLD_ANSWER_MS, renews)
-        answer = await self._port.hold(call, gate.last_end, wait_ms)
+        answer = await self._port.hold(call, gate.final_end, wait_ms)
         if answer is True:
             self._raise_fence()
             return False
--- a/apricotrail/runners/_gate.py
+++ b/apricotrail/runners/_gate.py
@@ -26,6 +26,7 @@
     RunPhase,
     StartReply,
 )
+from apricotrail.runners._unconfirmed import UnconfirmedEnds
 from apricotrail.wire.generated.ttypes import (
     RunnerLoad,
     RunOutcome,
@@ -37,6 +38,7 @@
 __all__ = ["GateLimits", "RunGate"]
 
 MAX_QUEUED = 256
+MAX_SILENT = 1_024  # silent owners remembered; more than there are dispatchers
 
 _ENDS = {"done": RunState.DONE, "failed": RunState.FAILED, "stopped": RunState.STOPPED}
 
@@ -72,6 +74,13 @@
     "The runner could not be reached for as long as its leases last; what ran there is over.",
 )
 
+ENDS_IN_DOUBT = declare_event(
+    11010,
+    "ends_in_doubt",
+    Level.WARNING,
+    "Owners of ends are silent and control is out of touch: the lease is left to lapse.",
+)
+
 
 class GateLimits(NamedTuple):
     """Times of one gate, in milliseconds.
@@ -128,6 +137,8 @@
         Judgement of the runner.
     metrics : RunnerMetrics
         Instruments.
+    in_touch_ms : callable
+        Gives the latest own time at which a majority of control was in touch.
     """
 
     def __init__(
@@ -150,6 +161,10 @@
         self.metrics = make_metrics("runner")
         self.last_end = 0
         self.fence = fence
+        self.in_touch_ms: Callable[[], float] = clock
+        self._unconfirmed = UnconfirmedEnds()
+        self._silent_ms: dict[Owner, float] = {}
+        self._in_doubt = False
         self._runs: dict[RunKey, Run] = {}
         self._records = RunRecords()
         self._owners_ms: dict[Owner, float] = {}
@@ -263,6 +278,21 @@
         """Note that an owner was alive at `alive_ms` of the own clock."""
         known_ms = self._owners_ms.get(owner, 0.0)
         self._owners_ms[owner] = max(known_ms, alive_ms)
+        self._silent_ms.pop(owner, None)
+
+    def confirm_outcomes(self, keys: list[RunKey]) -> None:
+        """Note that an owner has taken in how runs ended."""
+        self._unconfirmed.confirm(set(keys))
+
+    @property
+    def has_unconfirmed(self) -> bool:
+        """Return whether ends are held back until their owners confirm them."""
+        return len(self._unconfirmed) > 0
+
+    @property
+    def final_end(self) -> int:
+        """Return the highest number up to which the runner may forget ends."""
+        return self._unconfirmed.final_number(self.last_end)
 
     def replace_owner(self, owner: Owner) -> None:
         """Note that a process is linked: runs of former processes of its name are stopped."""
@@ -272,6 +302,10 @@
             if other.name == owner.name and other != owner:
                 self._owners_ms.pop(other, None)
                 self._stop_owned(other, RunReason.OWNER_SILENT)
+        for other in self._unconfirmed.list_owners():
+            if other is not None and other.name == owner.name and other != owner:
+                # Its jobs ended with the former process: nobody starts them again from memory.
+                self._unconfirmed.match_claim(other, ())
 
     def receive_start(self, owner: Owner, start: RunStart, is_late: bool) -> None:
         """Start a run, queue it, or tell its owner why not."""
@@ -311,6 +345,7 @@
         """Match the runs that an owner believes to be here with those that are."""
         self.hear_owner(owner, self._clock())
         claimed = {(start.task, start.run): start for start in starts}
+        self._unconfirmed.match_claim(owner, claimed)
         for run in list(self._runs.values()):
             if run.owner is None and run.key in claimed:
                 run.owner, run.start = owner, claimed[run.key]
@@ -356,7 +391,11 @@
         for owner, alive_ms in list(self._owners_ms.items()):
             if now_ms - alive_ms >= limits.owner_silent_ms:
                 del self._owners_ms[owner]
+                self._silent_ms[owner] = alive_ms
+                while len(self._silent_ms) > MAX_SILENT:
+                    del self._silent_ms[next(iter(self._silent_ms))]
                 self._stop_owned(owner, RunReason.OWNER_SILENT)
+        self._settle_unconfirmed(now_ms)
         for run in list(self._runs.values()):
             if run.phase is RunPhase.QUEUED and now_ms >= run.queued_until_ms:
                 self._finish(run, RunState.NOT_RUN, RunReason.FULL)
@@ -371,6 +410,8 @@
 
     def may_renew(self) -> bool:
         """Return whether leases may be extended: something runs, and no stop is overdue."""
+        if self._in_doubt:
+            return False
         now_ms = self._clock()
         has_runs = False
         for run in self._runs.values():
@@ -409,9 +450,29 @@
 
     # ---- internals ----
 
+    def _settle_unconfirmed(self, now_ms: float) -> None:
+        """Release ends whose owners are silent, or let the lease lapse while that is in doubt."""
+        silent_ms = {
+            owner: self._silent_ms.get(owner, self._opened_ms)
+            for owner in self._unconfirmed.list_owners()
+            if owner is not None and owner not in self._owners_ms
+        }
+        if now_ms - self._opened_ms >= self._limits.claim_ms:
+            silent_ms[None] = self._opened_ms
+        self._unconfirmed.release_silent(silent_ms, self.in_touch_ms())
+        was_in_doubt = self._in_doubt
+        self._in_doubt = not self._unconfirmed.list_owners().isdisjoint(silent_ms)
+        if self._in_doubt and now_ms >= self._lease_end_ms:
+            self._unconfirmed.release_all()
+            self._in_doubt = False
+        if self._in_doubt != was_in_doubt:
+            left_ms = round(self._lease_end_ms - now_ms)
+            emit(ENDS_IN_DOUBT, in_doubt=self._in_doubt, lease_left_ms=left_ms)
+
     def _enter_boot(self, boot: int) -> None:
         if boot <= self.boot:
             return
+        self._unconfirmed.release_all()
         had_boot = self.boot > 0
         self.boot = boot
         self.last_end = 0
@@ -437,6 +498,7 @@
             and not runner.leaving
             and self.zone_open
             and not self.stopping
+            and not self._in_doubt
             and self._is_listed
             and self._clock() - self._listed_ms < self._limits.listing_stale_ms
         )
@@ -524,12 +586,16 @@
         if run is None:
             # Ordered by a former agent: its owner asks for the outcome by its claim.
             state = _ENDS.get(row.how, RunState.LOST)
+            if state == RunState.DONE:
+                self._unconfirmed.add(row.number, None, (row.task, row.run))
             self._records.remember(
                 RunOutcome(row.task, row.run, state, RunReason.NONE, 0, row.run, 0)
             )
             return
         run_ms = self._clock() - run.started_ms
         if row.how == "done":
+            if not run.is_reported:
+                self._unconfirmed.add(row.number, run.owner, run.key)
             if run.owner is not None:
                 self._note_health(self.health.note_good(run_ms, run.start.estimate_ms or 0))
             self._finish(run, RunState.DONE, RunReason.NONE, run_ms)
--- a/apricotrail/runners/tests/test_driver.py
+++ b/apricotrail/runners/tests/test_driver.py
@@ -3,7 +3,14 @@
 import asyncio
 import unittest
 
-from apricotrail.runners import Listing, RunnerPort, StartReply, StartResult, StopResult
+from apricotrail.runners import (
+    EndedRow,
+    Listing,
+    RunnerPort,
+    StartReply,
+    StartResult,
+    StopResult,
+)
 from apricotrail.runners._driver import (
     HOLD_ANSWER_MS,
     HOLD_PAUSE_MS,
@@ -22,6 +29,7 @@
     def __init__(self, starts=(), stops=(), holds=()) -> None:
         super().__init__()
         self.calls = []
+        self.last_ends = []
         self.answers = {"start": list(starts), "stop": list(stops), "hold": list(holds)}
         self.driver = RunnerDriver(
             self.gate, RunnerPort(self._start, self._stop, self._hold), self.clock, self._spawn
@@ -43,6 +51,7 @@
         return self._next("stop", call, StopResult(True))
 
     async def _hold(self, call, last_end, wait_ms):
+        self.last_ends.append(last_end)
         return self._next("hold", call, Listing(BOOT, 500, (), ()))
 
     async def settle(self):
@@ -91,6 +100,18 @@
         self.assertLess(calls_ms, GateLimits().listing_stale_ms)
 
 
+class TestFinalEnds(unittest.IsolatedAsyncioTestCase):
+    async def test_the_runner_is_told_of_an_end_after_its_confirmation(self):
+        case = DriverCase(holds=[Listing(BOOT, 700, (), (EndedRow(1, *KEY, "done"),))])
+        case.start(reply=None)
+        await case.settle()
+        for _ in range(2):
+            await case.driver.extend_once()
+        case.gate.confirm_outcomes([KEY])
+        await case.driver.extend_once()
+        self.assertEqual(case.last_ends, [0, 0, 1])
+
+
 class TestLeases(unittest.IsolatedAsyncioTestCase):
     async def test_leases_are_renewed_only_while_something_runs(self):
         case = DriverCase(holds=[Listing(BOOT, 700, (), ())])
--- a/apricotrail/wire/messages.thrift
+++ b/apricotrail/wire/messages.thrift
@@ -323,6 +323,11 @@
   2: RunnerLoad load,
 }
 
+// The owner has taken these outcomes in: the agent may take note of the ends at the runner.
+struct OutcomesTaken {
+  1: list<RunKey> runs,
+}
+
 // ---- claims ---------------------------------------------------------------------------------
 
 struct ClaimRecord {
