Doubt about ends begins 0.75 s into an owner's silence; kept answers in a module

Cause: at 0.5 s every killed entry would have closed the runners that hold ends of it for up to 0.6 s, until control's echo arrives. The lease still ends 0.1 s before owners try again (test_finality compares the two).

--- a/apricotrail/queues/_dispatcher.py
+++ b/apricotrail/queues/_dispatcher.py
@@ -7,7 +7,6 @@
 """
 
 import asyncio
-from collections import OrderedDict
 from collections.abc import Callable
 from random import Random
 from typing import Any, NamedTuple
@@ -16,6 +15,7 @@
 from apricotrail.events import Level, declare_event, emit
 from apricotrail.metrics import make_metrics
 from apricotrail.queues._admission import URGENT_MS, Admission, decide_admission
+from apricotrail.queues._answers import KeptAnswers
 from apricotrail.queues._board import RunnerBoard, RunnerView, sum_free_cpu
 from apricotrail.queues._document import Queue
 from apricotrail.queues._estimates import RunEstimates
@@ -37,8 +37,6 @@
 __all__ = ["Dispatcher", "DispatcherParts"]
 
 MAX_JOBS = 8_192
-MAX_ANSWERS = 4_096
-ANSWER_KEPT_MS = 30_000.0  # above the seconds after which a caller may send a job again
 ORDER_VALID_MS = 400.0  # covers a loaded machine; under the time in which an owner is given up
 # Owner silent at the agent (500), its tick (50) and the overdue stop (250), then the lease of 1 s
 # on a clock that may be 2 % slow (1,050); the rest is margin. It counts from the last heartbeat:
@@ -108,11 +106,6 @@
     is_agent_gone: Callable[[str], bool] = lambda agent: True
 
 
-class _Finished(NamedTuple):
-    at_ms: float
-    answer: JobAnswer
-
-
 class Dispatcher:
     """Jobs under way at one process and the runs of their tasks.
 
@@ -143,7 +136,7 @@
         self.jobs: dict[str, Job] = {}
         self.metrics = make_metrics("dispatcher")
         self._runs: dict[tuple[str, int], tuple[Job, Task]] = {}
-        self._finished: OrderedDict[str, _Finished] = OrderedDict()
+        self._answers = KeptAnswers()
         self._lost_ms: dict[str, float] = {}
         self._alive_ms = parts.clock()
         self.metrics.open_jobs.watch(lambda: len(self.jobs))
@@ -163,9 +156,9 @@
         if present is not None:
             present.callers += 1
             return present.answer
-        finished = self._finished.get(request.job_id)
-        if finished is not None:
-            answer.set_result(finished.answer)
+        former = self._answers.find(request.job_id)
+        if former is not None:
+            answer.set_result(former)
             return answer
         admission = self._admit(request, queue)
         if admission.refusal is not None:
@@ -302,11 +295,7 @@
                 self._give_up(job, "late")
             else:
                 self._place(job)
-        while self._finished:
-            job_id, finished = next(iter(self._finished.items()))
-            if now_ms - finished.at_ms < ANSWER_KEPT_MS and len(self._finished) <= MAX_ANSWERS:
-                break
-            del self._finished[job_id]
+        self._answers.forget_old(now_ms)
 
     def _list_takers(self) -> list[RunnerView]:
         return [it for it in self.board.views.values() if it.load and it.load.accepting]
@@ -503,7 +492,7 @@
         if not job.answer.done():
             job.answer.set_result(answer)
         if answer.state in (JobState.COMPLETED, JobState.FAILED):
-            self._finished[job.job_id] = _Finished(now_ms, answer)
+            self._answers.keep(job.job_id, answer, now_ms)
         emit(
             JOB_ANSWERED,
             job=job.job_id,
--- a/apricotrail/runners/_gate.py
+++ b/apricotrail/runners/_gate.py
@@ -95,6 +95,9 @@
         Time without progress after which a run is stopped.
     claim_ms : float
         Time for owners to claim runs that a new agent finds.
+    doubt_ms : float
+        Silence of an owner after which the lease is left to lapse, unless control is in touch: with
+        the lease and a tick less than the time after which owners try again.
     lease_ms : float
         Longest lease, with the drift of the runner's clock.
     listing_stale_ms : float
@@ -105,6 +108,7 @@
     stop_overdue_ms: float = 250.0
     stall_ms: float = 700.0
     claim_ms: float = 900.0
+    doubt_ms: float = 750.0
     lease_ms: float = 1_050.0
     listing_stale_ms: float = 800.0
 
@@ -461,7 +465,10 @@
             silent_ms[None] = self._opened_ms
         self._unconfirmed.release_silent(silent_ms, self.in_touch_ms())
         was_in_doubt = self._in_doubt
-        self._in_doubt = not self._unconfirmed.list_owners().isdisjoint(silent_ms)
+        self._in_doubt = any(
+            owner in silent_ms and now_ms - silent_ms[owner] >= self._limits.doubt_ms
+            for owner in self._unconfirmed.list_owners()
+        )
         if self._in_doubt and now_ms >= self._lease_end_ms:
             self._unconfirmed.release_all()
             self._in_doubt = False
