--- a/apricotrail/control/tests/simulation.py
+++ b/apricotrail/control/tests/simulation.py
@@ -21,6 +21,7 @@
 TIMING = Timing(round_ms=60, election_ms=200)
 LIMITS = Limits(snapshot_entries=8, kept_entries=3)
 TICK_MS = 30
+GONE_MS = 1_500.0
 ZONES = ("pipa", "natal", "jeri")
 
 
@@ -40,8 +41,8 @@
 class Replica:
     """One process slot: disk, clock and the node while it runs."""
 
-    def __init__(self, world: "World", name: str) -> None:
-        self.world, self.name = world, name
+    def __init__(self, world: "World", name: str, keeps_log: bool = True) -> None:
+        self.world, self.name, self.keeps_log = world, name, keeps_log
         self.disk = MemoryDisk(world.random)
         self.disk.on_sync = self._note_sync
         self.offset_ms = world.random.uniform(0, 10_000)
@@ -63,11 +64,14 @@
             lambda: None,
             TIMING,
             LIMITS,
-            lambda: f"{world.random.getrandbits(48):012x}",
+            self._make_identity,
         )
         self.run(lambda: self._open(setup))
         world.at(world.random.uniform(0, TICK_MS), lambda: self._tick(self.node))
 
+    def _make_identity(self) -> str:
+        return "memory-" * (not self.keeps_log) + f"{self.world.random.getrandbits(48):012x}"
+
     def run(self, work) -> None:
         """Run a step of the process; a crash in it ends the process."""
         try:
@@ -81,6 +85,12 @@
     def crash(self) -> None:
         self.node = None
         self.disk.crash()
+        if not self.keeps_log:
+            self.wipe()
+
+    def freeze(self, span_ms: float) -> None:
+        """Stand still; the own clock counts that time, as CLOCK_BOOTTIME does."""
+        self.busy_until = self.world.now_ms + span_ms
 
     def wipe(self) -> None:
         self.node = None
@@ -133,9 +143,15 @@
 
 
 class World:
-    """All replicas, the network between them and what was observed."""
+    """All replicas, the network between them and what was observed.
 
-    def __init__(self, seed: int, size: int) -> None:
+    In an open group every replica that is linked may join, and one without a link for `GONE_MS` is
+    removed; `diskless` replicas beside the founders keep their log in memory.
+    """
+
+    def __init__(self, seed: int, size: int, is_open: bool = False, diskless: int = 0) -> None:
+        self.is_open = is_open
+        self._linked_ms: dict[str, dict[str, float]] = {}
         self.random = Random(seed)
         self.now_ms = 0.0
         self.wall_offset_ms = 1_000_000
@@ -152,9 +168,20 @@
         for replica in self.replicas.values():
             replica.start()
         members = {it.node.replica_id: Member(name, True) for name, it in self.replicas.items()}
+        for name in "vwxyz"[:diskless]:
+            self.add(name, keeps_log=False)
         first = self.replicas["a"]
         first.run(lambda: first.node.form(members))
 
+    def add(self, name: str, keeps_log: bool = True) -> None:
+        """Start a replica at a new address with nothing on its disk."""
+        self.replicas[name] = Replica(self, name, keeps_log)
+        self.replicas[name].start()
+
+    def retire(self, name: str) -> None:
+        """End a replica for good."""
+        self.replicas.pop(name).crash()
+
     # ---- time and network ----
 
     def at(self, delay_ms: float, work) -> None:
@@ -182,8 +209,8 @@
                 self.at(delay_ms, lambda: self._deliver(own_id, peer, message))
 
     def _deliver(self, sender_id: str, peer: str, message) -> None:
-        receiver = self.replicas[replica_name(peer)]
-        if (replica_name(sender_id), receiver.name) in self.blocked:
+        receiver = self.replicas.get(replica_name(peer))
+        if receiver is None or (replica_name(sender_id), receiver.name) in self.blocked:
             return
         if receiver.node is not None and receiver.node.replica_id == peer:
             receiver.receive(sender_id, message)
@@ -251,7 +278,8 @@
         outcome = apply(command)
         assert before <= node.machine.version <= before + 1
         self.first_applied_ms.setdefault(node.machine.version, self.now_ms)
-        self.replicas[replica_name(node.replica_id)].lag_ms += self.apply_ms
+        if self.apply_ms:
+            self.replicas[replica_name(node.replica_id)].lag_ms += self.apply_ms
         return outcome
 
     def check(self, replica: Replica) -> None:
@@ -271,18 +299,38 @@
         running = [it.node for it in self.replicas.values() if it.node is not None]
         linked = {it.replica_id: replica_name(it.replica_id) for it in running}
         peers = {name: name for name in self.replicas}
-        change = decide_member_change(node.replica, linked, peers)
+        gone: list[str] = []
+        if self.is_open:
+            linked = {key: name for key, name in linked.items() if self._is_linked(node, name)}
+            peers = {name: name for name in linked.values()}
+            gone = self._find_gone(node, linked)
+        change = decide_member_change(node.replica, linked, peers, gone)
         if change is not None:
             node.propose(Command("", "leader", 0, change_member=change), lambda result: None)
 
+    def _is_linked(self, node: Node, name: str) -> bool:
+        own = replica_name(node.replica_id)
+        return own == name or not self.blocked.intersection(((own, name), (name, own)))
+
+    def _find_gone(self, node: Node, linked: dict[str, str]) -> list[str]:
+        """Return the members that this leader has not been linked to for long."""
+        key = f"{node.replica_id} {node.replica.term}"
+        seen_ms = self._linked_ms.setdefault(key, {})
+        for member in node.replica.log.members:
+            if member in linked or member not in seen_ms:
+                seen_ms[member] = self.now_ms
+        return [it for it in node.replica.log.members if self.now_ms - seen_ms[it] >= GONE_MS]
+
     def leader(self) -> Replica | None:
         leaders = [it for it in self.replicas.values() if it.node and it.node.replica.is_leader]
         return max(leaders, key=lambda it: it.node.replica.term, default=None)
 
     def is_settled(self) -> bool:
         nodes = [it.node for it in self.replicas.values()]
+        if None in nodes:
+            return False
         states = {(it.applied_index, it.replica.commit_index) for it in nodes}
-        voters = all(it.replica.is_voter for it in nodes)
+        voters = all(it.node.replica.is_voter == it.keeps_log for it in self.replicas.values())
         members = all(len(it.replica.log.members) == len(nodes) for it in nodes)
         fresh = all(it.confirmation_age_ms() < 4 * TIMING.round_ms for it in nodes)
         return len(states) == 1 and voters and members and fresh and self.leader() is not None
--- a/apricotrail/control/tests/test_schedules.py
+++ b/apricotrail/control/tests/test_schedules.py
@@ -136,8 +136,81 @@
         run_schedule(seed, len(world.replicas), world.random.sample(faults, 3))
 
 
-def run_schedule(seed: int, size: int, faults) -> None:
-    world = World(seed, size)
+def replace_for_good(world: World) -> None:
+    """A machine leaves for good; another comes, sooner or later, at another address."""
+    name = _pick_with_disk(world)
+    world.retire(name)
+    world.at(world.random.uniform(0, 1_000), lambda: world.add(name.upper()))
+
+
+def replace_as_planned(world: World) -> None:
+    """The successor starts before its predecessor leaves."""
+    name = _pick_with_disk(world)
+    world.add(name.upper())
+    world.run_for(world.random.uniform(50, 800))
+    world.retire(name)
+
+
+def split_in_halves(world: World) -> None:
+    names = list(world.replicas)
+    world.random.shuffle(names)
+    for name in names[: len(names) // 2]:
+        for other in names[len(names) // 2 :]:
+            world.blocked |= {(name, other), (other, name)}
+    world.at(world.random.uniform(300, 1_200), world.heal)
+
+
+def freeze_one(world: World) -> None:
+    """A machine stands still and wakes."""
+    world.random.choice(list(world.replicas.values())).freeze(world.random.uniform(100, 1_500))
+
+
+def restart_without_a_disk(world: World) -> None:
+    for replica in world.replicas.values():
+        if not replica.keeps_log:
+            replica.crash()
+    world.at(100, world.heal)
+
+
+def leave_one_behind_and_lose_a_disk(world: World) -> None:
+    """One replica misses changes while another loses its disk; the rest are the only copies."""
+    behind, wiped = world.random.sample([it for it in world.replicas if it in "abcde"], 2)
+    world.isolate(behind)
+    world.run_for(400)
+    world.replicas[wiped].wipe()
+    world.at(50, world.replicas[wiped].start)
+    world.at(700, world.heal)
+
+
+def _pick_with_disk(world: World) -> str:
+    return world.random.choice([name for name in world.replicas if name in "abcde"])
+
+
+# Faults, how many replicas found the group and how many without a disk are beside them.
+OPEN_SCHEDULES = (
+    ((replace_for_good,), 4, 0),
+    ((replace_as_planned,), 4, 1),
+    ((replace_for_good, lose_disk), 5, 0),
+    ((replace_as_planned, isolate_leader), 4, 0),
+    ((split_in_halves,), 4, 1),
+    ((split_in_halves, restart_all), 4, 0),
+    ((freeze_one, freeze_one), 4, 1),
+    ((freeze_one, replace_for_good), 4, 0),
+    ((restart_without_a_disk, restart_without_a_disk), 3, 2),
+    ((restart_without_a_disk, lose_disk), 4, 2),
+    ((leave_one_behind_and_lose_a_disk,), 5, 1),
+    ((jump_wall_clock, slow_disks, restart_all), 4, 1),
+)
+
+
+@params(*OPEN_SCHEDULES)
+def test_open_groups_replace_what_is_lost_and_lose_nothing(faults, size, diskless):
+    for seed in range(SCHEDULES_EACH // 2):
+        run_schedule(seed, size, faults, World(seed, size, is_open=True, diskless=diskless))
+
+
+def run_schedule(seed: int, size: int, faults, world: World | None = None) -> None:
+    world = world or World(seed, size)
     try:
         world.run_until(lambda: world.leader() is not None)
         for number in range(REQUESTS):
