In touch means a majority of all known replicas, not of those listed now

Cause, found by reading: replicas of a zone that is cut off list only each other 1.5 s later. An agent there then took itself for in touch and ends for final, before the lease (1.8 s) had made them void, while owners outside started the tasks again. A list that was cut at its greatest length lists anyone.

--- a/apricotrail/membership/_roster.py
+++ b/apricotrail/membership/_roster.py
@@ -70,11 +70,6 @@
     dialed_role: str = ""
 
 
-class _Listed(NamedTuple):
-    names: frozenset[str]
-    replicas: frozenset[str]
-
-
 class Roster:
     """Processes and configuration known to one process.
 
@@ -91,7 +86,8 @@
         self._followed: Link | None = None
         self._behind_since: dict[str, float] = {}
         self._listed_ms: dict[str, float] = {}
-        self._lists: dict[str, _Listed] = {}
+        self._lists: dict[str, frozenset[str]] = {}
+        self._replicas_ms: dict[str, float] = {}
         self._echoed_ms: dict[str, float] = {}
         parts.endpoint.on(NodeList, self._receive_nodes)
         parts.endpoint.on(ConfigurationChange, self._receive_change)
@@ -112,18 +108,21 @@
         return [link for link in self._endpoint.links.values() if link.peer.role == "control"]
 
     def is_listed(self, name: str) -> bool:
-        """Return whether a replica that is linked here says that it is linked to a process."""
-        return any(name in listed.names for listed in self._lists.values())
+        """Return whether a replica that is linked here says that it is linked to a process.
+
+        A list that is cut at its greatest length may have left out anyone.
+        """
+        return any(name in it or len(it) >= MAX_NODES for it in self._lists.values())
 
     def in_touch_ms(self) -> float:
         """Return the latest own time at which a majority of the replicas was in touch.
 
         A replica was in touch when this process sent the last heartbeat that it echoed, so that
-        both directions are known to work.
+        both directions are known to work. Those that are no longer listed count for a while: where
+        a zone is cut off, its own replicas soon list only each other.
         """
-        known = set(self._echoed_ms).union(*(it.replicas for it in self._lists.values()))
-        echoed = sorted((self._echoed_ms.get(name, 0.0) for name in known), reverse=True)
-        return echoed[len(echoed) // 2] if echoed else 0.0
+        echoed = [self._echoed_ms.get(name, 0.0) for name in self._replicas_ms]
+        return sorted(echoed, reverse=True)[len(echoed) // 2] if echoed else 0.0
 
     def is_in_touch(self) -> bool:
         """Return whether a majority of the replicas was in touch lately."""
@@ -135,7 +134,9 @@
         """Ask a replica that states a newer version than arrived from the one followed."""
         name = link.peer.name
         if asked_ms is not None:
-            self._echoed_ms[name] = max(asked_ms, self._echoed_ms.get(name, 0.0))
+            place = _replica_place(name)
+            self._replicas_ms[place] = self._parts.clock()
+            self._echoed_ms[place] = max(asked_ms, self._echoed_ms.get(place, 0.0))
         if (heartbeat.config_version or 0) <= self.configuration.version:
             self._behind_since.pop(name, None)
             return
@@ -147,6 +148,7 @@
     def forget_old(self) -> None:
         """Stop dialing processes that no replica has listed for long and that are not linked."""
         now_ms = self._parts.clock()
+        self._forget_replicas(now_ms)
         linked = {link.peer.address for link in self._endpoint.links.values()}
         for address, listed_ms in list(self._listed_ms.items()):
             if address in linked or address in self._parts.seeds:
@@ -155,6 +157,14 @@
                 del self._listed_ms[address]
                 self._endpoint.undial(address)
 
+    def _forget_replicas(self, now_ms: float) -> None:
+        for link in self.list_control():
+            self._replicas_ms[_replica_place(link.peer.name)] = now_ms
+        for place, seen_ms in list(self._replicas_ms.items()):
+            if now_ms - seen_ms > FORGET_MS:
+                del self._replicas_ms[place]
+                self._echoed_ms.pop(place, None)
+
     # ---- links ----
 
     def _link_up(self, link: Link) -> None:
@@ -174,7 +184,6 @@
             return
         emit(CONTROL_LOST, replica=link.peer.name)
         self._lists.pop(link.peer.name, None)
-        self._echoed_ms.pop(link.peer.name, None)
         if link is not self._followed:
             return
         self._followed = None
@@ -207,8 +216,11 @@
         if link.peer.role != "control":
             return
         nodes = listed.nodes or ()
-        replicas = frozenset(node.name for node in nodes if node.role == "control")
-        self._lists[link.peer.name] = _Listed(frozenset(node.name for node in nodes), replicas)
+        self._lists[link.peer.name] = frozenset(node.name for node in nodes)
+        now_ms = self._parts.clock()
+        for node in nodes:
+            if node.role == "control":
+                self._replicas_ms[_replica_place(node.name)] = now_ms
         for node in nodes:
             if self._is_wanted(node):
                 self._dial(node.address)
@@ -221,3 +233,8 @@
             return
         self._listed_ms[address] = self._parts.clock()
         self._endpoint.dial(address)
+
+
+def _replica_place(name: str) -> str:
+    """Return the part of a replica's name that stays when its disk is lost."""
+    return name.partition("#")[0]
--- a/apricotrail/membership/tests/test_roster.py
+++ b/apricotrail/membership/tests/test_roster.py
@@ -5,6 +5,7 @@
 
 from apricotrail.clocks import VirtualClock
 from apricotrail.membership import Roster, RosterParts
+from apricotrail.membership._roster import FORGET_MS, MAX_NODES
 from apricotrail.wire.generated.ttypes import Heartbeat, Identity, NodeList
 
 
@@ -35,6 +36,9 @@
     def on_down(self, hook):
         self.down = hook
 
+    def undial(self, address):
+        self.dialed.remove(address)
+
     def dial(self, address):
         self.dialed.append(address)
 
@@ -82,6 +86,13 @@
         self.assertFalse(case.roster.is_listed("r-1"))
         self.assertTrue(case.roster.is_listed("r-2"))
 
+    def test_a_list_that_was_cut_may_have_left_out_anyone(self):
+        case = RosterCase("a")
+        case.tell("a", *(f"r-{number}" for number in range(MAX_NODES - 2)))
+        self.assertFalse(case.roster.is_listed("x"))
+        case.tell("a", *(f"r-{number}" for number in range(MAX_NODES - 1)))
+        self.assertTrue(case.roster.is_listed("x"))
+
 
 class TestTouch(unittest.TestCase):
     def test_a_majority_of_the_replicas_must_have_echoed(self):
@@ -105,12 +116,30 @@
         case.echo("a", 49_999.0)
         self.assertTrue(case.roster.is_in_touch())
 
-    def test_lost_replicas_count_until_the_others_no_longer_list_them(self):
+    def test_a_zone_that_is_cut_off_is_not_in_touch_when_its_replicas_list_only_each_other(self):
+        """Found by reading: the list shrinks before the lease of an unconfirmed end is over."""
         case = RosterCase("a", "b")
         for name in "ab":
-            case.tell(name, replicas="ab")
+            case.tell(name, replicas="abcd")
             case.echo(name, 49_990.0)
         case.lose("b")
-        self.assertFalse(case.roster.is_in_touch())
         case.tell("a")
+        case.clock.advance(10)
+        case.echo("a", 50_000.0)
+        self.assertEqual(case.roster.in_touch_ms(), 0.0)
+        case.clock.advance(FORGET_MS - 1_000)
+        case.roster.forget_old()
+        case.echo("a", case.clock())
+        self.assertFalse(case.roster.is_in_touch())
+        case.clock.advance(1_001)
+        case.roster.forget_old()
+        case.echo("a", case.clock())
+        self.assertTrue(case.roster.is_in_touch())
+
+    def test_a_replica_whose_disk_was_lost_counts_once(self):
+        case = RosterCase("a#1", "b#1", "c#1")
+        case.tell("a#1", replicas=("b#1", "c#1"))
+        case.tell("a#1", replicas=("b#2", "c#2"))
+        for name in ("a#1", "b#1"):
+            case.echo(name, 49_990.0)
         self.assertTrue(case.roster.is_in_touch())
