--- a/apricotrail/runners/_gate.py
+++ b/apricotrail/runners/_gate.py
@@ -172,7 +172,8 @@
         self._runs: dict[RunKey, Run] = {}
         self._records = RunRecords()
         self._owners_ms: dict[Owner, float] = {}
-        self._lease_end_ms = 0.0
+        # A former agent may have extended the leases until just now.
+        self._lease_end_ms = clock() + limits.lease_ms
         self._listed_ms = clock()
         self._opened_ms = clock()
         self._is_listed = False
@@ -483,9 +484,9 @@
         had_boot = self.boot > 0
         self.boot = boot
         self.last_end = 0
-        self._lease_end_ms = 0.0
         if not had_boot:
             return
+        self._lease_end_ms = 0.0
         self.health.reset()
         self._records.forget_numbers()
         for run in list(self._runs.values()):
--- a/apricotrail/runners/tests/test_finality.py
+++ b/apricotrail/runners/tests/test_finality.py
@@ -149,6 +149,15 @@
         case.advance(50)
         self.assertEqual(case.gate.final_end, 1)
 
+    def test_a_new_agent_that_is_cut_off_waits_for_the_leases_of_the_former_one(self):
+        """Found by reading: nothing was known of them, and the end became final at once."""
+        case = FinalityCase()
+        case.list(ended=[(TASK, 1, "done")])
+        case.advance(LEASE_MS - 50, running=())
+        self.assertEqual(case.gate.final_end, 0)
+        case.advance(50, running=())
+        self.assertEqual(case.gate.final_end, 1)
+
     def test_an_end_of_an_owner_that_was_silent_before_it_is_released_too(self):
         case = FinalityCase()
         case.start()
