Three faults that the soak found around lost agents, and a closed zone

Orders since the former boot was listed last now count until the new boot's listing. Unlisted now takes lists of a majority of replicas that were linked for 2 s, for 0.4 s on end; an agent that was listed 2.4 s after it was heard is never written off; agents take ends for final only if in touch 4 s after the owner was heard. Ruled out: load.

--- a/apricotrail/membership/_roster.py
+++ b/apricotrail/membership/_roster.py
@@ -27,6 +27,7 @@
 FORGET_MS = 60_000.0  # above a restart and the time in which a replica notices it
 BEHIND_MS = 250.0  # a push that is on its way arrives earlier
 IN_TOUCH_MS = 1_200.0  # two heartbeats of a replica and a slow answer
+SETTLED_MS = 2_000.0  # others dial a replica that has started again within this
 
 CONTROL_LINKED = declare_event(2101, "control_linked", Level.INFO, "A control replica is linked.")
 CONTROL_LOST = declare_event(
@@ -87,6 +88,7 @@
         self._behind_since: dict[str, float] = {}
         self._listed_ms: dict[str, float] = {}
         self._lists: dict[str, frozenset[str]] = {}
+        self._linked_ms: dict[str, float] = {}
         self._replicas_ms: dict[str, float] = {}
         self._echoed_ms: dict[str, float] = {}
         parts.endpoint.on(NodeList, self._receive_nodes)
@@ -107,12 +109,23 @@
         """Return the links to control replicas."""
         return [link for link in self._endpoint.links.values() if link.peer.role == "control"]
 
-    def is_listed(self, name: str) -> bool:
-        """Return whether a replica that is linked here says that it is linked to a process.
+    def is_unlisted(self, name: str) -> bool:
+        """Return whether a majority of the replicas is known to have no link to a process.
 
-        A list that is cut at its greatest length may have left out anyone.
+        False where any replica has one, or where it isn't known: a replica that was linked lately
+        may list others only soon, and a list that is cut at its greatest length lists anyone.
         """
-        return any(name in it or len(it) >= MAX_NODES for it in self._lists.values())
+        now_ms = self._parts.clock()
+        if now_ms - self.in_touch_ms() >= IN_TOUCH_MS:
+            return False
+        if any(name in it or len(it) >= MAX_NODES for it in self._lists.values()):
+            return False
+        settled = {
+            _replica_place(replica)
+            for replica in self._lists
+            if now_ms - self._linked_ms.get(replica, now_ms) >= SETTLED_MS
+        }
+        return 2 * len(settled) > len(self._replicas_ms)
 
     def in_touch_ms(self) -> float:
         """Return the latest own time at which a majority of the replicas was in touch.
@@ -124,10 +137,6 @@
         echoed = [self._echoed_ms.get(name, 0.0) for name in self._replicas_ms]
         return sorted(echoed, reverse=True)[len(echoed) // 2] if echoed else 0.0
 
-    def is_in_touch(self) -> bool:
-        """Return whether a majority of the replicas was in touch lately."""
-        return self._parts.clock() - self.in_touch_ms() < IN_TOUCH_MS
-
     def receive_heartbeat(
         self, link: Link, heartbeat: Heartbeat, asked_ms: float | None = None
     ) -> None:
@@ -170,6 +179,7 @@
     def _link_up(self, link: Link) -> None:
         if link.peer.role != "control":
             return
+        self._linked_ms[link.peer.name] = self._parts.clock()
         emit(CONTROL_LINKED, replica=link.peer.name, zone=link.peer.zone)
         followed = self._followed
         is_nearer = followed is not None and (
@@ -184,6 +194,7 @@
             return
         emit(CONTROL_LOST, replica=link.peer.name)
         self._lists.pop(link.peer.name, None)
+        self._linked_ms.pop(link.peer.name, None)
         if link is not self._followed:
             return
         self._followed = None
--- a/apricotrail/queues/_application.py
+++ b/apricotrail/queues/_application.py
@@ -81,7 +81,9 @@
             identity, settings.get(ENVIRONMENT), KeyRing(None), settings, monotonic_ms
         )
         self.dispatcher = Dispatcher(
-            DispatcherParts(monotonic_ms, Random(), self._send, self._is_agent_gone)
+            DispatcherParts(
+                monotonic_ms, Random(), self._send, lambda agent: self.roster.is_unlisted(agent)
+            )
         )
         self.roster = Roster(
             RosterParts(
@@ -182,10 +184,6 @@
         link = self.endpoint.links.get(agent)
         return link is not None and link.send(message)
 
-    def _is_agent_gone(self, agent: str) -> bool:
-        """Return whether control, and not only this process, has lost an agent."""
-        return self.roster.is_in_touch() and not self.roster.is_listed(agent)
-
     def _link_up(self, link: Link) -> None:
         if link.peer.role == "runner":
             self.dispatcher.link_up(link.peer.name)
--- a/apricotrail/queues/_dispatcher.py
+++ b/apricotrail/queues/_dispatcher.py
@@ -42,6 +42,10 @@
 # on a clock that may be 2 % slow (1,050); the rest is margin. It counts from the last heartbeat:
 # the agent can have had no later echo.
 LOST_AGENT_MS = 1_950.0
+# An agent that is lost to control, too, lets the lease lapse this long after control lists it no
+# longer, at the latest; one that is still listed at the later moment takes note of ends as final.
+UNLISTED_MS = 400.0
+LISTED_LATEST_MS = 2_400.0
 FROZEN_MS = 400.0  # under the agents' limit for a silent owner
 MAX_QUEUE_MS = 400  # longest wait at one agent before the task is placed anew
 MIN_QUEUE_MS = 60  # a few round trips: placing anew costs one
@@ -95,15 +99,44 @@
         Source of samples and jitter.
     send : callable
         ``send(agent, message)`` sends without waiting; False if there is no link.
-    is_agent_gone : callable
-        ``is_agent_gone(agent)`` tells whether control has lost an agent, too. Only then are its
-        ends void that did not arrive here.
+    is_unlisted : callable
+        ``is_unlisted(agent)`` tells whether control is known to have lost an agent, too. Only then
+        are its ends void that did not arrive here.
     """
 
     clock: Clock
     random: Random
     send: Send
-    is_agent_gone: Callable[[str], bool] = lambda agent: True
+    is_unlisted: Callable[[str], bool] = lambda agent: True
+
+
+class _LostAgent:
+    """An agent without a link: when it was heard last, and since when control lists it no longer.
+
+    One that control may still have seen late is never written off: it may have made ends final.
+    """
+
+    def __init__(self, heard_ms: float) -> None:
+        self.heard_ms = heard_ms
+        self.unlisted_ms: float | None = None
+        self.is_kept = False
+
+    def note_listed(self, is_unlisted: bool, now_ms: float) -> None:
+        """Take in whether control is known to have lost it."""
+        if not is_unlisted:
+            self.unlisted_ms = None
+            self.is_kept = self.is_kept or now_ms - self.heard_ms >= LISTED_LATEST_MS
+        elif self.unlisted_ms is None:
+            self.unlisted_ms = now_ms
+
+    def is_over(self, now_ms: float) -> bool:
+        """Return whether its runs are over, and ends that did not arrive are void."""
+        return (
+            not self.is_kept
+            and self.unlisted_ms is not None
+            and now_ms - self.unlisted_ms >= UNLISTED_MS
+            and now_ms - self.heard_ms >= LOST_AGENT_MS
+        )
 
 
 class Dispatcher:
@@ -130,14 +163,14 @@
         self._clock = parts.clock
         self._random = parts.random
         self._send = parts.send
-        self._is_agent_gone = parts.is_agent_gone
+        self._is_unlisted = parts.is_unlisted
         self.board = RunnerBoard(parts.clock, parts.random)
         self.estimates = RunEstimates()
         self.jobs: dict[str, Job] = {}
         self.metrics = make_metrics("dispatcher")
         self._runs: dict[tuple[str, int], tuple[Job, Task]] = {}
         self._answers = KeptAnswers()
-        self._lost_ms: dict[str, float] = {}
+        self._lost: dict[str, _LostAgent] = {}
         self._alive_ms = parts.clock()
         self.metrics.open_jobs.watch(lambda: len(self.jobs))
         self.metrics.runners.watch(lambda: len(self._list_takers()))
@@ -228,7 +261,7 @@
     def link_up(self, agent: str) -> None:
         """Begin to use an agent and claim the runs believed to be there."""
         self._check_alive()
-        self._lost_ms.pop(agent, None)
+        self._lost.pop(agent, None)
         view = self.board.add(agent)
         starts = []
         for (name, run), (job, task) in self._runs.items():
@@ -244,7 +277,7 @@
         heard_ms = view.beat_ms if view is not None and view.beat_ms else self._clock()
         self.board.remove(agent)
         runs = sum(task.agent == agent for _, task in self._runs.values())
-        self._lost_ms[agent] = min(heard_ms, self._lost_ms.get(agent, heard_ms))
+        self._lost.setdefault(agent, _LostAgent(heard_ms))
         emit(AGENT_LOST, agent=agent, runs=runs, heard_ms_ago=round(self._clock() - heard_ms))
 
     def receive_beat(self, agent: str, load: RunnerLoad) -> None:
@@ -315,16 +348,17 @@
             job.may_start = False
 
     def _write_off(self, now_ms: float) -> None:
-        for agent, lost_ms in list(self._lost_ms.items()):
-            if now_ms - lost_ms < LOST_AGENT_MS:
+        for agent, lost in list(self._lost.items()):
+            lost.note_listed(self._is_unlisted(agent), now_ms)
+            is_over = lost.is_over(now_ms)
+            if is_over:
+                del self._lost[agent]
+            elif now_ms - lost.heard_ms < LOST_AGENT_MS:
                 continue
-            is_gone = self._is_agent_gone(agent)
-            if is_gone:
-                del self._lost_ms[agent]
             ended = [
                 (key, it)
                 for key, it in self._runs.items()
-                if it[1].agent == agent and (is_gone or it[0].stopping)
+                if it[1].agent == agent and (is_over or it[0].stopping)
             ]
             if ended:
                 emit(RUNS_WRITTEN_OFF, agent=agent, runs=len(ended))
--- a/apricotrail/runners/_application.py
+++ b/apricotrail/runners/_application.py
@@ -108,6 +108,8 @@
             )
         )
         self.gate.in_touch_ms = self.roster.in_touch_ms
+        # Operators may have closed the zone: nothing starts before the first configuration.
+        self.gate.zone_open = False
         self._connect()
         metrics = self.gate.metrics
         metrics.links.watch(lambda: len(self.endpoint.links))
--- a/apricotrail/runners/_gate.py
+++ b/apricotrail/runners/_gate.py
@@ -96,8 +96,8 @@
     claim_ms : float
         Time for owners to claim runs that a new agent finds.
     doubt_ms : float
-        Silence of an owner after which the lease is left to lapse, unless control is in touch: with
-        the lease and a tick less than the time after which owners try again.
+        Silence of an owner and of control after which the lease is left to lapse: with the lease
+        and a tick less than the time after which owners try again.
     lease_ms : float
         Longest lease, with the drift of the runner's clock.
     listing_stale_ms : float
@@ -464,11 +464,13 @@
         }
         if now_ms - self._opened_ms >= self._limits.claim_ms:
             silent_ms[None] = self._opened_ms
-        self._unconfirmed.release_silent(silent_ms, self.in_touch_ms())
+        in_touch_ms = self.in_touch_ms()
+        self._unconfirmed.release_silent(silent_ms, in_touch_ms)
         was_in_doubt = self._in_doubt
         self._in_doubt = any(
-            owner in silent_ms and now_ms - silent_ms[owner] >= self._limits.doubt_ms
+            now_ms - max(in_touch_ms, silent_ms[owner]) >= self._limits.doubt_ms
             for owner in self._unconfirmed.list_owners()
+            if owner in silent_ms
         )
         if self._in_doubt and now_ms >= self._lease_end_ms:
             self._unconfirmed.release_all()
@@ -490,7 +492,8 @@
         self.health.reset()
         self._records.forget_numbers()
         for run in list(self._runs.values()):
-            if run.phase is not RunPhase.QUEUED:
+            # What was ordered since the former boot was listed last may be at the new one.
+            if run.phase is not RunPhase.QUEUED and run.ordered_ms < self._listed_ms:
                 self._finish(run, RunState.LOST, RunReason.NONE)
 
     def _is_stalled(self, run: Run, now_ms: float) -> bool:
--- a/apricotrail/runners/_unconfirmed.py
+++ b/apricotrail/runners/_unconfirmed.py
@@ -2,10 +2,10 @@
 
 To take note of an end at the runner makes it final: the runner forgets it, and the task must never
 start again. An owner that can't be reached starts the task again once the lease must be over.
-Hence an end is taken note of when its owner has confirmed it; or when the owner is silent while
-this agent is in touch with control, for then the owner may not start it again (it is gone, or sees
-this agent in the lists of control); or, if the agent is cut off, when the lease is over, which
-makes the end void.
+Hence an end is taken note of when its owner has confirmed it; or when the owner is silent and this
+agent is still in touch with control some seconds later, for then the owner may not start it again
+(it is gone, or saw this agent in the lists of control); or, if the agent is cut off, when the lease
+is over, which makes the end void.
 """
 
 from collections.abc import Collection, Mapping
@@ -15,9 +15,9 @@
 
 __all__ = ["IN_TOUCH_AFTER_MS", "UnconfirmedEnds"]
 
-# An owner echoes every heartbeat of the agent, one each 200 ms: a silence that begins with a cut
-# begins less than this after the last echo, on a machine that is slow, too.
-IN_TOUCH_AFTER_MS = 400.0
+# An owner writes this agent off unless control still lists it 2.4 s after the owner heard it, which
+# can be 1.3 s after this agent heard the owner; the rest is margin for slow machines.
+IN_TOUCH_AFTER_MS = 4_000.0
 
 
 class _End(NamedTuple):
--- a/apricotrail/runners/tests/test_gate.py
+++ b/apricotrail/runners/tests/test_gate.py
@@ -125,9 +125,35 @@
     def test_new_boot_ends_what_ran_at_the_former_one(self):
         case = GateCase()
         case.start()
+        case.clock.advance(5)
+        case.list([(*KEY, 10)])
         case.gate.announce(make_report(boot=BOOT + 1, sequence=1))
         self.assertEqual(case.outcomes(), [(*KEY, RunState.LOST)])
 
+    def test_order_that_the_new_boot_may_have_taken_counts_until_its_listing(self):
+        """Found by the soak (seed 107): a run counted as lost went on, and the task ran again."""
+        for reply in (StartReply.STARTED, None):
+            case = GateCase()
+            case.clock.advance(5)
+            case.start(reply=reply)
+            case.gate.announce(make_report(boot=BOOT + 1, sequence=1))
+            self.assertEqual(case.outcomes(), [])
+            self.assertEqual(case.gate.describe_load(0).free_cpu_millis, 16_000 - 1_600)
+            case.clock.advance(5)
+            case.list([(*KEY, 10)], boot=BOOT + 1)
+            self.assertEqual(case.outcomes(), [])
+            case.clock.advance(5)
+            case.list(ended=[(*KEY, "done")], boot=BOOT + 1)
+            self.assertEqual(case.outcomes(), [(*KEY, RunState.DONE)])
+
+    def test_order_that_the_new_boot_has_not_taken_is_over_with_its_listing(self):
+        case = GateCase()
+        case.clock.advance(5)
+        case.start()
+        case.clock.advance(5)
+        case.list(boot=BOOT + 1)
+        self.assertEqual(case.outcomes(), [(*KEY, RunState.LOST)])
+
     def test_late_announcement_of_a_dead_boot_is_dropped(self):
         case = GateCase()
         case.list(boot=BOOT + 1)
