Leases count on when a runner's new boot is announced

Cause, found by reading: orders that the new boot may have taken were given up as soon as the former boot was, if no listing came. The test failed on the former code.

--- a/apricotrail/runners/_gate.py
+++ b/apricotrail/runners/_gate.py
@@ -488,7 +488,6 @@
         self.last_end = 0
         if not had_boot:
             return
-        self._lease_end_ms = 0.0
         self.health.reset()
         self._records.forget_numbers()
         for run in list(self._runs.values()):
--- a/apricotrail/runners/tests/test_gate.py
+++ b/apricotrail/runners/tests/test_gate.py
@@ -146,6 +146,18 @@
             case.list(ended=[(*KEY, "done")], boot=BOOT + 1)
             self.assertEqual(case.outcomes(), [(*KEY, RunState.DONE)])
 
+    def test_order_that_the_new_boot_may_have_taken_lasts_as_long_as_its_lease(self):
+        """Found by reading: leases counted as over once the former boot was."""
+        case = GateCase()
+        case.advance(500, running=None)
+        case.gate.note_lease(case.clock())
+        case.start(reply=None)
+        case.gate.announce(make_report(boot=BOOT + 1, sequence=1))
+        case.advance(1_000, running=None)
+        self.assertEqual(case.outcomes(), [])
+        case.advance(50, running=None)
+        self.assertEqual(case.outcomes(), [(*KEY, RunState.LOST)])
+
     def test_order_that_the_new_boot_has_not_taken_is_over_with_its_listing(self):
         case = GateCase()
         case.clock.advance(5)
