--- a/Makefile
+++ b/Makefile
@@ -19,7 +19,7 @@
 
 # Fifty seeds of the fault soak; docs/soak.md.
 soak: setup
-	PYTHONPATH=platform $(BIN)/python -m apricotrail_soak --seeds 50
+	PYTHONPATH=platform $(BIN)/python -m apricotrail_soak --regressions --seeds 50
 
 lint: setup
 	$(BIN)/black --check --quiet .
