Log writer: sleep while there is nothing to write

Cause: with hundreds of processes, timers that find nothing to do cost as much as the work. The writer woke 50 times a second in each process, a third of the wake-ups of an idle agent. Change: it waits for the first line, then groups lines for 100 ms.

--- a/apricotrail/logs.py
+++ b/apricotrail/logs.py
@@ -43,7 +43,7 @@
 
 MAX_FIELD_CHARACTERS = 400
 MAX_PENDING_BYTES = 512 * 1024
-FLUSH_MS = 20
+FLUSH_MS = 100
 _HIDDEN_FIELDS = frozenset(
     {"answer", "authorization", "body", "digest", "key", "keys", "nonce", "secret", "text", "token"}
 )
@@ -101,6 +101,7 @@
         self._pending: deque[bytes] = deque()
         self._pending_bytes = 0
         self._dropped = 0
+        self._has_lines = asyncio.Event()
         with suppress(OSError):
             os.set_blocking(descriptor, False)
 
@@ -120,6 +121,7 @@
         data = text.encode(errors="replace")
         self._pending.append(data)
         self._pending_bytes += len(data)
+        self._has_lines.set()
 
     def flush(self) -> None:
         """Do nothing: lines are written in groups."""
@@ -137,10 +139,13 @@
             self._keep(data[written:])
 
     async def drain_forever(self) -> None:
-        """Write waiting lines every `FLUSH_MS`."""
+        """Write waiting lines every `FLUSH_MS`; without lines, sleep."""
         while True:
+            await self._has_lines.wait()
             await asyncio.sleep(FLUSH_MS / 1000)
             self.drain()
+            if not self._pending:
+                self._has_lines.clear()
 
     def _keep(self, data: bytes) -> None:
         self._pending.clear()
--- a/apricotrail/tests/test_logs.py
+++ b/apricotrail/tests/test_logs.py
@@ -1,12 +1,13 @@
 """Log lines: form, limit in a storm, hidden contents, and the catalogue of events."""
 
+import asyncio
 import json
 import os
 import subprocess
 import sys
 from io import StringIO
 from pathlib import Path
-from unittest import TestCase
+from unittest import IsolatedAsyncioTestCase, TestCase
 
 import structlog
 from nose2.tools import params
@@ -88,6 +89,30 @@
         assert last["dropped"] > 4_000
 
 
+class IdleWriter(IsolatedAsyncioTestCase):
+    """Hundreds of idle processes on a few cores: each timer that finds nothing to do costs."""
+
+    async def test_lines_are_written_soon_and_an_idle_writer_sleeps(self):
+        reader, descriptor = os.pipe()
+        self.addCleanup(os.close, reader)
+        self.addCleanup(os.close, descriptor)
+        writer = LogWriter(descriptor)
+        drained = []
+        drain = writer.drain
+        writer.drain = lambda: drained.append(1) or drain()
+        draining = asyncio.create_task(writer.drain_forever())
+        await asyncio.sleep(0.3)
+        assert not drained
+        for text in ("a", "b"):
+            writer.write(text)
+            async with asyncio.timeout(10):
+                while writer._pending:
+                    await asyncio.sleep(0.01)
+        assert os.read(reader, 10) == b"ab"
+        assert len(drained) == 2
+        draining.cancel()
+
+
 def test_the_line_after_a_storm_states_how_many_were_left_out():
     clock = VirtualClock()
     limit = make_rate_limit(2, 1_000, clock)
