Links and node lists no longer grow with the product of processes

Cause: every dispatcher was linked to every agent, every process to every control replica, and each change of a link sent a whole list to all. Processes ask control for the roles they need and get changes; they leave replicas without a disk once they reach the others. Heartbeats that are answered at once get no second clock. Ruled out: slower heartbeats between owners and agents (the limits for silence count on them); a zone's relay for loads (one more hop and one more process whose loss has to be handled).

--- a/apricotrail/control/_answers.py
+++ b/apricotrail/control/_answers.py
@@ -14,9 +14,8 @@
 from apricotrail.clocks import monotonic_ms
 from apricotrail.control._commands import encode_json
 from apricotrail.control._formation import FORMATION_STATUS
-from apricotrail.control._members import replica_name
 from apricotrail.control._service import ControlService
-from apricotrail.membership import read_view
+from apricotrail.membership import read_view, replica_name
 from apricotrail.wire import Link
 from apricotrail.wire.generated.ttypes import StatusReply, StatusRequest
 
--- a/apricotrail/control/_application.py
+++ b/apricotrail/control/_application.py
@@ -12,7 +12,7 @@
 from apricotrail.control._changes import DocumentFunctions
 from apricotrail.control._files import FileOperations, make_memory_files, open_data_folder
 from apricotrail.control._formation import form_group
-from apricotrail.control._members import make_memory_identity, replica_name
+from apricotrail.control._members import make_memory_identity
 from apricotrail.control._meters import time_syncs, watch_service
 from apricotrail.control._node import Node
 from apricotrail.control._operations import QueueOperations
@@ -23,7 +23,7 @@
 from apricotrail.control._storage import make_random_identity
 from apricotrail.document import check_succession, make_items, parse_document
 from apricotrail.errors import ApricotrailError, ErrorKind, Problem
-from apricotrail.membership import CONFIG_STALE_MS
+from apricotrail.membership import CONFIG_STALE_MS, replica_name
 from apricotrail.metrics import add_status_listener, make_metrics
 from apricotrail.settings import Settings, declare_constraint, declare_setting
 from apricotrail.wire import KEY_FILE, KeyRing, LinkEndpoint, parse_address
--- a/apricotrail/control/_formation.py
+++ b/apricotrail/control/_formation.py
@@ -11,9 +11,10 @@
 
 from returns.result import Success
 
-from apricotrail.control._members import Member, has_durable_log, replica_name
+from apricotrail.control._members import Member
 from apricotrail.control._service import CONTROL_FORMED, ControlService
 from apricotrail.events import emit
+from apricotrail.membership import has_durable_log, replica_name
 from apricotrail.wire import Link
 from apricotrail.wire.generated.ttypes import StatusRequest
 
--- a/apricotrail/control/_member_repair.py
+++ b/apricotrail/control/_member_repair.py
@@ -8,8 +8,9 @@
 
 from collections.abc import Collection, Mapping
 
-from apricotrail.control._members import Member, has_durable_log, replica_name
+from apricotrail.control._members import Member
 from apricotrail.control._replica import ReplicaState, is_leader_ready
+from apricotrail.membership import has_durable_log, replica_name
 from apricotrail.wire.generated.ttypes import ChangeMember
 
 __all__ = ["CAUGHT_UP_LAG_ENTRIES", "decide_member_change"]
--- a/apricotrail/control/_members.py
+++ b/apricotrail/control/_members.py
@@ -9,23 +9,19 @@
 from secrets import token_hex
 from typing import NamedTuple
 
+from apricotrail.membership import MEMORY_PREFIX, SEPARATOR
 from apricotrail.wire.generated.ttypes import ChangeMember
 
 __all__ = [
     "Member",
     "Members",
     "apply_member_change",
-    "has_durable_log",
     "is_quorum",
     "make_memory_identity",
     "make_replica_id",
     "quorum_value",
-    "replica_name",
 ]
 
-_SEPARATOR = "#"
-_MEMORY_PREFIX = "memory-"
-
 
 class Member(NamedTuple):
     """Address and voting right of one replica.
@@ -54,34 +50,12 @@
     >>> make_replica_id("pipa-1", "c0ffee")
     'pipa-1#c0ffee'
     """
-    return f"{name}{_SEPARATOR}{identity}"
+    return f"{name}{SEPARATOR}{identity}"
 
 
 def make_memory_identity() -> str:
     """Return a new identity for a replica that keeps its log in memory only."""
-    return _MEMORY_PREFIX + token_hex(8)
-
-
-def has_durable_log(replica_id: str) -> bool:
-    """Return whether a replica's log outlives its process; only such a replica may vote.
-
-    Examples
-    --------
-    >>> has_durable_log("pipa-1#c0ffee"), has_durable_log("pipa-2#memory-c0ffee")
-    (True, False)
-    """
-    return not replica_id.partition(_SEPARATOR)[2].startswith(_MEMORY_PREFIX)
-
-
-def replica_name(replica_id: str) -> str:
-    """Return the name in a replica's id.
-
-    Examples
-    --------
-    >>> replica_name("pipa-1#c0ffee")
-    'pipa-1'
-    """
-    return replica_id.partition(_SEPARATOR)[0]
+    return MEMORY_PREFIX + token_hex(8)
 
 
 def apply_member_change(members: Members, change: ChangeMember) -> Members:
--- a/apricotrail/control/_service.py
+++ b/apricotrail/control/_service.py
@@ -14,13 +14,14 @@
 from apricotrail.clocks import monotonic_ms, wall_ms
 from apricotrail.control._entries import EntryTable
 from apricotrail.control._files import StorageError
-from apricotrail.control._members import replica_name
 from apricotrail.control._node import Node
+from apricotrail.control._nodes import NodeSharing
 from apricotrail.control._protocol import MESSAGE_TYPES, ms_until_tick
 from apricotrail.control._requests import Outcome
 from apricotrail.control._upkeep import UpkeepInput, decide_upkeep
 from apricotrail.errors import Problem
 from apricotrail.events import Level, declare_event, emit
+from apricotrail.membership import replica_name
 from apricotrail.metrics import ControlMetrics
 from apricotrail.wire import Link, LinkEndpoint
 from apricotrail.wire.generated.ttypes import (
@@ -29,6 +30,7 @@
     ConfigurationRequest,
     Heartbeat,
     NodeList,
+    NodesRequest,
 )
 
 __all__ = ["ControlService", "ServiceParts"]
@@ -37,8 +39,10 @@
 MAX_COMMIT_TIMES = 1_024
 REPLACE_AFTER_MS = 12_000  # longer than usual outages after which a replica returns with its disk
 MAX_CONFIRMATION_AGE_MS = 1_500  # below the 2 s within which a change must be in force
-MAX_LISTED_NODES = 4_096
-_NODE_LIST_ROLES = frozenset({"control", "dispatcher", "runner"})
+MAX_PEERS = 4_096
+# These date their contact with control by the answers to their heartbeats. Answered at once, rare
+# heartbeats show a more recent contact than frequent ones that wait for the next timer.
+PROMPTLY_ANSWERED_ROLES = frozenset({"dispatcher", "runner"})
 
 CONTROL_STORAGE_FAILED = declare_event(
     3001,
@@ -137,7 +141,7 @@
         self._linked_ms: dict[str, float] = {}
         self._followers: dict[Link, tuple[str, ...]] = {}
         self._deferred_requests: dict[Link, ConfigurationRequest] = {}
-        self._nodes_due = False
+        self._nodes = NodeSharing(parts.endpoint)
 
     def connect(self) -> None:
         """Register the message handlers and heartbeat hooks of the links."""
@@ -146,6 +150,7 @@
             endpoint.on(message_type, self._receive_protocol)
         endpoint.on(ConfigurationRequest, self._answer_configuration)
         endpoint.on(NodeList, self._learn_nodes)
+        endpoint.on(NodesRequest, self._nodes.answer_request)
         endpoint.make_heartbeat = self._make_heartbeat
         endpoint.receive_heartbeat = self._receive_heartbeat
         endpoint.on_up(self._link_up)
@@ -307,8 +312,7 @@
 
     def _oversee(self) -> None:
         self._dial_members()
-        if self._nodes_due:
-            self._share_nodes()
+        self._nodes.share()
         if self.node.replica.is_leader and not self._proposing:
             command = decide_upkeep(self.gather_upkeep_input())
             if command is not None:
@@ -339,7 +343,7 @@
         if not self.parts.open_group or link.peer.role != "control":
             return
         for node in listed.nodes or ():
-            if node.role == "control" and len(self.parts.peers) < MAX_LISTED_NODES:
+            if node.role == "control" and len(self.parts.peers) < MAX_PEERS:
                 self.parts.peers.setdefault(replica_name(node.name), node.address)
 
     def _receive_protocol(self, link: Link, message: Any) -> None:
@@ -382,25 +386,18 @@
     ) -> None:
         if link.peer.role == "entry":
             self.entries.record_heartbeat(link.peer, heartbeat, monotonic_ms())
+        elif link.peer.role in PROMPTLY_ANSWERED_ROLES:
+            link.send_heartbeat()
 
     def _link_up(self, link: Link) -> None:
-        self._nodes_due = True
+        self._nodes.note_link_change()
         link.send_heartbeat()
 
     def _link_down(self, link: Link) -> None:
-        self._nodes_due = True
+        self._nodes.forget(link)
         self._followers.pop(link, None)
         self._deferred_requests.pop(link, None)
 
-    def _share_nodes(self) -> None:
-        """Send control replicas, dispatchers and runners the list of processes linked here."""
-        self._nodes_due = False
-        links = self.endpoint.links.values()
-        nodes = [self.endpoint.identity, *(link.peer for link in links)]
-        for link in list(links):
-            if link.peer.role in _NODE_LIST_ROLES:
-                link.send(NodeList(nodes[:MAX_LISTED_NODES]))
-
 
 def _select_items(change: ConfigurationChange, prefixes: tuple[str, ...]) -> ConfigurationChange:
     items = [item for item in change.items if item.key.startswith(prefixes)]
--- a/apricotrail/control/tests/simulation.py
+++ b/apricotrail/control/tests/simulation.py
@@ -9,13 +9,14 @@
 
 from apricotrail.control._changes import DocumentFunctions
 from apricotrail.control._member_repair import decide_member_change
-from apricotrail.control._members import Member, replica_name
+from apricotrail.control._members import Member
 from apricotrail.control._node import Node
 from apricotrail.control._protocol import ms_until_tick
 from apricotrail.control._replica import Timing
 from apricotrail.control._setup import Limits, NodeSetup
 from apricotrail.control.tests.disk import Crash, MemoryDisk
 from apricotrail.errors import ErrorKind, Problem
+from apricotrail.membership import replica_name
 from apricotrail.wire.generated.ttypes import Command, PutDocument, SetZoneState
 
 TIMING = Timing(round_ms=60, election_ms=200)
--- a/apricotrail/membership/__init__.py
+++ b/apricotrail/membership/__init__.py
@@ -6,18 +6,28 @@
     NEVER_CONFIRMED_AGE_MS,
     Freshness,
 )
+from apricotrail.membership._replicas import (
+    MEMORY_PREFIX,
+    SEPARATOR,
+    has_durable_log,
+    replica_name,
+)
 from apricotrail.membership._roster import Roster, RosterParts
 from apricotrail.membership._view import NO_VIEW, View, ViewMember, read_view
 
 __all__ = [
     "CONFIG_STALE_MS",
+    "MEMORY_PREFIX",
     "NEVER_CONFIRMED_AGE_MS",
     "NO_VIEW",
+    "SEPARATOR",
     "Configuration",
     "Freshness",
     "Roster",
     "RosterParts",
     "View",
     "ViewMember",
+    "has_durable_log",
     "read_view",
+    "replica_name",
 ]
--- a/apricotrail/membership/_roster.py
+++ b/apricotrail/membership/_roster.py
@@ -1,9 +1,12 @@
 """Discovers the other processes and receives configuration changes through control.
 
 A process has the addresses of a few control replicas, its seeds, in its settings; some of them may
-be stale. It links to all replicas that it learns of and keeps those links, so that it needs the
-seeds only once. It follows the configuration at one replica, in its own zone if possible; the
-heartbeats of the other replicas show whether that one has fallen behind.
+be stale. It links to all replicas with a durable log that it learns of and keeps those links, so
+that it needs the seeds only once. It follows the configuration at one replica, in its own zone if
+possible; the heartbeats of the other replicas show whether that one has fallen behind.
+
+Replicas that keep their log in memory serve operators, and lead processes to the others. Links to
+them are closed once the others are reached, as links grow with the product of both numbers.
 """
 
 from collections.abc import Callable, Iterable
@@ -12,13 +15,17 @@
 from apricotrail.clocks import Clock
 from apricotrail.events import Level, declare_event, emit
 from apricotrail.membership._configuration import Configuration
+from apricotrail.membership._replicas import has_durable_log, replica_name
+from apricotrail.membership._targets import TargetLinks, TargetParts
 from apricotrail.wire import Link, LinkEndpoint
 from apricotrail.wire.generated.ttypes import (
     ConfigurationChange,
     ConfigurationRequest,
     Heartbeat,
     Identity,
+    NodeChanges,
     NodeList,
+    NodesRequest,
 )
 
 __all__ = ["Roster", "RosterParts"]
@@ -28,6 +35,10 @@
 BEHIND_GRACE_MS = 250.0  # a change that was already sent arrives within this time
 MAX_CONTACT_AGE_MS = 1_200.0  # two heartbeat intervals of a replica and a slow answer
 LISTS_COMPLETE_MS = 2_000.0  # by then, the others have dialed a replica that has restarted
+SEEDS_AGAIN_MS = 1_000.0  # without a link to a durable replica, the seeds are dialed again
+ADJUST_MS = 1_000.0  # time between two checks of the links if no list changes
+ADJUST_AFTER_CHANGE_MS = 100.0  # several replicas list the same change at nearly the same time
+FORGET_INTERVAL_MS = 5_000.0
 
 CONTROL_LINKED = declare_event(
     2101, "control_linked", Level.INFO, "The link to a control replica was established."
@@ -66,8 +77,11 @@
         Monotonic time in milliseconds.
     on_change : callable
         Called without arguments after a newer configuration was applied.
-    dialed_role : str
-        Role of the processes to dial besides control, empty for none.
+    target_role : str
+        Role of the processes to dial besides control, empty for none. Each is dialed by some of
+        the processes with the own role.
+    retire_targets : callable
+        See `TargetParts.retire`.
     """
 
     endpoint: LinkEndpoint
@@ -76,7 +90,8 @@
     prefixes: tuple[str, ...]
     clock: Clock
     on_change: Callable[[], None]
-    dialed_role: str = ""
+    target_role: str = ""
+    retire_targets: Callable[[frozenset[str]], frozenset[str]] = lambda names: names
 
 
 class Roster:
@@ -97,11 +112,21 @@
         # name, so that a replica whose disk was lost counts once; elsewhere by their full name.
         self._behind_since_ms: dict[str, float] = {}
         self._address_listed_ms: dict[str, float] = {}
-        self._names_by_replica: dict[str, frozenset[str]] = {}
+        self._nodes_by_replica: dict[str, dict[str, Identity]] = {}
         self._linked_ms: dict[str, float] = {}
         self._replica_seen_ms: dict[str, float] = {}
         self._echoed_ms: dict[str, float] = {}
+        self._targets: TargetLinks | None = None
+        self._durable_linked_ms = parts.clock()
+        self._adjusted_ms = 0.0
+        self._forgot_ms = parts.clock()
+        self._is_adjustment_due = False
+        if parts.target_role:
+            self._targets = TargetLinks(
+                TargetParts(parts.endpoint, parts.target_role, parts.clock, parts.retire_targets)
+            )
         parts.endpoint.on(NodeList, self._receive_nodes)
+        parts.endpoint.on(NodeChanges, self._receive_node_changes)
         parts.endpoint.on(ConfigurationChange, self._receive_change)
         parts.endpoint.on_up(self._link_up)
         parts.endpoint.on_down(self._link_down)
@@ -113,11 +138,27 @@
     def add_seeds(self, seeds: Iterable[str]) -> None:
         """Dial further control replicas.
 
-        Unlike the seeds of the start, `forget_old` drops those that stay unlinked and unlisted.
+        Unlike the seeds of the start, those that stay unlinked and unlisted are forgotten.
         """
         for address in seeds:
             self._dial(address)
 
+    def tick(self) -> None:
+        """Adjust the links to the processes that control lists; call this some times a second."""
+        now_ms = self._parts.clock()
+        pause_ms = ADJUST_AFTER_CHANGE_MS if self._is_adjustment_due else ADJUST_MS
+        if now_ms - self._adjusted_ms < pause_ms:
+            return
+        self._adjusted_ms = now_ms
+        self._is_adjustment_due = False
+        if self._targets is not None:
+            listed = [it for nodes in self._nodes_by_replica.values() for it in nodes.values()]
+            self._targets.adjust(listed, self._has_contact(now_ms))
+        self._choose_replicas(now_ms)
+        if now_ms - self._forgot_ms >= FORGET_INTERVAL_MS:
+            self._forgot_ms = now_ms
+            self.forget_old()
+
     def list_control(self) -> list[Link]:
         """Return the links to control replicas."""
         return [link for link in self._endpoint.links.values() if link.peer.role == "control"]
@@ -131,16 +172,16 @@
         out any process.
         """
         now_ms = self._parts.clock()
-        if now_ms - self.quorum_contact_ms() >= MAX_CONTACT_AGE_MS:
+        if not self._has_contact(now_ms):
             return False
-        if any(name in it or len(it) >= MAX_NODES for it in self._names_by_replica.values()):
+        if any(name in it or len(it) >= MAX_NODES for it in self._nodes_by_replica.values()):
             return False
         complete = {
-            _stable_replica_name(replica)
-            for replica in self._names_by_replica
+            replica_name(replica)
+            for replica in self._nodes_by_replica
             if now_ms - self._linked_ms.get(replica, now_ms) >= LISTS_COMPLETE_MS
         }
-        return 2 * len(complete) > len(self._replica_seen_ms)
+        return 2 * len(complete & self._replica_seen_ms.keys()) > len(self._replica_seen_ms)
 
     def quorum_contact_ms(self) -> float:
         """Return the latest own time at which a majority of the replicas was reachable.
@@ -148,7 +189,8 @@
         The contact with a replica dates from the last own heartbeat that it echoed, so that both
         directions are known to work. For `FORGET_AFTER_MS`, replicas that are no longer listed are
         still counted among those of which a majority is needed, because the replicas of a zone
-        that is cut off soon list only each other. 0.0 stands for no contact yet.
+        that is cut off soon list only each other. Replicas that keep their log in memory don't
+        count. 0.0 stands for no contact yet.
         """
         echoed = [self._echoed_ms.get(name, 0.0) for name in self._replica_seen_ms]
         return sorted(echoed, reverse=True)[len(echoed) // 2] if echoed else 0.0
@@ -172,8 +214,8 @@
         """
         name = link.peer.name
         if heartbeat_sent_ms is not None:
-            stable_name = _stable_replica_name(name)
-            self._replica_seen_ms[stable_name] = self._parts.clock()
+            stable_name = replica_name(name)
+            self._note_replica(name, self._parts.clock())
             self._echoed_ms[stable_name] = max(
                 heartbeat_sent_ms, self._echoed_ms.get(stable_name, 0.0)
             )
@@ -186,29 +228,59 @@
             self._request(link, follow=link is self._followed)
 
     def forget_old(self) -> None:
-        """Stop dialing unlinked processes that no replica has listed for `FORGET_AFTER_MS`.
+        """Stop dialing unlinked replicas that no other has listed for `FORGET_AFTER_MS`.
 
         Replicas that were neither linked nor listed for as long no longer count towards the
-        majority. The seeds of the start are always dialed.
+        majority.
         """
         now_ms = self._parts.clock()
         self._forget_replicas(now_ms)
-        linked = {link.peer.address for link in self._endpoint.links.values()}
+        in_use = {link.peer.address for link in self._endpoint.links.values()}
+        in_use |= {replica.address for replica in self._list_replicas()}
         for address, listed_ms in list(self._address_listed_ms.items()):
-            if address in linked or address in self._parts.seeds:
+            if address in in_use:
                 self._address_listed_ms[address] = now_ms
             elif now_ms - listed_ms > FORGET_AFTER_MS:
                 del self._address_listed_ms[address]
                 self._endpoint.undial(address)
 
     def _forget_replicas(self, now_ms: float) -> None:
-        for link in self.list_control():
-            self._replica_seen_ms[_stable_replica_name(link.peer.name)] = now_ms
+        for replica in self._list_replicas():
+            self._note_replica(replica.name, now_ms)
         for stable_name, seen_ms in list(self._replica_seen_ms.items()):
             if now_ms - seen_ms > FORGET_AFTER_MS:
                 del self._replica_seen_ms[stable_name]
                 self._echoed_ms.pop(stable_name, None)
 
+    def _list_replicas(self) -> list[Identity]:
+        """Return the control replicas that are linked, or listed by one that is."""
+        lists = self._nodes_by_replica.values()
+        listed = [node for nodes in lists for node in nodes.values() if node.role == "control"]
+        return [*(link.peer for link in self.list_control()), *listed]
+
+    def _note_replica(self, replica: str, now_ms: float) -> None:
+        """Count a replica towards the majority if its log is durable."""
+        if has_durable_log(replica):
+            self._replica_seen_ms[replica_name(replica)] = now_ms
+
+    def _has_contact(self, now_ms: float) -> bool:
+        return now_ms - self.quorum_contact_ms() < MAX_CONTACT_AGE_MS
+
+    def _choose_replicas(self, now_ms: float) -> None:
+        """Close links to replicas that others make needless; without others, dial the seeds."""
+        durable = [link for link in self.list_control() if has_durable_log(link.peer.name)]
+        if durable:
+            self._durable_linked_ms = now_ms
+        elif now_ms - self._durable_linked_ms >= SEEDS_AGAIN_MS:
+            for address in self._parts.seeds:
+                self._dial(address)
+        if not self._has_contact(now_ms):
+            return
+        for link in self.list_control():
+            if not has_durable_log(link.peer.name):
+                self._address_listed_ms.pop(link.peer.address, None)
+                self._endpoint.undial(link.peer.address)
+
     # ---- links ----
 
     def _link_up(self, link: Link) -> None:
@@ -222,6 +294,8 @@
         )
         if followed is None or is_nearer:
             self._follow(link)
+        roles = self._targets.roles if self._targets is not None else ()
+        link.send(NodesRequest(["control", *roles]))
         # Contact with the replica counts from the first heartbeat that it echoes.
         link.send_heartbeat()
 
@@ -229,7 +303,7 @@
         if link.peer.role != "control":
             return
         emit(CONTROL_LINK_LOST, replica=link.peer.name)
-        self._names_by_replica.pop(link.peer.name, None)
+        self._nodes_by_replica.pop(link.peer.name, None)
         self._linked_ms.pop(link.peer.name, None)
         if link is not self._followed:
             return
@@ -261,28 +335,35 @@
             self._parts.on_change()
 
     def _receive_nodes(self, link: Link, listed: NodeList) -> None:
+        """Store the whole list of a replica that can't state changes only."""
         if link.peer.role != "control":
             return
-        nodes = listed.nodes or ()
-        self._names_by_replica[link.peer.name] = frozenset(node.name for node in nodes)
-        now_ms = self._parts.clock()
-        for node in nodes:
-            if node.role == "control":
-                self._replica_seen_ms[_stable_replica_name(node.name)] = now_ms
-        for node in nodes:
-            if self._is_wanted(node):
-                self._dial(node.address)
+        self._nodes_by_replica[link.peer.name] = {}
+        self._add_nodes(link, listed.nodes or ())
 
-    def _is_wanted(self, node: Identity) -> bool:
-        return bool(node.address) and node.role in ("control", self._parts.dialed_role)
+    def _receive_node_changes(self, link: Link, changes: NodeChanges) -> None:
+        if link.peer.role != "control":
+            return
+        if changes.first:
+            self._nodes_by_replica[link.peer.name] = {}
+        nodes = self._nodes_by_replica.setdefault(link.peer.name, {})
+        for name in changes.removed or ():
+            nodes.pop(name, None)
+        self._add_nodes(link, changes.added or ())
+
+    def _add_nodes(self, link: Link, added: Iterable[Identity]) -> None:
+        nodes = self._nodes_by_replica[link.peer.name]
+        now_ms = self._parts.clock()
+        for node in added:
+            nodes[node.name] = node
+            if node.role == "control" and node.address:
+                self._note_replica(node.name, now_ms)
+                if has_durable_log(node.name):
+                    self._dial(node.address)
+        self._is_adjustment_due = True
 
     def _dial(self, address: str) -> None:
         if address not in self._address_listed_ms and len(self._address_listed_ms) >= MAX_NODES:
             return
         self._address_listed_ms[address] = self._parts.clock()
         self._endpoint.dial(address)
-
-
-def _stable_replica_name(name: str) -> str:
-    """Return the part of a replica's name that stays the same when its disk is lost."""
-    return name.partition("#")[0]
--- /dev/null
+++ b/apricotrail/membership/_targets.py
@@ -0,0 +1,161 @@
+"""Keeps the links of one process to its subset of the target processes that control lists."""
+
+from collections.abc import Callable, Iterable
+from typing import NamedTuple
+
+from apricotrail.clocks import Clock
+from apricotrail.events import Level, declare_event, emit
+from apricotrail.membership._subset import MIN_TARGETS, TargetSubset
+from apricotrail.wire import LinkEndpoint
+from apricotrail.wire.generated.ttypes import Identity
+
+__all__ = ["TargetLinks", "TargetParts"]
+
+# A dialing process is counted for this long after control stopped listing it, so that a restart
+# moves no links.
+DIALER_GONE_MS = 5_000.0
+TARGET_GONE_MS = 60_000.0
+# While the known dialing processes change, as during a start, only the likely targets are dialed.
+SETTLED_AFTER_MS = 1_000.0
+# Other processes may not know yet that they have to dial a target which this one leaves.
+RETIRE_AFTER_MS = 10_000.0
+
+TARGETS_CHANGED = declare_event(
+    2105,
+    "targets_changed",
+    Level.INFO,
+    "The subset of targets that this process links to changed with the processes that control "
+    "lists; targets that left it are released once nothing runs there.",
+)
+
+
+class TargetParts(NamedTuple):
+    """What `TargetLinks` needs from its process.
+
+    Attributes
+    ----------
+    endpoint : LinkEndpoint
+        Links of this process.
+    role : str
+        Role of the targets.
+    clock : Clock
+        Monotonic time in milliseconds.
+    retire : callable
+        ``retire(names)`` gets the linked targets that are not needed any more, stops the use of
+        these and of no others, and returns those whose links may be closed now.
+    """
+
+    endpoint: LinkEndpoint
+    role: str
+    clock: Clock
+    retire: Callable[[frozenset[str]], frozenset[str]]
+
+
+class _Target(NamedTuple):
+    address: str
+    listed_ms: float
+
+
+class TargetLinks:
+    """Dials the targets of this process's subset, and releases those that leave it.
+
+    Parameters
+    ----------
+    parts : TargetParts
+        Links, clock and the hook that releases targets.
+    """
+
+    def __init__(self, parts: TargetParts) -> None:
+        self._parts = parts
+        self._own = parts.endpoint.identity
+        self._subset = TargetSubset(self._own.name)
+        self._dialers: dict[str, float] = {}
+        self._targets: dict[str, _Target] = {}
+        self._dialed: dict[str, str] = {}
+        self._unneeded_since_ms: dict[str, float] = {}
+        self._dialers_changed_ms = parts.clock()
+
+    @property
+    def roles(self) -> tuple[str, str]:
+        """Roles of the processes that `adjust` needs: the targets and those that dial them."""
+        return (self._parts.role, self._own.role)
+
+    def adjust(self, listed: Iterable[Identity], is_in_contact: bool) -> None:
+        """Dial and release targets by the processes that control lists now.
+
+        Parameters
+        ----------
+        listed : iterable of Identity
+            Processes that any linked control replica lists.
+        is_in_contact : bool
+            Whether the lists are known to be recent. Otherwise nothing unlisted is forgotten.
+        """
+        now_ms = self._parts.clock()
+        known = set(self._dialers)
+        for node in listed:
+            if node.role == self._own.role and node.name:
+                self._dialers[node.name] = now_ms
+            elif node.role == self._parts.role and node.name and node.address:
+                self._targets[node.name] = _Target(node.address, now_ms)
+        if is_in_contact:
+            self._forget(now_ms)
+        if known != set(self._dialers):
+            self._dialers_changed_ms = now_ms
+        self._subset.update(self._dialers, self._targets)
+        wanted = self._subset.list_wanted()
+        if now_ms - self._dialers_changed_ms < SETTLED_AFTER_MS:
+            wanted = wanted[:MIN_TARGETS]
+        dialed_before = len(self._dialed)
+        self._dial(wanted)
+        released = self._release(set(wanted), now_ms)
+        if released or len(self._dialed) != dialed_before:
+            emit(
+                TARGETS_CHANGED,
+                dialed=len(self._dialed),
+                released=released,
+                targets=len(self._targets),
+                dialers=len(self._dialers),
+            )
+
+    def _forget(self, now_ms: float) -> None:
+        linked = self._parts.endpoint.links
+        self._dialers = {
+            name: listed_ms
+            for name, listed_ms in self._dialers.items()
+            if now_ms - listed_ms < DIALER_GONE_MS
+        }
+        for name, target in list(self._targets.items()):
+            if now_ms - target.listed_ms >= TARGET_GONE_MS and name not in linked:
+                del self._targets[name]
+                self._undial(name)
+
+    def _dial(self, wanted: list[str]) -> None:
+        for name in wanted:
+            address = self._targets[name].address
+            if self._dialed.get(name, address) != address:
+                self._undial(name)
+            if name not in self._dialed:
+                self._dialed[name] = address
+                self._parts.endpoint.dial(address)
+
+    def _release(self, wanted: set[str], now_ms: float) -> int:
+        unneeded = self._dialed.keys() - wanted
+        self._unneeded_since_ms = {
+            name: self._unneeded_since_ms.get(name, now_ms) for name in unneeded
+        }
+        retiring = {
+            name
+            for name, since_ms in self._unneeded_since_ms.items()
+            if now_ms - since_ms >= RETIRE_AFTER_MS
+        }
+        linked = self._parts.endpoint.links
+        released = self._parts.retire(frozenset(retiring & linked.keys()))
+        released |= frozenset(retiring - linked.keys())
+        for name in released:
+            self._undial(name)
+        return len(released)
+
+    def _undial(self, name: str) -> None:
+        address = self._dialed.pop(name, None)
+        if address is not None:
+            self._parts.endpoint.undial(address)
--- a/apricotrail/membership/tests/test_roster.py
+++ b/apricotrail/membership/tests/test_roster.py
@@ -1,4 +1,4 @@
-"""Which processes a roster counts as listed, and when it has contact with a majority."""
+"""Which processes a roster counts as listed or keeps links to, and its contact with a majority."""
 
 import unittest
 from typing import NamedTuple
@@ -10,8 +10,9 @@
     LISTS_COMPLETE_MS,
     MAX_CONTACT_AGE_MS,
     MAX_NODES,
+    SEEDS_AGAIN_MS,
 )
-from apricotrail.wire.generated.ttypes import Heartbeat, Identity, NodeList
+from apricotrail.wire.generated.ttypes import Heartbeat, Identity, NodeChanges, NodeList
 
 
 class FakeLink(NamedTuple):
@@ -42,7 +43,8 @@
         self.down = hook
 
     def undial(self, address):
-        self.dialed.remove(address)
+        if address in self.dialed:
+            self.dialed.remove(address)
 
     def dial(self, address):
         self.dialed.append(address)
@@ -51,11 +53,11 @@
 class RosterCase:
     """A roster that is linked to control replicas."""
 
-    def __init__(self, *replicas: str) -> None:
+    def __init__(self, *replicas: str, seeds=()) -> None:
         self.clock = VirtualClock(50_000.0)
         self.endpoint = FakeEndpoint()
         self.roster = Roster(
-            RosterParts(self.endpoint, (), "pipa", ("x/",), self.clock, lambda: None)
+            RosterParts(self.endpoint, seeds, "pipa", ("x/",), self.clock, lambda: None)
         )
         self.links = {}
         for name in replicas:
@@ -75,6 +77,16 @@
         nodes += [Identity(name, "control", "pipa", 1, name) for name in (replica, *replicas)]
         self.endpoint.handlers[NodeList](self.links[replica], NodeList(nodes))
 
+    def receive_changes(self, replica: str, added=(), removed=(), first=False) -> None:
+        nodes = [Identity(name, "runner", "pipa", 1, name) for name in added]
+        changes = NodeChanges(nodes, list(removed), first)
+        self.endpoint.handlers[NodeChanges](self.links[replica], changes)
+
+    def tick(self, total_ms: float) -> None:
+        for _ in range(int(total_ms / 50)):
+            self.roster.tick()
+            self.clock.advance(50)
+
     def has_quorum_contact(self) -> bool:
         return self.clock() - self.roster.quorum_contact_ms() < MAX_CONTACT_AGE_MS
 
@@ -127,6 +139,15 @@
         case.clock.advance(MAX_CONTACT_AGE_MS)
         self.assertFalse(case.roster.is_unlisted("r-1"))
 
+    def test_changes_of_the_list_count_like_whole_lists(self):
+        case = self.make_complete("a")
+        case.receive_changes("a", ["r-1", "r-2"], first=True)
+        case.receive_changes("a", ["r-3"], ["r-2"])
+        for name, is_unlisted in (("r-1", False), ("r-2", True), ("r-3", False)):
+            self.assertEqual(case.roster.is_unlisted(name), is_unlisted, name)
+        case.receive_changes("a", ["r-2"], first=True)
+        self.assertTrue(case.roster.is_unlisted("r-1"))
+
     def test_a_list_of_maximum_length_may_have_left_out_any_process(self):
         case = self.make_complete("a")
         case.receive_list("a", *(f"r-{number}" for number in range(MAX_NODES - 2)))
@@ -184,3 +205,50 @@
         for name in ("a#1", "b#1"):
             case.echo(name, 49_990.0)
         self.assertTrue(case.has_quorum_contact())
+
+    def test_replicas_without_a_durable_log_do_not_count(self):
+        case = RosterCase("a#1", "b#1")
+        case.receive_list("a#1", replicas=("b#1", "c#1", "d#memory-1", "e#memory-2"))
+        for name in ("a#1", "b#1"):
+            case.echo(name, 49_990.0)
+        self.assertTrue(case.has_quorum_contact())
+
+    def test_a_replica_that_is_listed_still_counts_however_old_the_list(self):
+        """With changes in place of whole lists, a list that stays true is not sent again."""
+        case = RosterCase("a")
+        case.receive_list("a", replicas=("b", "c"))
+        for _ in range(3):
+            case.clock.advance(FORGET_AFTER_MS / 2)
+            case.roster.forget_old()
+        case.echo("a", case.clock())
+        self.assertFalse(case.has_quorum_contact())
+        self.assertIn("b", case.endpoint.dialed)
+
+
+class TestLinksToControl(unittest.TestCase):
+    """Links of every process to every replica: replicas that keep no log add cost and no safety."""
+
+    def test_seeds_without_a_durable_log_are_left_for_those_with_one(self):
+        case = RosterCase(seeds=("m#memory-1",))
+        case.roster.start()
+        case.link("m#memory-1")
+        case.receive_list("m#memory-1", replicas=("a#1", "b#1", "n#memory-2"))
+        self.assertEqual(set(case.endpoint.dialed), {"m#memory-1", "a#1", "b#1"})
+        case.link("a#1")
+        case.tick(2_000)
+        self.assertIn("m#memory-1", case.endpoint.dialed)
+        case.link("b#1")
+        for name in ("a#1", "b#1"):
+            case.echo(name, case.clock())
+        case.tick(1_000)
+        self.assertEqual(set(case.endpoint.dialed), {"a#1", "b#1"})
+
+    def test_without_a_durable_replica_the_seeds_are_dialed_again(self):
+        """All replicas may have been replaced at other addresses while this process was cut off."""
+        case = RosterCase("a#1", seeds=("s",))
+        case.roster.start()
+        case.tick(FORGET_AFTER_MS + 6_000)
+        self.assertNotIn("s", case.endpoint.dialed)
+        case.unlink("a#1")
+        case.tick(SEEDS_AGAIN_MS + 2_000)
+        self.assertIn("s", case.endpoint.dialed)
--- a/apricotrail/queues/_application.py
+++ b/apricotrail/queues/_application.py
@@ -33,7 +33,6 @@
     "Address for /healthz, /readyz and /metrics; empty for none.",
 )
 TICK_MS = 50
-EVICTION_TICKS = 100
 STOP_WAIT_MS = 400  # a job sent again waits this long for its stopped runs to end
 POLL_MS = 10
 START_WAIT_MS = 600  # a new process has its links and queues within this once its peers run
@@ -103,6 +102,7 @@
                 monotonic_ms,
                 self._apply_configuration,
                 "runner",
+                self.dispatcher.retire_agents,
             )
         )
         self.endpoint.on(RunOutcomes, self._receive_outcomes)
@@ -169,13 +169,10 @@
         self.application.spawn(self._tick_forever())
 
     async def _tick_forever(self) -> None:
-        ticks = 0
         while True:
             try:
                 self.dispatcher.tick()
-                ticks += 1
-                if ticks % EVICTION_TICKS == 0:
-                    self.roster.forget_old()
+                self.roster.tick()
             except Exception as error:
                 emit(DISPATCHER_TICK_FAILED, error=repr(error))
             await asyncio.sleep(TICK_MS / 1000)
--- a/apricotrail/queues/_dispatcher.py
+++ b/apricotrail/queues/_dispatcher.py
@@ -53,6 +53,7 @@
 # After a pause of this process of at least this length, its open jobs start nothing more; less than
 # the agents' limit for a silent owner.
 MAX_PAUSE_MS = 400.0
+RETIRED_IDLE_MS = 1_000.0  # time without a start or an outcome before a link is closed
 MAX_QUEUE_WAIT_MS = 400  # longest wait at one agent before the task is placed again
 MIN_QUEUE_WAIT_MS = 60  # a few round trips, as placing a task again costs one
 RETRY_AFTER_MS = 1_000.0  # told to callers of jobs that are refused here
@@ -313,9 +314,27 @@
         )
         self.registry.remove(agent)
         runs = sum(task.agent == agent for _, task in self._runs.values())
-        self._lost_agents.setdefault(agent, _LostAgent(heard_ms))
+        if runs:
+            self._lost_agents.setdefault(agent, _LostAgent(heard_ms))
         emit(AGENT_LOST, agent=agent, runs=runs, heard_ms_ago=round(self._clock() - heard_ms))
 
+    def retire_agents(self, agents: frozenset[str]) -> frozenset[str]:
+        """Place no more tasks at `agents`, but at all others; return those whose link may close.
+
+        Closing the link of an agent would stop the runs of this dispatcher, and may lose the
+        confirmation of outcomes that were received just now.
+        """
+        now_ms = self._clock()
+        for name, runner in self.registry.by_agent.items():
+            runner.is_retiring = name in agents
+        busy = {task.agent for _, task in self._runs.values()}
+        return frozenset(
+            name
+            for name in agents - busy
+            if name in self.registry.by_agent
+            and now_ms - self.registry.by_agent[name].used_ms >= RETIRED_IDLE_MS
+        )
+
     def receive_heartbeat(self, agent: str, load: RunnerLoad) -> None:
         """Record an agent's heartbeat, which is echoed at once, and the report in it."""
         runner = self.registry.by_agent.get(agent)
@@ -337,6 +356,8 @@
         self._check_for_pause()
         if message.load is not None:
             self.receive_report(agent, message.load)
+        if agent in self.registry.by_agent:
+            self.registry.by_agent[agent].used_ms = self._clock()
         done = [
             RunKey(outcome.task, outcome.run)
             for outcome in message.outcomes or ()
@@ -470,6 +491,7 @@
     def _send_starts(self, job: Job, agent: str, tasks: list[Task]) -> None:
         now_ms = self._clock()
         runner = self.registry.by_agent[agent]
+        runner.used_ms = now_ms
         left_ms = job.slack.due_ms - (now_ms - job.received_ms)
         # A task that is late already gains nothing from being moved between queues.
         wait_ms = MAX_QUEUE_WAIT_MS if left_ms <= 0 else max(MIN_QUEUE_WAIT_MS, left_ms / 2)
--- a/apricotrail/queues/_registry.py
+++ b/apricotrail/queues/_registry.py
@@ -45,6 +45,10 @@
         When the report came, on the dispatcher's clock.
     heartbeat_ms : float
         When the agent's last heartbeat came, on the dispatcher's clock, 0 before the first.
+    used_ms : float
+        When the last start was sent or the last outcome came, on the dispatcher's clock.
+    is_retiring : bool
+        Whether the link is to be closed, so that no more tasks are placed here.
     starts_sent : int
         Starts sent or claimed on the present link. The report's ``received`` counts those among
         them that the agent has received.
@@ -55,6 +59,8 @@
         self.load: RunnerLoad | None = None
         self.reported_ms = 0.0
         self.heartbeat_ms = 0.0
+        self.used_ms = 0.0
+        self.is_retiring = False
         self.starts_sent = 0
         # Starts that no report includes: number on the link, CPU in thousandths of a core, MB.
         self._unreported: deque[tuple[int, int, int]] = deque()
@@ -154,6 +160,7 @@
             if runner.load is not None
             and runner.load.pool == pool
             and runner.load.accepting
+            and not runner.is_retiring
             and now_ms - runner.reported_ms < LOAD_STALE_MS
         ]
 
--- a/apricotrail/queues/tests/test_dispatcher.py
+++ b/apricotrail/queues/tests/test_dispatcher.py
@@ -2,7 +2,7 @@
 
 import unittest
 
-from apricotrail.queues._dispatcher import STILL_LISTED_MS, UNLISTED_FOR_MS
+from apricotrail.queues._dispatcher import RETIRED_IDLE_MS, STILL_LISTED_MS, UNLISTED_FOR_MS
 from apricotrail.queues._jobs import JobState
 from apricotrail.queues.tests.harness import DispatchCase, make_request
 from apricotrail.wire.generated.ttypes import (
@@ -227,6 +227,40 @@
         self.assertEqual(order.valid_until_ms, 90_000 + 100 + 400)
 
 
+class TestRetiredAgents(unittest.IsolatedAsyncioTestCase):
+    """Links that move to other processes as the fleet grows, while work goes on."""
+
+    async def test_a_link_is_closed_only_after_its_runs_and_some_quiet(self):
+        case = DispatchCase("a-1")
+        answer = case.submit()
+        retired = frozenset({"a-1"})
+        self.assertEqual(case.dispatcher.retire_agents(retired), frozenset())
+        case.advance(RETIRED_IDLE_MS + 50)
+        self.assertEqual(case.dispatcher.retire_agents(retired), frozenset())
+        case.end(case.runs()[0])
+        self.assertEqual((await answer).state, JobState.COMPLETED)
+        self.assertEqual(case.dispatcher.retire_agents(retired), frozenset())
+        case.advance(RETIRED_IDLE_MS)
+        self.assertEqual(case.dispatcher.retire_agents(retired), retired)
+
+    async def test_a_retiring_agent_gets_no_tasks_until_it_is_needed_again(self):
+        case = DispatchCase("a-1", "a-2")
+        case.dispatcher.retire_agents(frozenset({"a-1"}))
+        for number in range(4):
+            case.submit(make_request(f"j-{number}"))
+        self.assertEqual({agent for agent, _, _ in case.runs()}, {"a-2"})
+        case.dispatcher.retire_agents(frozenset())
+        case.submit(make_request("wide", 8))
+        self.assertIn("a-1", {agent for agent, _, _ in case.runs()})
+
+    async def test_a_lost_link_without_runs_leaves_nothing_to_wait_for(self):
+        case = DispatchCase("a-1")
+        case.unlisted = False
+        case.dispatcher.link_down("a-1")
+        case.advance(5_000)
+        self.assertEqual(case.dispatcher._lost_agents, {})
+
+
 class TestFrozen(unittest.IsolatedAsyncioTestCase):
     async def test_paused_process_starts_nothing_for_its_earlier_jobs(self):
         case = DispatchCase("x", "y")
--- a/apricotrail/runners/_application.py
+++ b/apricotrail/runners/_application.py
@@ -42,9 +42,11 @@
     "runner.status_listen", "", "Address for /healthz, /readyz and /metrics; empty for none."
 )
 ZONE_STATE_PREFIX = "zone-state/"
+# Control answers at once, so contact with it is at most this old, and a round trip: less than the
+# gate's limit for its silence.
+CONTROL_HEARTBEAT_MS = 500.0
 TICK_MS = 50
 STOP_POLL_MS = 20
-FORGET_TICKS = 100
 
 AGENT_STOPPING = declare_event(
     11201,
@@ -116,6 +118,7 @@
                 self._apply_configuration,
             )
         )
+        self.endpoint.heartbeat_ms_by_role["control"] = CONTROL_HEARTBEAT_MS
         self.gate.quorum_contact_ms = self.roster.quorum_contact_ms
         # The zone may be out of service, so no run starts before the first configuration arrives.
         self.gate.zone_open = False
@@ -174,13 +177,10 @@
         await self.endpoint.stop()
 
     async def _tick_forever(self) -> None:
-        ticks = 0
         while True:
             try:
                 self.gate.tick()
-                ticks += 1
-                if ticks % FORGET_TICKS == 0:
-                    self.roster.forget_old()
+                self.roster.tick()
             except Exception as error:
                 emit(AGENT_TICK_FAILED, error=repr(error))
             await asyncio.sleep(TICK_MS / 1000)
--- a/apricotrail/wire/_endpoint.py
+++ b/apricotrail/wire/_endpoint.py
@@ -79,6 +79,8 @@
     ----------
     links : dict of str to Link
         Ready links by the peer's name; the newest link of a peer replaces an older one.
+    heartbeat_ms_by_role : dict of str to float
+        Time between heartbeats to peers of a role, if it is longer than ``link.heartbeat_ms``.
     """
 
     def __init__(
@@ -98,6 +100,7 @@
         self.buffer_bytes = settings.get(BUFFER_BYTES)
         self.make_heartbeat: HeartbeatSource = lambda link: Heartbeat(config_version=0)
         self.receive_heartbeat: HeartbeatSink = lambda link, heartbeat, heartbeat_sent_ms: None
+        self.heartbeat_ms_by_role: dict[str, float] = {}
         self._heartbeat_ms = settings.get(HEARTBEAT_MS)
         self._redial_ms = settings.get(REDIAL_MS)
         self._connect_ms = settings.get(CONNECT_MS)
@@ -234,7 +237,9 @@
     async def _beat_forever(self) -> None:
         while True:
             for link in list(self._open):
-                link.send_heartbeat()
+                role = link.peer.role if link.peer is not None else ""
+                interval_ms = self.heartbeat_ms_by_role.get(role, self._heartbeat_ms)
+                link.send_due_heartbeat(interval_ms)
             await asyncio.sleep(self._heartbeat_ms / 1000)
 
     async def _dial_forever(self, address: str) -> None:
--- a/apricotrail/wire/_link.py
+++ b/apricotrail/wire/_link.py
@@ -117,6 +117,7 @@
         self._sequence = 0
         self._sent_at_ms: dict[int, float] = {}
         self._highest_received = 0
+        self._beat_ms = 0.0
         self._opened_ms = self._clock()
         self._heard_ms = self._opened_ms
         self._echoed_ms = self._opened_ms
@@ -202,6 +203,14 @@
             self._transport.abort()
         self._finish()
 
+    def send_due_heartbeat(self, interval_ms: float) -> None:
+        """Send a heartbeat unless one was sent within the last three quarters of the interval.
+
+        On a link where the heartbeats of the peer are answered at once, the answers are enough.
+        """
+        if self._clock() - self._beat_ms >= 0.75 * interval_ms:
+            self.send_heartbeat()
+
     def send_heartbeat(self) -> None:
         """Send a heartbeat, or abandon the link if the peer has been silent for too long."""
         now_ms = self._clock()
@@ -217,6 +226,7 @@
         heartbeat.echo = self._highest_received
         if len(self._sent_at_ms) < MAX_SENT_TIMES and self.send(heartbeat):
             self._sent_at_ms[self._sequence] = now_ms
+            self._beat_ms = now_ms
 
     # ---- handshake ----
 
--- a/apricotrail/wire/messages.thrift
+++ b/apricotrail/wire/messages.thrift
@@ -116,6 +116,18 @@
   1: list<Identity> nodes,
 }
 
+// Asks a control replica for the processes of these roles that are linked to it, and for changes.
+struct NodesRequest {
+  1: list<string> roles,
+}
+
+// Changes of the linked processes since the last such message on this link.
+struct NodeChanges {
+  1: list<Identity> added,    // new ones, and those whose identity changed
+  2: list<string> removed,    // names
+  3: optional bool first,     // the first answer to a request: nothing was listed before
+}
+
 // base_version 0: items are the whole configuration, otherwise what changed since base_version.
 struct ConfigurationChange {
   1: i64 base_version,
--- a/apricotrail/wire/tests/test_links.py
+++ b/apricotrail/wire/tests/test_links.py
@@ -11,7 +11,7 @@
 
 from apricotrail.settings import Settings
 from apricotrail.wire import FrameReader, KeyRing, LinkEndpoint, WireError, encode_frame
-from apricotrail.wire.generated.ttypes import Claim, ClaimReply, Identity, SlotWant
+from apricotrail.wire.generated.ttypes import Claim, ClaimReply, Heartbeat, Identity, SlotWant
 
 FAST = Settings({"link.heartbeat_ms": 20, "link.silent_ms": 150, "link.redial_ms": 5})
 
@@ -57,6 +57,19 @@
             )
         self.assertEqual([reply.unwrap().view_epoch for reply in replies], list(range(20)))
 
+    async def test_heartbeats_that_are_answered_at_once_need_no_others(self):
+        """With many links, a second clock for the answers would double their cost."""
+        clocked = []
+        async with Pair() as pair:
+            pair.right.receive_heartbeat = lambda link, *_: link.send_heartbeat()
+            pair.right.make_heartbeat = lambda link: clocked.append(1) or Heartbeat()
+            link = pair.left.links["right"]
+            pair.right.heartbeat_ms_by_role["entry"] = 400.0
+            sent_before = link.sent_frames
+            await wait_until(lambda: link.sent_frames >= sent_before + 10)
+            # One answer each, and up to four that the clock sent before.
+            self.assertLessEqual(len(clocked), 14)
+
     async def test_lost_link_is_dialed_again(self):
         async with Pair() as pair:
             first = pair.left.links["right"]
