Targets: an outage of control moves no links

Cause: dispatchers that were not listed during an outage counted as gone at the first contact after it, so that the others would have dialed their agents, too. Found by reading; the test fails on the former code. Time without contact with a majority of control no longer counts.

--- a/apricotrail/membership/_targets.py
+++ b/apricotrail/membership/_targets.py
@@ -99,6 +99,8 @@
                 self._targets[node.name] = _Target(node.address, now_ms)
         if is_in_contact:
             self._forget(now_ms)
+        else:
+            self._keep_all(now_ms)
         if known != set(self._dialers):
             self._dialers_changed_ms = now_ms
         self._subset.update(self._dialers, self._targets)
@@ -129,6 +131,13 @@
                 del self._targets[name]
                 self._undial(name)
 
+    def _keep_all(self, now_ms: float) -> None:
+        """Count no time without contact; after an outage, lists fill up one process at a time."""
+        self._dialers = dict.fromkeys(self._dialers, now_ms)
+        self._targets = {
+            name: target._replace(listed_ms=now_ms) for name, target in self._targets.items()
+        }
+
     def _dial(self, wanted: list[str]) -> None:
         for name in wanted:
             address = self._targets[name].address
--- a/apricotrail/membership/tests/test_targets.py
+++ b/apricotrail/membership/tests/test_targets.py
@@ -79,6 +79,16 @@
         case.endpoint.links.clear()
         self.assertEqual(case.settle([], False, 2 * TARGET_GONE_MS), before)
 
+    def test_an_outage_of_control_moves_no_links(self):
+        """All replicas lose power for seconds; afterwards they list the processes one by one."""
+        case = TargetCase()
+        before = case.settle(list_nodes(40, 160))
+        case.settle([], False, 2 * DIALER_GONE_MS)
+        for number in range(40):
+            case.links.adjust(list_nodes(number, 4 * number), True)
+            case.clock.advance(DIALER_GONE_MS / 50)
+        self.assertEqual(set(case.endpoint.dialed), before)
+
     def test_a_target_that_is_gone_is_dialed_no_more(self):
         case = TargetCase()
         case.settle(list_nodes(3, 5))
