Unexpected errors: polling, orders and heartbeats go on

Three were possible: an error while a listing is handled ended the polling task for good, so the runner stayed closed; one in a start call left its run as starting, with its capacity, for ever; one in making a heartbeat ended the heartbeats of all links. The process lived on, idle. Now: logged (11104, 1006), the call counts as unanswered, and the usual stop or retry settles it. A heartbeat that can't be handled keeps its link.

--- a/apricotrail/runners/_driver.py
+++ b/apricotrail/runners/_driver.py
@@ -40,6 +40,13 @@
     Level.WARNING,
     "The runner has seen a higher fencing token, so this agent raises its own and tries again.",
 )
+RUNNER_CALL_FAILED = declare_event(
+    11104,
+    "runner_call_failed",
+    Level.ERROR,
+    "A call to the runner, or handling its answer, raised an exception. The call counts as "
+    "unanswered. Report the error.",
+)
 
 
 class Call(NamedTuple):
@@ -152,7 +159,7 @@
     async def hold_forever(self) -> None:
         """Poll the runner for its lists and renew its leases until cancelled."""
         while True:
-            if not await self._hold(self._choose_wait_ms()):
+            if not await self._hold_safely():
                 await asyncio.sleep(HOLD_RETRY_MS / 1000)
             elif self._gate.has_unconfirmed:
                 # The runner answers at once while it has unacknowledged ends, so this would spin.
@@ -175,6 +182,13 @@
     def _choose_wait_ms(self) -> int:
         return HOLD_WAIT_MS if self._gate.list_running() else IDLE_WAIT_MS
 
+    async def _hold_safely(self) -> bool:
+        try:
+            return await self._hold(self._choose_wait_ms())
+        except Exception as error:
+            emit(RUNNER_CALL_FAILED, call="hold", error=repr(error))
+            return False
+
     async def _hold(self, wait_ms: int) -> bool:
         gate = self._gate
         asked_ms = self._clock()
@@ -203,7 +217,7 @@
         for _ in range(START_TRIES):
             gate.record_lease_extension(self._clock())
             call = self._make_call(START_TIMEOUT_MS, True)
-            result = await self._port.start(call, order.task, order.run, order.spec)
+            result = await self._call_start(call, order)
             reply = result.reply
             if result.clock_ms is not None and call.boot == gate.boot:
                 self._record_clock(result.clock_ms)
@@ -213,9 +227,23 @@
                 break
         gate.receive_start_reply(key, reply)
 
+    async def _call_start(self, call: Call, order: Order) -> StartResult:
+        try:
+            return await self._port.start(call, order.task, order.run, order.spec)
+        except Exception as error:
+            emit(RUNNER_CALL_FAILED, call="start", task=order.task, error=repr(error))
+            return StartResult(StartReply.UNANSWERED)
+
+    async def _call_stop(self, call: Call, order: Order) -> StopResult:
+        try:
+            return await self._port.stop(call, order.task, order.run)
+        except Exception as error:
+            emit(RUNNER_CALL_FAILED, call="stop", task=order.task, error=repr(error))
+            return StopResult(False)
+
     async def _stop(self, order: Order) -> None:
         call = self._make_call(STOP_TIMEOUT_MS, False)
-        result = await self._port.stop(call, order.task, order.run)
+        result = await self._call_stop(call, order)
         if result.is_fenced:
             self._raise_fence()
         if not result.is_stopped:
--- a/apricotrail/runners/tests/test_driver.py
+++ b/apricotrail/runners/tests/test_driver.py
@@ -52,6 +52,7 @@
 
     async def _hold(self, call, last_end, wait_ms):
         self.last_ends.append(last_end)
+        await asyncio.sleep(0)
         return self._next("hold", call, Listing(BOOT, 500, (), ()))
 
     async def finish_calls(self):
@@ -127,3 +128,48 @@
         fence = case.gate.fence
         await case.driver.extend_leases()
         self.assertGreater(case.gate.fence, fence)
+
+
+class TestUnexpectedErrors(unittest.IsolatedAsyncioTestCase):
+    """Operators of a similar system: one unexpected error took a whole process down."""
+
+    async def test_polling_goes_on(self):
+        case = DriverCase()
+        receive_listing, failures = case.gate.receive_listing, [ValueError("unexpected")]
+
+        def fail_once(*arguments):
+            if failures:
+                raise failures.pop()
+            receive_listing(*arguments)
+
+        case.gate.receive_listing = fail_once
+        polling = asyncio.create_task(case.driver.hold_forever())
+        async with asyncio.timeout(10):
+            while len(case.calls) < 3 and not polling.done():
+                await asyncio.sleep(0.01)
+        self.assertFalse(polling.done())
+        self.assertFalse(failures)
+        polling.cancel()
+
+    async def test_a_run_whose_start_failed_is_stopped(self):
+        case = DriverCase()
+        case.driver._port = case.driver._port._replace(start=_raise)
+        case.start(reply=None)
+        await case.finish_calls()
+        self.assertEqual([kind for kind, _ in case.calls], ["stop"])
+
+    async def test_a_stop_that_failed_is_repeated(self):
+        case = DriverCase()
+        case.start(reply=None)
+        await case.finish_calls()
+        port = case.driver._port
+        case.driver._port = port._replace(stop=_raise)
+        case.gate.receive_stop(case.gate._runs[KEY].owner, [KEY])
+        await case.tasks.pop(0)
+        case.driver._port = port
+        await case.finish_calls()
+        self.assertEqual(len(case.made("stop")), 1)
+
+
+async def _raise(*arguments):
+    raise ValueError("unexpected")
--- a/apricotrail/wire/_link.py
+++ b/apricotrail/wire/_link.py
@@ -74,6 +74,12 @@
 LINK_OVERFLOW = declare_event(
     1005, "link_overflow", Level.WARNING, "A peer reads too slowly; a message was not sent."
 )
+LINK_HEARTBEAT_FAILED = declare_event(
+    1006,
+    "link_heartbeat_failed",
+    Level.ERROR,
+    "Making a heartbeat raised an exception; it is tried again. Report the error.",
+)
 
 LinkHook = Callable[["Link"], None]
 
@@ -208,8 +214,13 @@
 
         On a link where the heartbeats of the peer are answered at once, the answers are enough.
         """
-        if self._clock() - self._beat_ms >= 0.75 * interval_ms:
+        if self._clock() - self._beat_ms < 0.75 * interval_ms:
+            return
+        try:
             self.send_heartbeat()
+        except Exception as error:
+            # One heartbeat that can't be made must not silence this process on all links.
+            emit(LINK_HEARTBEAT_FAILED, peer=self._peer_name(), error=repr(error))
 
     def send_heartbeat(self) -> None:
         """Send a heartbeat, or abandon the link if the peer has been silent for too long."""
@@ -292,7 +303,7 @@
 
     def _dispatch(self, message: Any, correlation: int) -> None:
         if isinstance(message, Heartbeat):
-            self._receive_heartbeat(message)
+            self._receive_heartbeat_safely(message)
             return
         waiting = self._calls.get(correlation) if correlation else None
         if waiting is not None and self._endpoint.is_reply(message):
@@ -321,6 +332,13 @@
         if result is not None:
             self.send(result, correlation)
 
+    def _receive_heartbeat_safely(self, heartbeat: Heartbeat) -> None:
+        try:
+            self._receive_heartbeat(heartbeat)
+        except Exception as error:
+            # The link stays: with the next heartbeat, a peer would lose a new one the same way.
+            emit(LINK_HANDLER_FAILED, kind="Heartbeat", peer=self._peer_name(), error=repr(error))
+
     def _receive_heartbeat(self, heartbeat: Heartbeat) -> None:
         is_first = self._highest_received == 0
         self._highest_received = max(self._highest_received, heartbeat.sequence or 0)
--- a/apricotrail/wire/tests/test_links.py
+++ b/apricotrail/wire/tests/test_links.py
@@ -70,6 +70,22 @@
             # One answer each, and up to four that the clock sent before.
             self.assertLessEqual(len(clocked), 14)
 
+    async def test_an_error_in_one_heartbeat_silences_no_link(self):
+        """Operators of a similar system: one unexpected error took a whole process down."""
+
+        def fail(link, *more):
+            raise ValueError("unexpected")
+
+        async with Pair() as pair:
+            link = pair.left.links["right"]
+            make, pair.left.make_heartbeat = pair.left.make_heartbeat, fail
+            pair.right.receive_heartbeat = fail
+            await asyncio.sleep(0.06)
+            pair.left.make_heartbeat = make
+            sent_before = link.sent_frames
+            await wait_until(lambda: link.sent_frames >= sent_before + 10)
+            self.assertIs(pair.left.links["right"], link)
+
     async def test_lost_link_is_dialed_again(self):
         async with Pair() as pair:
             first = pair.left.links["right"]
