--- a/apricotrail/membership/_targets.py
+++ b/apricotrail/membership/_agent_links.py
@@ -1,47 +1,47 @@
-"""Keeps the links of one process to its subset of the target processes that control lists."""
+"""Keeps the links of one process to its subset of the agent processes that control lists."""
 
 from collections.abc import Callable, Iterable
 from typing import NamedTuple
 
 from apricotrail.clocks import Clock
 from apricotrail.events import Level, declare_event, emit
-from apricotrail.membership._subset import MIN_TARGETS, TargetSubset
+from apricotrail.membership._agent_subset import MIN_AGENTS, AgentSubset
 from apricotrail.wire import LinkEndpoint
 from apricotrail.wire.generated.ttypes import Identity
 
-__all__ = ["TargetLinks", "TargetParts"]
+__all__ = ["AgentLinks", "AgentLinkParts"]
 
 # A dialing process is counted for this long after control stopped listing it, so that a restart
 # moves no links.
 DIALER_GONE_MS = 5_000.0
-TARGET_GONE_MS = 60_000.0
-# While the known dialing processes change, as during a start, only the likely targets are dialed.
+AGENT_GONE_MS = 60_000.0
+# While the known dialing processes change, as during a start, only the likely agents are dialed.
 SETTLED_AFTER_MS = 1_000.0
-# Other processes may not know yet that they have to dial a target which this one leaves.
+# Other processes may not know yet that they have to dial an agent which this one leaves.
 RETIRE_AFTER_MS = 10_000.0
 
-TARGETS_CHANGED = declare_event(
+AGENT_LINKS_CHANGED = declare_event(
     2105,
-    "targets_changed",
+    "agent_links_changed",
     Level.INFO,
-    "The subset of targets that this process links to changed with the processes that control "
-    "lists; targets that left it are released once nothing runs there.",
+    "The subset of agents that this process links to changed with the processes that control "
+    "lists; agents that left it are released once nothing runs there.",
 )
 
 
-class TargetParts(NamedTuple):
-    """What `TargetLinks` needs from its process.
+class AgentLinkParts(NamedTuple):
+    """What `AgentLinks` needs from its process.
 
     Attributes
     ----------
     endpoint : LinkEndpoint
         Links of this process.
     role : str
-        Role of the targets.
+        Role of the agents.
     clock : Clock
         Monotonic time in milliseconds.
     retire : callable
-        ``retire(names)`` gets the linked targets that are not needed any more, stops the use of
+        ``retire(names)`` gets the linked agents that are not needed any more, stops the use of
         these and of no others, and returns those whose links may be closed now.
     """
 
@@ -51,37 +51,37 @@
     retire: Callable[[frozenset[str]], frozenset[str]]
 
 
-class _Target(NamedTuple):
+class _Agent(NamedTuple):
     address: str
     listed_ms: float
 
 
-class TargetLinks:
-    """Dials the targets of this process's subset, and releases those that leave it.
+class AgentLinks:
+    """Dials the agents of this process's subset, and releases those that leave it.
 
     Parameters
     ----------
-    parts : TargetParts
-        Links, clock and the hook that releases targets.
+    parts : AgentLinkParts
+        Links, clock and the hook that releases agents.
     """
 
-    def __init__(self, parts: TargetParts) -> None:
+    def __init__(self, parts: AgentLinkParts) -> None:
         self._parts = parts
         self._own = parts.endpoint.identity
-        self._subset = TargetSubset(self._own.name)
+        self._subset = AgentSubset(self._own.name)
         self._dialers: dict[str, float] = {}
-        self._targets: dict[str, _Target] = {}
+        self._agents: dict[str, _Agent] = {}
         self._dialed: dict[str, str] = {}
         self._unneeded_since_ms: dict[str, float] = {}
         self._dialers_changed_ms = parts.clock()
 
     @property
     def roles(self) -> tuple[str, str]:
-        """Roles of the processes that `adjust` needs: the targets and those that dial them."""
+        """Roles of the processes that `adjust` needs: the agents and those that dial them."""
         return (self._parts.role, self._own.role)
 
     def adjust(self, listed: Iterable[Identity], is_in_contact: bool) -> None:
-        """Dial and release targets by the processes that control lists now.
+        """Dial and release agents by the processes that control lists now.
 
         Parameters
         ----------
@@ -96,26 +96,26 @@
             if node.role == self._own.role and node.name:
                 self._dialers[node.name] = now_ms
             elif node.role == self._parts.role and node.name and node.address:
-                self._targets[node.name] = _Target(node.address, now_ms)
+                self._agents[node.name] = _Agent(node.address, now_ms)
         if is_in_contact:
             self._forget(now_ms)
         else:
             self._keep_all(now_ms)
         if known != set(self._dialers):
             self._dialers_changed_ms = now_ms
-        self._subset.update(self._dialers, self._targets)
+        self._subset.update(self._dialers, self._agents)
         wanted = self._subset.list_wanted()
         if now_ms - self._dialers_changed_ms < SETTLED_AFTER_MS:
-            wanted = wanted[:MIN_TARGETS]
+            wanted = wanted[:MIN_AGENTS]
         dialed_before = len(self._dialed)
         self._dial(wanted)
         released = self._release(set(wanted), now_ms)
         if released or len(self._dialed) != dialed_before:
             emit(
-                TARGETS_CHANGED,
+                AGENT_LINKS_CHANGED,
                 dialed=len(self._dialed),
                 released=released,
-                targets=len(self._targets),
+                agents=len(self._agents),
                 dialers=len(self._dialers),
             )
 
@@ -126,21 +126,21 @@
             for name, listed_ms in self._dialers.items()
             if now_ms - listed_ms < DIALER_GONE_MS
         }
-        for name, target in list(self._targets.items()):
-            if now_ms - target.listed_ms >= TARGET_GONE_MS and name not in linked:
-                del self._targets[name]
+        for name, agent in list(self._agents.items()):
+            if now_ms - agent.listed_ms >= AGENT_GONE_MS and name not in linked:
+                del self._agents[name]
                 self._undial(name)
 
     def _keep_all(self, now_ms: float) -> None:
         """Count no time without contact; after an outage, lists fill up one process at a time."""
         self._dialers = dict.fromkeys(self._dialers, now_ms)
-        self._targets = {
-            name: target._replace(listed_ms=now_ms) for name, target in self._targets.items()
+        self._agents = {
+            name: agent._replace(listed_ms=now_ms) for name, agent in self._agents.items()
         }
 
     def _dial(self, wanted: list[str]) -> None:
         for name in wanted:
-            address = self._targets[name].address
+            address = self._agents[name].address
             if self._dialed.get(name, address) != address:
                 self._undial(name)
             if name not in self._dialed:
--- a/apricotrail/membership/_roster.py
+++ b/apricotrail/membership/_roster.py
@@ -14,9 +14,9 @@
 
 from apricotrail.clocks import Clock
 from apricotrail.events import Level, declare_event, emit
+from apricotrail.membership._agent_links import AgentLinkParts, AgentLinks
 from apricotrail.membership._configuration import Configuration
 from apricotrail.membership._replicas import has_durable_log, replica_name
-from apricotrail.membership._targets import TargetLinks, TargetParts
 from apricotrail.wire import Link, LinkEndpoint
 from apricotrail.wire.generated.ttypes import (
     ConfigurationChange,
@@ -77,11 +77,11 @@
         Monotonic time in milliseconds.
     on_change : callable
         Called without arguments after a newer configuration was applied.
-    target_role : str
+    agent_role : str
         Role of the processes to dial besides control, empty for none. Each is dialed by some of
         the processes with the own role.
-    retire_targets : callable
-        See `TargetParts.retire`.
+    retire_agents : callable
+        See `AgentLinkParts.retire`.
     """
 
     endpoint: LinkEndpoint
@@ -90,8 +90,8 @@
     prefixes: tuple[str, ...]
     clock: Clock
     on_change: Callable[[], None]
-    target_role: str = ""
-    retire_targets: Callable[[frozenset[str]], frozenset[str]] = lambda names: names
+    agent_role: str = ""
+    retire_agents: Callable[[frozenset[str]], frozenset[str]] = lambda names: names
 
 
 class Roster:
@@ -116,14 +116,14 @@
         self._linked_ms: dict[str, float] = {}
         self._replica_seen_ms: dict[str, float] = {}
         self._echoed_ms: dict[str, float] = {}
-        self._targets: TargetLinks | None = None
+        self._agents: AgentLinks | None = None
         self._durable_linked_ms = parts.clock()
         self._adjusted_ms = 0.0
         self._forgot_ms = parts.clock()
         self._is_adjustment_due = False
-        if parts.target_role:
-            self._targets = TargetLinks(
-                TargetParts(parts.endpoint, parts.target_role, parts.clock, parts.retire_targets)
+        if parts.agent_role:
+            self._agents = AgentLinks(
+                AgentLinkParts(parts.endpoint, parts.agent_role, parts.clock, parts.retire_agents)
             )
         parts.endpoint.on(NodeList, self._receive_nodes)
         parts.endpoint.on(NodeChanges, self._receive_node_changes)
@@ -151,9 +151,9 @@
             return
         self._adjusted_ms = now_ms
         self._is_adjustment_due = False
-        if self._targets is not None:
+        if self._agents is not None:
             listed = [it for nodes in self._nodes_by_replica.values() for it in nodes.values()]
-            self._targets.adjust(listed, self._has_contact(now_ms))
+            self._agents.adjust(listed, self._has_contact(now_ms))
         self._choose_replicas(now_ms)
         if now_ms - self._forgot_ms >= FORGET_INTERVAL_MS:
             self._forgot_ms = now_ms
@@ -294,7 +294,7 @@
         )
         if followed is None or is_nearer:
             self._follow(link)
-        roles = self._targets.roles if self._targets is not None else ()
+        roles = self._agents.roles if self._agents is not None else ()
         link.send(NodesRequest(["control", *roles]))
         # Contact with the replica counts from the first heartbeat that it echoes.
         link.send_heartbeat()
