Membership: names and docstrings a first reader can follow

Exported constants say what they separate and mark; the order of the scores and the counts of dialing processes are explained. No behaviour changes.

--- a/apricotrail/control/_members.py
+++ b/apricotrail/control/_members.py
@@ -9,7 +9,7 @@
 from secrets import token_hex
 from typing import NamedTuple
 
-from apricotrail.membership import MEMORY_PREFIX, SEPARATOR
+from apricotrail.membership import MEMORY_LOG_PREFIX, REPLICA_ID_SEPARATOR
 from apricotrail.wire.generated.ttypes import ChangeMember
 
 __all__ = [
@@ -50,12 +50,12 @@
     >>> make_replica_id("pipa-1", "c0ffee")
     'pipa-1#c0ffee'
     """
-    return f"{name}{SEPARATOR}{identity}"
+    return f"{name}{REPLICA_ID_SEPARATOR}{identity}"
 
 
 def make_memory_identity() -> str:
     """Return a new identity for a replica that keeps its log in memory only."""
-    return MEMORY_PREFIX + token_hex(8)
+    return MEMORY_LOG_PREFIX + token_hex(8)
 
 
 def apply_member_change(members: Members, change: ChangeMember) -> Members:
--- a/apricotrail/membership/__init__.py
+++ b/apricotrail/membership/__init__.py
@@ -7,8 +7,8 @@
     Freshness,
 )
 from apricotrail.membership._replicas import (
-    MEMORY_PREFIX,
-    SEPARATOR,
+    MEMORY_LOG_PREFIX,
+    REPLICA_ID_SEPARATOR,
     has_durable_log,
     replica_name,
 )
@@ -17,10 +17,10 @@
 
 __all__ = [
     "CONFIG_STALE_MS",
-    "MEMORY_PREFIX",
+    "MEMORY_LOG_PREFIX",
     "NEVER_CONFIRMED_AGE_MS",
     "NO_VIEW",
-    "SEPARATOR",
+    "REPLICA_ID_SEPARATOR",
     "Configuration",
     "Freshness",
     "Roster",
--- a/apricotrail/membership/_agent_links.py
+++ b/apricotrail/membership/_agent_links.py
@@ -76,7 +76,7 @@
         self._dialers_changed_ms = parts.clock()
 
     @property
-    def roles(self) -> tuple[str, str]:
+    def needed_roles(self) -> tuple[str, str]:
         """Roles of the processes that `adjust` needs: the agents and those that dial them."""
         return (self._parts.role, self._own.role)
 
@@ -105,6 +105,7 @@
             self._dialers_changed_ms = now_ms
         self._subset.update(self._dialers, self._agents)
         wanted = self._subset.list_wanted()
+        # In the order of the own scores, so that most of the first ones stay wanted.
         if now_ms - self._dialers_changed_ms < SETTLED_AFTER_MS:
             wanted = wanted[:MIN_AGENTS]
         dialed_before = len(self._dialed)
--- a/apricotrail/membership/_agent_subset.py
+++ b/apricotrail/membership/_agent_subset.py
@@ -41,10 +41,10 @@
         for name in self._agents.keys() - set(agents):
             del self._agents[name], self._ahead[name]
         for name in self._dialers.keys() - others:
-            self._count(self._dialers.pop(name), -1)
+            self._count_dialer(self._dialers.pop(name), -1)
         for name in others - self._dialers.keys():
             self._dialers[name] = _hash_name(name)
-            self._count(self._dialers[name], 1)
+            self._count_dialer(self._dialers[name], 1)
         for name in set(agents) - self._agents.keys():
             agent_hash = self._agents[name] = _hash_name(name)
             own_score = _score(self._own_hash, agent_hash)
@@ -61,7 +61,8 @@
         wanted = [name for name, ahead in self._ahead.items() if ahead < per_agent]
         return sorted(wanted, key=lambda it: -_score(self._own_hash, self._agents[it]))
 
-    def _count(self, dialer_hash: int, change: int) -> None:
+    def _count_dialer(self, dialer_hash: int, change: int) -> None:
+        """Add `change` to the count of each agent for which a dialing process is ahead."""
         for name, agent_hash in self._agents.items():
             if _score(dialer_hash, agent_hash) > _score(self._own_hash, agent_hash):
                 self._ahead[name] += change
@@ -72,4 +73,5 @@
 
 
 def _score(dialer_hash: int, agent_hash: int) -> int:
+    """Return a number that orders the dialing processes anew for each agent."""
     return (dialer_hash ^ agent_hash) * _MULTIPLIER % _PRIME
--- a/apricotrail/membership/_replicas.py
+++ b/apricotrail/membership/_replicas.py
@@ -1,9 +1,9 @@
 """Ids of control replicas: the name of the process and the identity of the log that it keeps."""
 
-__all__ = ["MEMORY_PREFIX", "SEPARATOR", "has_durable_log", "replica_name"]
+__all__ = ["MEMORY_LOG_PREFIX", "REPLICA_ID_SEPARATOR", "has_durable_log", "replica_name"]
 
-SEPARATOR = "#"
-MEMORY_PREFIX = "memory-"
+REPLICA_ID_SEPARATOR = "#"
+MEMORY_LOG_PREFIX = "memory-"
 
 
 def replica_name(replica_id: str) -> str:
@@ -14,7 +14,7 @@
     >>> replica_name("pipa-1#c0ffee")
     'pipa-1'
     """
-    return replica_id.partition(SEPARATOR)[0]
+    return replica_id.partition(REPLICA_ID_SEPARATOR)[0]
 
 
 def has_durable_log(replica_id: str) -> bool:
@@ -25,4 +25,4 @@
     >>> has_durable_log("pipa-1#c0ffee"), has_durable_log("pipa-2#memory-c0ffee")
     (True, False)
     """
-    return not replica_id.partition(SEPARATOR)[2].startswith(MEMORY_PREFIX)
+    return not replica_id.partition(REPLICA_ID_SEPARATOR)[2].startswith(MEMORY_LOG_PREFIX)
--- a/apricotrail/membership/_roster.py
+++ b/apricotrail/membership/_roster.py
@@ -154,7 +154,7 @@
         if self._agents is not None:
             listed = [it for nodes in self._nodes_by_replica.values() for it in nodes.values()]
             self._agents.adjust(listed, self._has_contact(now_ms))
-        self._choose_replicas(now_ms)
+        self._adjust_replica_links(now_ms)
         if now_ms - self._forgot_ms >= FORGET_INTERVAL_MS:
             self._forgot_ms = now_ms
             self.forget_old()
@@ -266,7 +266,7 @@
     def _has_contact(self, now_ms: float) -> bool:
         return now_ms - self.quorum_contact_ms() < MAX_CONTACT_AGE_MS
 
-    def _choose_replicas(self, now_ms: float) -> None:
+    def _adjust_replica_links(self, now_ms: float) -> None:
         """Close links to replicas that others make needless; without others, dial the seeds."""
         durable = [link for link in self.list_control() if has_durable_log(link.peer.name)]
         if durable:
@@ -294,7 +294,7 @@
         )
         if followed is None or is_nearer:
             self._follow(link)
-        roles = self._agents.roles if self._agents is not None else ()
+        roles = self._agents.needed_roles if self._agents is not None else ()
         link.send(NodesRequest(["control", *roles]))
         # Contact with the replica counts from the first heartbeat that it echoes.
         link.send_heartbeat()
--- a/apricotrail/queues/_registry.py
+++ b/apricotrail/queues/_registry.py
@@ -152,7 +152,10 @@
         self.by_agent.pop(agent, None)
 
     def list_usable(self, pool: str) -> list[RunnerStatus]:
-        """Return the runners of a pool that accept work and whose last report is recent."""
+        """Return the runners of a pool that accept work and whose last report is recent.
+
+        Those whose link is about to be closed are left out.
+        """
         now_ms = self._clock()
         return [
             runner
