Logs: why a runner is silent, and how often a task was lost

runner_silent says whether calls were refused or timed out, run_ended how many runs of the task were lost.

--- a/apricotrail/queues/_dispatcher.py
+++ b/apricotrail/queues/_dispatcher.py
@@ -533,6 +533,7 @@
                 self._forget_if_ended(job)
             return
         task.phase = TaskPhase.WAITING
+        task.losses += outcome.state == RunState.LOST
         job.may_have_run = job.may_have_run or outcome.state != RunState.NOT_RUN
         self.metrics.retries.add(reason)
         emit(
@@ -546,6 +547,7 @@
             run_ms=outcome.run_ms,
             waited_ms=outcome.waited_ms,
             failures=task.failures,
+            losses=task.losses,
         )
         # The runner has seen a higher number of a run; the next one must be above it.
         if outcome.reason == RunReason.SUPERSEDED:
--- a/apricotrail/queues/_jobs.py
+++ b/apricotrail/queues/_jobs.py
@@ -117,7 +117,18 @@
 class Task:
     """One task of a job, its latest run, and the agents where earlier runs did not succeed."""
 
-    __slots__ = ("agent", "avoid", "failures", "index", "name", "phase", "run", "sent_ms", "step")
+    __slots__ = (
+        "agent",
+        "avoid",
+        "failures",
+        "index",
+        "losses",
+        "name",
+        "phase",
+        "run",
+        "sent_ms",
+        "step",
+    )
 
     def __init__(self, name: str, step: int, index: int) -> None:
         self.name = name
@@ -126,6 +137,7 @@
         self.phase = TaskPhase.WAITING
         self.run = 0
         self.failures = 0
+        self.losses = 0
         self.agent = ""
         self.sent_ms = 0.0
         self.avoid: set[str] = set()
--- a/apricotrail/runners/_driver.py
+++ b/apricotrail/runners/_driver.py
@@ -31,7 +31,8 @@
     11101,
     "runner_silent",
     Level.WARNING,
-    "Calls to the runner get no answer; it may be down or cut off.",
+    "Calls to the runner get no answer. Cause refused: it broke or refused the call at once, so it "
+    "is probably down; timeout: it may be cut off, paused or slow.",
 )
 RUNNER_BACK = declare_event(11102, "runner_back", Level.INFO, "The runner answers calls again.")
 FENCE_RAISED = declare_event(
@@ -201,7 +202,7 @@
             self._raise_fence()
             return False
         if not isinstance(answer, Listing):
-            self._set_silent(True)
+            self._set_silent(True, self._find_cause(asked_ms, call))
             return False
         self._set_silent(False)
         if answer.boot >= gate.boot:
@@ -265,7 +266,15 @@
         self._gate.fence += FENCE_STEP
         emit(FENCE_RAISED, fence=self._gate.fence)
 
-    def _set_silent(self, silent: bool) -> None:
-        if silent != self._is_silent:
-            self._is_silent = silent
-            emit(RUNNER_SILENT if silent else RUNNER_BACK, boot=self._gate.boot)
+    def _find_cause(self, asked_ms: float, call: Call) -> str:
+        """Return why a call got no answer: one that fails before its timeout was refused."""
+        return "refused" if self._clock() - asked_ms < call.timeout_ms else "timeout"
+
+    def _set_silent(self, silent: bool, cause: str = "") -> None:
+        if silent == self._is_silent:
+            return
+        self._is_silent = silent
+        if silent:
+            emit(RUNNER_SILENT, boot=self._gate.boot, cause=cause)
+        else:
+            emit(RUNNER_BACK, boot=self._gate.boot)
