Agents: order nothing at a runner that refuses calls

What callers saw: tasks that were placed after a runner had crashed were lost with it, and waited for the lapse of its leases.

An order whose connection was refused counted as one that may have been carried out. Such orders also moved the time on at which the leases count as lapsed, so the other lost runs waited longer, too.

Change: from the second refused call in a row on, the agent starts nothing, refuses its queue as not run and tells the dispatchers at once, until the runner answers. A start of which not one byte was sent has not run. One reset connection closes nothing, and calls that time out are treated as before.

Tests: gate, driver, port, and the load in test_deadly_tasks; with the former behaviour patched in, test_runs_ordered_after_a_crash_are_not_lost ends with open jobs in place of 20 completed ones.

--- a/apricotrail/runners/_application.py
+++ b/apricotrail/runners/_application.py
@@ -121,6 +121,7 @@
         )
         self.endpoint.heartbeat_ms_by_role["control"] = CONTROL_HEARTBEAT_MS
         self.gate.losses.announce = self._announce_loss
+        self.gate.notify_closed = self._send_load_to_owners
         self.gate.quorum_contact_ms = self.roster.quorum_contact_ms
         # The zone may be out of service, so no run starts before the first configuration arrives.
         self.gate.zone_open = False
--- a/apricotrail/runners/_driver.py
+++ b/apricotrail/runners/_driver.py
@@ -202,9 +202,7 @@
             self._raise_fence()
             return False
         if not isinstance(answer, Listing):
-            is_refused = self._clock() - asked_ms < call.timeout_ms
-            if is_refused:
-                gate.losses.note_refused_call()
+            is_refused = self._note_failure(asked_ms, call)
             self._set_silent(True, "refused" if is_refused else "timeout")
             return False
         self._set_silent(False)
@@ -218,17 +216,25 @@
     async def _start(self, order: Order) -> None:
         gate, key = self._gate, (order.task, order.run)
         reply = StartReply.UNANSWERED
+        may_be_delivered = False
         for _ in range(START_TRIES):
-            gate.record_lease_extension(self._clock())
+            asked_ms = self._clock()
+            gate.record_lease_extension(asked_ms)
             call = self._make_call(START_TIMEOUT_MS, True)
             result = await self._call_start(call, order)
             reply = result.reply
             if result.clock_ms is not None and call.boot == gate.boot:
                 self._record_clock(result.clock_ms)
+            may_be_delivered = may_be_delivered or reply is not StartReply.UNDELIVERED
             if reply is StartReply.FENCED:
                 self._raise_fence()
+            elif reply is StartReply.UNDELIVERED:
+                self._note_failure(asked_ms, call)
+                break
             elif reply is not StartReply.TOO_LATE and reply is not StartReply.UNANSWERED:
                 break
+        if reply is StartReply.UNDELIVERED and may_be_delivered:
+            reply = StartReply.UNANSWERED
         gate.receive_start_reply(key, reply)
 
     async def _call_start(self, call: Call, order: Order) -> StartResult:
@@ -269,6 +275,13 @@
         self._gate.fence += FENCE_STEP
         emit(FENCE_RAISED, fence=self._gate.fence)
 
+    def _note_failure(self, asked_ms: float, call: Call) -> bool:
+        """Record a call without an answer; return whether it was refused, not left to time out."""
+        is_refused = self._clock() - asked_ms < call.timeout_ms
+        if is_refused:
+            self._gate.record_refused_call()
+        return is_refused
+
     def _set_silent(self, silent: bool, cause: str = "") -> None:
         if silent == self._is_silent:
             return
--- a/apricotrail/runners/_gate.py
+++ b/apricotrail/runners/_gate.py
@@ -169,6 +169,8 @@
         Highest number of an end listed in this boot, 0 for none.
     fence : int
         Present fencing token.
+    notify_closed : callable
+        Called when nothing can be started for now, since the runner is down.
     quorum_contact_ms : callable
         Gives the latest time, on the own clock, at which a majority of control was reachable; until
         it is set, the present time.
@@ -195,6 +197,7 @@
         self.metrics = make_metrics("runner")
         self.highest_end = 0
         self.fence = fence
+        self.notify_closed: Callable[[], object] = lambda: None
         self.quorum_contact_ms: Callable[[], float] = clock
         self._unconfirmed = UnconfirmedEnds()
         self._silent_since_ms: dict[Owner, float] = {}
@@ -286,7 +289,7 @@
             self._cancel_unanswered_start(run)
         elif reply is StartReply.SUPERSEDED:
             self._finish(run, RunState.NOT_RUN, RunReason.SUPERSEDED)
-        elif reply is StartReply.OTHER_BOOT:
+        elif reply is StartReply.OTHER_BOOT or reply is StartReply.UNDELIVERED:
             self._finish(run, RunState.NOT_RUN, RunReason.CLOSED)
         elif reply is StartReply.UNHEALTHY:
             self._log_health_change(self.health.record_failure(_job_of(run)))
@@ -304,6 +307,17 @@
         else:
             self._order(Order(OrderKind.STOP, *key))
 
+    def record_refused_call(self) -> None:
+        """Record a call that the runner refused or broke; from the second on, nothing is started.
+
+        The queued runs are refused, so that their owners place them elsewhere at once.
+        """
+        was_down = self.losses.is_down
+        self.losses.note_refused_call()
+        if self.losses.is_down and not was_down:
+            self._refuse_queued(RunReason.CLOSED)
+            self.notify_closed()
+
     def record_lease_extension(self, asked_ms: float) -> None:
         """Record a call that may have extended the leases, whether it was answered or not.
 
@@ -582,6 +596,7 @@
             and self.zone_open
             and not self.stopping
             and not self._in_doubt
+            and not self.losses.is_down
             and self._has_listing
             and self._clock() - self._listing_asked_ms < self._limits.listing_stale_ms
         )
--- a/apricotrail/runners/_losses.py
+++ b/apricotrail/runners/_losses.py
@@ -15,6 +15,7 @@
 __all__ = ["RunnerLosses"]
 
 MAX_LOSSES = 32  # a runner that crashes is away for seconds
+DOWN_AFTER_REFUSALS = 2  # a connection that is reset breaks one call, the next one opens another
 KEPT_MS = 60_000.0  # longer than a job waits for its answer
 
 RUNNER_LOST = declare_event(
@@ -44,15 +45,23 @@
         self._clock = clock
         self.announce: Callable[[RunnerLost], None] = lambda lost: None
         self._refused_since_ms: float | None = None
+        self._refusals = 0
         self._recent: deque[tuple[float, RunnerLost]] = deque(maxlen=MAX_LOSSES)
 
     def note_refused_call(self) -> None:
         """Record that the runner refused or broke a call, so that it may be down."""
+        self._refusals += 1
         if self._refused_since_ms is None:
             self._refused_since_ms = self._clock()
 
+    @property
+    def is_down(self) -> bool:
+        """Whether the runner refuses all calls, so that it is probably down."""
+        return self._refusals >= DOWN_AFTER_REFUSALS
+
     def note_answer(self) -> None:
         """Record that the runner answered a call."""
+        self._refusals = 0
         self._refused_since_ms = None
 
     def record(self, boot: int, runs: list[Run], heard_ms: float, is_down: bool = False) -> None:
--- a/apricotrail/runners/tests/test_driver.py
+++ b/apricotrail/runners/tests/test_driver.py
@@ -19,6 +19,7 @@
 )
 from apricotrail.runners._gate import GateLimits
 from apricotrail.runners.tests.harness import BOOT, GateCase, make_start
+from apricotrail.wire.generated.ttypes import RunState
 
 KEY = ("j.0.0.0", 1)
 
@@ -78,6 +79,23 @@
         self.assertEqual(len(case.made("stop")), 1)
         self.assertEqual(case.reports, [])
 
+    # Guards against runs that are lost with a runner that was down before they were ordered.
+    async def test_start_that_was_not_sent_has_not_run(self):
+        case = DriverCase(starts=[StartResult(StartReply.UNDELIVERED)] * 3)
+        case.start(reply=None)
+        await case.finish_calls()
+        self.assertEqual(len(case.made("start")), 1)
+        self.assertEqual(case.outcomes(), [(*KEY, RunState.NOT_RUN)])
+
+    # Guards against a run reported as not run although an earlier call may have started it.
+    async def test_start_whose_first_call_may_have_arrived_is_stopped(self):
+        replies = (StartReply.UNANSWERED, StartReply.UNDELIVERED)
+        case = DriverCase(starts=[StartResult(reply) for reply in replies])
+        case.start(reply=None)
+        await case.finish_calls()
+        self.assertEqual(len(case.made("stop")), 1)
+        self.assertEqual(case.reports, [])
+
     async def test_fenced_start_is_repeated_with_a_higher_token(self):
         case = DriverCase(starts=[StartResult(StartReply.FENCED, 500)])
         case.start(reply=None)
--- a/apricotrail/runners/tests/test_gate.py
+++ b/apricotrail/runners/tests/test_gate.py
@@ -310,6 +310,33 @@
                 self.assertFalse(case.gate.describe_load(0).accepting)
 
 
+class TestRefusedCalls(unittest.TestCase):
+    # Guards against runs that are ordered at a runner after it has crashed, and lost with it.
+    def test_runner_that_refuses_calls_gets_no_runs_until_it_answers(self):
+        case = GateCase()
+        for number in range(11):
+            case.start(make_start(f"j.0.0.{number}", wait_ms=400))
+        closed = []
+        case.gate.notify_closed = lambda: closed.append(case.gate.describe_load(0).accepting)
+        case.gate.record_refused_call()
+        self.assertEqual(case.outcomes(), [])
+        case.gate.record_refused_call()
+        self.assertEqual(case.outcomes(), [("j.0.0.10", 1, RunState.NOT_RUN)])
+        self.assertEqual(closed, [False])
+        case.start(make_start("k.0.0.0"), reply=None)
+        self.assertEqual(case.outcomes()[-1], ("k.0.0.0", 1, RunState.NOT_RUN))
+        case.list([(f"j.0.0.{number}", 1, 1) for number in range(10)])
+        self.assertTrue(case.gate.describe_load(0).accepting)
+
+    # Guards against a reset connection that closes a runner that answers.
+    def test_one_broken_call_closes_nothing(self):
+        case = GateCase()
+        for _ in range(3):
+            case.gate.record_refused_call()
+            self.assertTrue(case.gate.describe_load(0).accepting)
+            case.list()
+
+
 class TestHealth(unittest.TestCase):
     def fail(self, case, job):
         case.start(make_start(f"{job}.0.0.0"))
--- a/apricotrail/tests/fleet.py
+++ b/apricotrail/tests/fleet.py
@@ -74,6 +74,7 @@
         self.gate = RunGate(fleet.clock, GateLimits(), self.order, self.report, fence=1)
         self.gate.losses.announce = self.announce_loss
         self.replies: deque[tuple[RunKey, StartReply]] = deque()
+        self.lost_runs = 0
         self.unanswered_stops: list[RunKey] = []
         self.lease_end_ms = 0.0
 
@@ -144,7 +145,7 @@
 
     def crash(self) -> None:
         self.fleet.crashes.append((self.fleet.clock(), self.name))
-        self.gate.losses.note_refused_call()  # the call that waits for ends breaks
+        self.gate.record_refused_call()  # the call that waits for ends breaks
         self.running.clear()
         self.ended.clear()
         self.ends = 0
@@ -176,7 +177,7 @@
         for key in unanswered:
             self.gate.receive_stop_reply(key, False)
         if not self.is_up:
-            self.gate.losses.note_refused_call()
+            self.gate.record_refused_call()
         if not self.is_reachable:
             return
         if self.sequence == 0:
@@ -267,7 +268,7 @@
 
     def find_reply(self, runner: StandInRunner) -> StartReply:
         """Return what an agent learns of a start order that did not reach its runner."""
-        return StartReply.UNANSWERED
+        return StartReply.UNANSWERED if runner.is_up else StartReply.UNDELIVERED
 
     def check_start(self, runner: StandInRunner, key: RunKey) -> None:
         """Record a task that runs twice, and a runner over its capacity."""
--- a/apricotrail/tests/test_deadly_tasks.py
+++ b/apricotrail/tests/test_deadly_tasks.py
@@ -113,6 +113,17 @@
         self.assertEqual(fleet.answers["j"].result().state, JobState.COMPLETED)
         self.assertEqual(fleet.broken, [])
 
+    # Guards against tasks that are placed at a runner after it has crashed, and lost with it.
+    async def test_runs_ordered_after_a_crash_are_not_lost(self):
+        fleet = Fleet(runners=6)
+        fleet.deadly.add("d.0.0.0")
+        fleet.submit(make_job("d"))
+        for number in range(20):
+            fleet.advance(20)
+            fleet.submit(make_job(f"n{number}", 2, budget_ms=1_200), f"d{number % 3}")
+        fleet.advance(900)
+        self.assertEqual(fleet.list_states(), {"completed": 20, "open": 1})
+
 
 class TestDeadlyDay(unittest.IsolatedAsyncioTestCase):
     # Guards against crashes that spread: refused, failed and late jobs of callers that did nothing.
