Agents: leases of a runner that does not answer are not renewed

What callers saw: a run that was alone at a runner that crashed, or was cut off, was not started elsewhere for as long as the runner was away (3.0 to 3.5 s after a crash, longer in a cut).

Cause: every call counts as one that may have extended the leases, and the agent went on renewing at each poll while the runner was gone, so the leases never counted as lapsed. It came to an end only by accident, once a start without an answer had led to a stop without an answer. Class: a wait that the one who waits prolongs itself.

Change: leases are renewed only while the runner has answered within 0.3 s and refuses no calls. A lease lasts 1 s, so several calls may be lost before it lapses.

test_run_alone_at_a_lost_runner_is_started_elsewhere_soon failed before, for the crash and the cut.

--- a/apricotrail/runners/_gate.py
+++ b/apricotrail/runners/_gate.py
@@ -109,6 +109,9 @@
         Silence of an owner after which its runs are stopped.
     stop_overdue_ms : float
         Time without an answer to a stop order after which leases are no longer renewed.
+    renew_silent_ms : float
+        Time without a listing after which leases are no longer renewed. A call may be lost, and
+        the lease outlasts several.
     stall_ms : float
         Time without progress after which a run is stopped.
     claim_window_ms : float
@@ -126,6 +129,7 @@
 
     owner_silent_ms: float = 500.0
     stop_overdue_ms: float = 250.0
+    renew_silent_ms: float = 300.0
     stall_ms: float = 700.0
     claim_window_ms: float = 900.0
     in_doubt_after_ms: float = 750.0
@@ -208,6 +212,7 @@
         # A former agent may have extended the leases until just now.
         self._lease_end_ms = clock() + limits.lease_ms
         self._listing_asked_ms = clock()
+        self._heard_ms = clock()
         self._created_ms = clock()
         self._has_listing = False
         self._unseen_claims: list[Run] = []
@@ -261,7 +266,7 @@
             return
         self._enter_boot(listing.boot)
         self.losses.note_answer()
-        now_ms = self._clock()
+        now_ms = self._heard_ms = self._clock()
         self._listing_asked_ms = max(self._listing_asked_ms, asked_ms)
         for row in listing.ended:
             if row.number > self.highest_end:
@@ -484,11 +489,14 @@
     def may_renew(self) -> bool:
         """Return whether leases may be renewed.
 
-        They may be while something runs, no stop is overdue and no end is in doubt.
+        They may be while something runs, the runner answers, no stop is overdue and no end is in
+        doubt. Each call may renew the leases even if it is not answered, so without this the leases
+        of a runner that is gone would never count as lapsed.
         """
-        if self._in_doubt:
-            return False
         now_ms = self._clock()
+        is_silent = now_ms - self._heard_ms >= self._limits.renew_silent_ms
+        if self._in_doubt or is_silent or self.losses.is_down:
+            return False
         has_runs = False
         for run in self._runs.values():
             if run.phase is RunPhase.STOPPING:
--- a/apricotrail/tests/fleet.py
+++ b/apricotrail/tests/fleet.py
@@ -176,15 +176,17 @@
         unanswered, self.unanswered_stops = self.unanswered_stops, []
         for key in unanswered:
             self.gate.receive_stop_reply(key, False)
+        renews = self.gate.may_renew()
+        if renews:
+            self.gate.record_lease_extension(now_ms)
         if not self.is_up:
             self.gate.record_refused_call()
         if not self.is_reachable:
             return
         if self.sequence == 0:
             self.announce()
-        if self.gate.may_renew() or self.running:
+        if renews:
             self.lease_end_ms = now_ms + LEASE_MS
-            self.gate.record_lease_extension(now_ms)
         rows = tuple(
             RunningRow(*key, int(1 + (now_ms - self.started_ms[key]) // 10)) for key in self.running
         )
--- a/apricotrail/tests/test_deadly_tasks.py
+++ b/apricotrail/tests/test_deadly_tasks.py
@@ -124,6 +124,24 @@
         fleet.advance(900)
         self.assertEqual(fleet.list_states(), {"completed": 20, "open": 1})
 
+    # Guards against leases that count as renewed by calls that a lost runner can't have received.
+    async def test_run_alone_at_a_lost_runner_is_started_elsewhere_soon(self):
+        for is_cut in (False, True):
+            with self.subTest(is_cut=is_cut):
+                fleet = Fleet(runners=4)
+                fleet.submit(make_job("j", run_ms=1_800), run_ms=1_800)
+                fleet.advance(400)
+                runner = fleet.runners[fleet.started[0][1]]
+                lost_ms = fleet.clock()
+                if is_cut:
+                    runner.cut_until_ms = lost_ms + 6_000
+                else:
+                    runner.crash()
+                fleet.advance(4_000)
+                self.assertEqual(fleet.list_states(), {"completed": 1})
+                self.assertLessEqual(fleet.started[1][0] - lost_ms, 1_500.0)
+                self.assertEqual(fleet.broken, [])
+
 
 class TestDeadlyDay(unittest.IsolatedAsyncioTestCase):
     # Guards against crashes that spread: refused, failed and late jobs of callers that did nothing.
