Queues: suspects wait while a quarter of the runners is down

Change: runners that have crashed count, beside those that run suspects, against the quarter of the pool that suspects may take.

Ruled out: no second start for kinds with a short budget, since most suspects are innocent.

--- a/apricotrail/queues/_crashes.py
+++ b/apricotrail/queues/_crashes.py
@@ -158,6 +158,10 @@
         confirmed = sum(it.crash.is_confirmed for it in presences)
         return Restart.NEVER if confirmed >= GIVE_UP_CRASHES else Restart.LATER
 
+    def count_down(self) -> int:
+        """Return how many runners have crashed, by all that is known, and are not back yet."""
+        return sum(any(crash.is_down for crash in crashes) for crashes in self._open.values())
+
     def list_lost_at(self, task: str) -> list[str]:
         """Return the agents whose runners seem to have crashed under a task."""
         return [it.crash.agent for it in self._list_presences(task)]
--- a/apricotrail/queues/_dispatcher.py
+++ b/apricotrail/queues/_dispatcher.py
@@ -495,7 +495,9 @@
                 continue
             task.is_isolated = restarts[task.name] is Restart.ISOLATED
             if task.is_isolated:
-                runner = self.registry.choose_isolated(job.queue.pool, step, task)
+                runner = self.registry.choose_isolated(
+                    job.queue.pool, step, task, self.crashes.count_down()
+                )
             else:
                 runner = self._choose(job, usable, step, task)
             if runner is not None:
--- a/apricotrail/queues/_registry.py
+++ b/apricotrail/queues/_registry.py
@@ -24,7 +24,9 @@
 SLOW_FACTOR = 2.2
 MIN_FULL_WAIT_MS = 10.0  # shortest wait expected at a full runner, as reports are older than that
 MIN_SPACING_MS = 5.0  # shortest time expected between two starts at a full runner
-MAX_ISOLATING_SHARE = 0.25  # of the runners may run isolated tasks, and at least one
+# Share of the runners that suspects may take from other tasks: by running there alone, or by having
+# crashed them. At least one runner.
+MAX_ISOLATING_SHARE = 0.25
 UNREPORTED_RUN_MS = 400.0  # expected run time of an isolated start that no report includes yet
 WAIT_JITTER_MS = 15.0  # lets dispatchers with the same reports choose different runners
 
@@ -230,11 +232,14 @@
                 return self._choose_among(group, step, is_urgent)
         return None
 
-    def choose_isolated(self, pool: str, step: Step, task: Task) -> RunnerStatus | None:
+    def choose_isolated(
+        self, pool: str, step: Step, task: Task, down_count: int
+    ) -> RunnerStatus | None:
         """Return the runner for a task that must run alone, or None if it has to wait.
 
         The healthy runner that is idle soonest is chosen, if possible not one in ``task.avoid``.
-        Only `MAX_ISOLATING_SHARE` of the runners are kept from other tasks at a time.
+        No further runner is kept from other tasks for it while `MAX_ISOLATING_SHARE` of them are,
+        counting the `down_count` that have crashed: the task may crash this one, too.
         """
         healthy = [
             runner
@@ -242,7 +247,8 @@
             if runner.trials_left() < 0 and _fits(runner, step)
         ]
         isolating = [runner for runner in healthy if runner.is_isolating()]
-        is_limited = len(isolating) >= max(1, int(MAX_ISOLATING_SHARE * len(healthy)))
+        limit = max(1, int(MAX_ISOLATING_SHARE * (len(healthy) + down_count)))
+        is_limited = len(isolating) + down_count >= limit
         candidates = isolating if is_limited else healthy
         elsewhere = [runner for runner in candidates if runner.agent not in task.avoid]
         return min(elsewhere or candidates, key=lambda it: it.idle_ms(), default=None)
--- a/apricotrail/queues/tests/harness.py
+++ b/apricotrail/queues/tests/harness.py
@@ -46,6 +46,8 @@
         "next_start_ms": 0,
         "urgent_start_ms": 0,
         "start_spacing_ms": 40,
+        "idle_ms": 0,
+        "isolated_runs": 0,
     }
     return RunnerLoad(**{**fields, **changes})
 
--- a/apricotrail/runners/tests/test_gate.py
+++ b/apricotrail/runners/tests/test_gate.py
@@ -310,6 +310,28 @@
                 self.assertFalse(case.gate.describe_load(0).accepting)
 
 
+class TestIsolatedRuns(unittest.TestCase):
+    # Guards against a suspected task that takes other runs along when it crashes the runner.
+    def test_isolated_run_starts_when_nothing_runs_and_nothing_starts_beside_it(self):
+        case = GateCase()
+        case.start(make_start("a.0.0.0"))
+        isolated = make_start("s.0.0.0", wait_ms=2_000)
+        isolated.isolated = True
+        case.start(isolated, reply=None)
+        case.start(make_start("b.0.0.0", wait_ms=400), reply=None)
+        self.assertEqual(case.ordered(OrderKind.START), [("a.0.0.0", 1)])
+        load = case.gate.describe_load(0)
+        self.assertEqual(load.isolated_runs, 1)
+        self.assertGreater(load.idle_ms, 0)
+        case.list(ended=[("a.0.0.0", 1, "done")])
+        self.assertEqual(case.ordered(OrderKind.START)[1:], [("s.0.0.0", 1)])
+        case.list([("s.0.0.0", 1, 1)])
+        self.assertEqual(len(case.ordered(OrderKind.START)), 2)
+        case.list(ended=[("s.0.0.0", 1, "done")])
+        self.assertEqual(case.ordered(OrderKind.START)[2:], [("b.0.0.0", 1)])
+        self.assertEqual(case.gate.describe_load(0).isolated_runs, 0)
+
+
 class TestRefusedCalls(unittest.TestCase):
     # Guards against runs that are ordered at a runner after it has crashed, and lost with it.
     def test_runner_that_refuses_calls_gets_no_runs_until_it_answers(self):
