Agents: queued runs that no longer fit a shrunk runner are refused at once

A runner's capacity may shrink while it runs. But a queued run that became larger than the runner stood at the head of its queue until its wait ended, up to 0.4 s, and kept the others from starting. The test test_queued_run_that_no_longer_fits_is_refused_at_once failed before.

--- a/apricotrail/runners/_gate.py
+++ b/apricotrail/runners/_gate.py
@@ -243,6 +243,7 @@
             )
         if report.leaving:
             self._refuse_queued(RunReason.CLOSED)
+        self._refuse_oversized()
         self._start_queued()
         return True
 
@@ -617,7 +618,7 @@
             return RunReason.CLOSED
         if self._records.highest_run(start.task) >= start.run:
             return RunReason.SUPERSEDED
-        if self.runner.cpu_millis < start.cpu_millis or self.runner.memory_mb < start.memory_mb:
+        if not self._fits_runner(start):
             return RunReason.FULL
         if self.health.allowed_trials() == 0:
             return RunReason.UNHEALTHY
@@ -780,6 +781,16 @@
         for run in [it for it in self._runs.values() if it.phase is RunPhase.QUEUED]:
             self._finish(run, RunState.NOT_RUN, reason)
 
+    def _refuse_oversized(self) -> None:
+        """Refuse the queued runs that no longer fit the runner, whose capacity may shrink."""
+        for run in [it for it in self._runs.values() if it.phase is RunPhase.QUEUED]:
+            if not self._fits_runner(run.start):
+                self._finish(run, RunState.NOT_RUN, RunReason.FULL)
+
+    def _fits_runner(self, start: RunStart) -> bool:
+        runner = self.runner
+        return start.cpu_millis <= runner.cpu_millis and start.memory_mb <= runner.memory_mb
+
     def _refuse(self, run: Run, reason: int) -> None:
         outcome = self._make_outcome(run, RunState.NOT_RUN, reason, 0.0)
         self._records.add_outcome(outcome)
--- a/apricotrail/runners/tests/test_gate.py
+++ b/apricotrail/runners/tests/test_gate.py
@@ -86,6 +86,42 @@
         self.assertEqual(case.ordered(START), [KEY])
 
 
+class TestChangedCapacity(unittest.TestCase):
+    # Guards against starts over the capacity of a runner that has shrunk.
+    def test_nothing_starts_over_a_capacity_that_has_shrunk(self):
+        case = GateCase()
+        running = [(f"a.0.0.{number}", 1) for number in range(6)]
+        for task, _ in running:
+            case.start(make_start(task))
+        case.gate.announce(make_report(cpu_millis=8_000, sequence=2))
+        self.assertEqual(case.gate.describe_load(0).free_cpu_millis, 8_000 - 6 * 1_600)
+        case.start(make_start("b.0.0.0", wait_ms=400), reply=None)
+        ended = [(*running[0], "done"), (*running[1], "stopped")]
+        case.list([(*run, 1) for run in running[1:]], ended[:1])
+        self.assertEqual(len(case.ordered(OrderKind.START)), 6)
+        case.list([(*run, 1) for run in running[2:]], ended[1:])
+        self.assertEqual(case.ordered(OrderKind.START)[6:], [("b.0.0.0", 1)])
+
+    # Guards against a queue that stands behind a run that no longer fits.
+    def test_queued_run_that_no_longer_fits_is_refused_at_once(self):
+        case = GateCase()
+        case.start(make_start("a.0.0.0", cpu=4_000))
+        case.start(make_start("b.0.0.0", cpu=14_000, wait_ms=400), reply=None)
+        case.start(make_start("c.0.0.0", cpu=1_600, wait_ms=400, due_ms=2_000), reply=None)
+        case.gate.announce(make_report(cpu_millis=8_000, sequence=2))
+        self.assertEqual(case.outcomes(), [("b.0.0.0", 1, RunState.NOT_RUN)])
+        self.assertEqual(case.ordered(OrderKind.START)[1:], [("c.0.0.0", 1)])
+
+    def test_capacity_that_has_grown_is_used_at_once(self):
+        case = GateCase()
+        case.gate.announce(make_report(cpu_millis=2_000, sequence=2))
+        case.start(make_start("a.0.0.0"))
+        case.start(make_start("b.0.0.0", wait_ms=400), reply=None)
+        self.assertEqual(len(case.ordered(OrderKind.START)), 1)
+        case.gate.announce(make_report(sequence=3))
+        self.assertEqual(len(case.ordered(OrderKind.START)), 2)
+
+
 class TestCertainEnds(unittest.TestCase):
     def test_stop_is_ordered_again_until_it_is_answered(self):
         case = GateCase()
