Queues: a runner that stays away no longer holds suspects back; explain shows lost runners

Old losses are dropped.

apricotrail explain shows for each lost run how long it had been ordered, how many runs were beside it and whether the runner was down.

--- a/apricotrail/cli/_lives.py
+++ b/apricotrail/cli/_lives.py
@@ -57,14 +57,27 @@
             fields = json.loads(match["body"])
         except ValueError:
             continue
-        names = {fields.get("job"), str(fields.get("task", "")).partition(".")[0]}
-        if job in names and len(found) < MAX_LINES:
-            # A collector's prefix ends with the name of the process.
-            words = match["prefix"].split()
-            found.append(LogLine(words[-1] if words else source, fields.get("event", ""), fields))
+        # A collector's prefix ends with the name of the process.
+        words = match["prefix"].split()
+        for about in _list_subjects(fields):
+            names = {about.get("job"), str(about.get("task", "")).partition(".")[0]}
+            if job in names and len(found) < MAX_LINES:
+                found.append(LogLine(words[-1] if words else source, about.get("event", ""), about))
     return found
 
 
+def _list_subjects(fields: dict[str, Any]) -> list[dict[str, Any]]:
+    """Return the fields of a line; those of a lost runner once for each run that it names."""
+    if fields.get("event") != "runner_lost":
+        return [fields]
+    runs = fields.get("runs", [])
+    shared = {name: value for name, value in fields.items() if name != "runs"}
+    return [
+        {**shared, "task": task, "run": run, "running_ms": running_ms, "beside": len(runs) - 1}
+        for task, run, running_ms in runs
+    ]
+
+
 def order_lines(lines: list[LogLine]) -> list[LogLine]:
     """Return the lines of one job, each agent's between the sending and the end of its run."""
     about_runs: dict[RunKey, list[LogLine]] = {}
--- a/apricotrail/queues/_crashes.py
+++ b/apricotrail/queues/_crashes.py
@@ -23,6 +23,7 @@
 SUSPECT_MS = 50
 GIVE_UP_CRASHES = 2
 MAX_CRASHES = 3  # a task is never started again after so many, whether they are confirmed or not
+DOWN_MS = 5_000.0  # a runner that is away for longer may never come back
 KEPT_MS = 60_000.0  # longer than a job waits for its answer
 MAX_JOBS = 4_096
 
@@ -47,6 +48,8 @@
     ----------
     agent, boot : str, int
         The runner's agent, and the boot of the runner that was lost.
+    noted_ms : float
+        When it was lost, on the dispatcher's clock.
 
     Attributes
     ----------
@@ -58,11 +61,12 @@
         The task that is known to have caused it, empty if none is.
     """
 
-    __slots__ = ("agent", "boot", "cause", "is_cleared", "is_confirmed", "is_down")
+    __slots__ = ("agent", "boot", "cause", "is_cleared", "is_confirmed", "is_down", "noted_ms")
 
-    def __init__(self, agent: str, boot: int) -> None:
+    def __init__(self, agent: str, boot: int, noted_ms: float) -> None:
         self.agent = agent
         self.boot = boot
+        self.noted_ms = noted_ms
         self.is_down = False
         self.is_confirmed = False
         self.is_cleared = False
@@ -109,11 +113,11 @@
 
     def note_loss(self, agent: str, lost: RunnerLost) -> None:
         """Record which tasks were at the runner of `agent` when it was lost."""
-        crash = self._find_crash(agent, lost.boot)
+        noted_ms = self._clock() - (lost.age_ms or 0)
+        crash = self._find_crash(agent, lost.boot, noted_ms)
         crash.is_down |= bool(lost.is_down)
-        until_ms = self._clock() - (lost.age_ms or 0) + KEPT_MS
         for run in lost.runs or ():
-            _, tasks = self._jobs.setdefault(_job_of(run.task), (until_ms, {}))
+            _, tasks = self._jobs.setdefault(_job_of(run.task), (noted_ms + KEPT_MS, {}))
             presences = tasks.setdefault(run.task, [])
             if any(it.crash.agent == agent and it.crash.boot == lost.boot for it in presences):
                 continue
@@ -159,8 +163,12 @@
         return Restart.NEVER if confirmed >= GIVE_UP_CRASHES else Restart.LATER
 
     def count_down(self) -> int:
-        """Return how many runners have crashed, by all that is known, and are not back yet."""
-        return sum(any(crash.is_down for crash in crashes) for crashes in self._open.values())
+        """Return how many runners have crashed, by all that is known, and may be back soon."""
+        since_ms = self._clock() - DOWN_MS
+        return sum(
+            any(crash.is_down and crash.noted_ms > since_ms for crash in crashes)
+            for crashes in self._open.values()
+        )
 
     def list_lost_at(self, task: str) -> list[str]:
         """Return the agents whose runners seem to have crashed under a task."""
@@ -171,13 +179,17 @@
         now_ms = self._clock()
         while self._jobs and next(iter(self._jobs.values()))[0] <= now_ms:
             self._jobs.popitem(last=False)
+        for agent, crashes in list(self._open.items()):
+            crashes[:] = [crash for crash in crashes if now_ms - crash.noted_ms < KEPT_MS]
+            if not crashes:
+                del self._open[agent]
 
-    def _find_crash(self, agent: str, boot: int) -> _Crash:
+    def _find_crash(self, agent: str, boot: int, noted_ms: float) -> _Crash:
         """Return the open loss of a runner's boot, a new one if there is none."""
         for crash in self._open.setdefault(agent, []):
             if crash.boot == boot:
                 return crash
-        crash = _Crash(agent, boot)
+        crash = _Crash(agent, boot, noted_ms)
         self._open[agent].append(crash)
         return crash
 
--- a/apricotrail/queues/tests/test_crashes.py
+++ b/apricotrail/queues/tests/test_crashes.py
@@ -3,7 +3,7 @@
 import unittest
 
 from apricotrail.clocks import VirtualClock
-from apricotrail.queues._crashes import KEPT_MS, CrashHistory, Restart
+from apricotrail.queues._crashes import DOWN_MS, KEPT_MS, CrashHistory, Restart
 from apricotrail.queues._jobs import JobState
 from apricotrail.queues.tests.harness import DispatchCase, make_request
 from apricotrail.wire.generated.ttypes import LostRun, RunnerLost, RunState
@@ -86,6 +86,14 @@
             self.history.note_boot("x", 2, True)
         self.assertEqual(self.history.list_lost_at(TASK), ["x"])
 
+    # Guards against suspects that wait for ever for a runner that was lost for good.
+    def test_runner_that_stays_away_no_longer_counts_as_down(self):
+        self.lose("x", (TASK, RECENT_MS))
+        self.lose("y", (NEIGHBOUR, RECENT_MS), is_down=False)
+        self.assertEqual(self.history.count_down(), 1)
+        self.clock.advance(DOWN_MS)
+        self.assertEqual(self.history.count_down(), 0)
+
     def test_old_losses_are_forgotten(self):
         self.lose("x", (TASK, RECENT_MS))
         self.clock.advance(KEPT_MS)
--- a/apricotrail/runners/_losses.py
+++ b/apricotrail/runners/_losses.py
@@ -23,7 +23,8 @@
     "runner_lost",
     Level.WARNING,
     "The runner crashed or was unreachable for a whole lease, and its runs are lost. Each run is "
-    "named with the time from the order of its start until the runner was lost.",
+    "named with its number and the time in ms from the order of its start until the runner was "
+    "lost.",
 )
 
 
@@ -100,7 +101,7 @@
             boot=boot,
             is_down=lost.is_down,
             lost_ms_ago=round(now_ms - lost_ms),
-            runs=[[run.task, run.running_ms] for run in lost.runs],
+            runs=[[run.task, run.run, run.running_ms] for run in lost.runs],
         )
         self.announce(lost)
 
