--- a/apricotrail/cli/tests/test_explain.py
+++ b/apricotrail/cli/tests/test_explain.py
@@ -12,6 +12,7 @@
 LOGS = sorted((Path(__file__).parent / "logs").glob("*.log"))
 PAGE = Path(__file__).parents[3] / "docs" / "OPERATIONS.md"
 REFUSED, LATE, UNFINISHED = "53b355f709252802", "244950cbed97e4a5", "08347149d4edd5ef"
+DEADLY = "30b99d4e4ce1a069"
 
 
 def run(job, logs=LOGS):
@@ -28,6 +29,7 @@
             (REFUSED, "reason=overloaded free_cpu=-27500"),
             (LATE, "state=LOST reason=OWNER_SILENT"),
             (UNFINISHED, "reason=dispatcher_froze"),
+            (DEADLY, "run=2 running_ms=11 beside=0"),
         ):
             with self.subTest(job=job):
                 code, output, _ = run(job)
