Agents: a runner that answers with errors is not taken for one that is down

An answer without lists, such as an error, counted as a refused call like a connection that was broken. Two in a row would have closed the runner and made its runs suspects; found by reading.

--- a/apricotrail/runners/_driver.py
+++ b/apricotrail/runners/_driver.py
@@ -32,7 +32,8 @@
     "runner_silent",
     Level.WARNING,
     "Calls to the runner get no answer. Cause refused: it broke or refused the call at once, so it "
-    "is probably down; timeout: it may be cut off, paused or slow.",
+    "is probably down; timeout: it may be cut off, paused or slow; error: it answered, but with an "
+    "error or without lists.",
 )
 RUNNER_BACK = declare_event(11102, "runner_back", Level.INFO, "The runner answers calls again.")
 FENCE_RAISED = declare_event(
@@ -113,7 +114,7 @@
     hold : callable
         ``hold(call, last_end, wait_ms)`` acknowledges ends up to `last_end`, extends the leases and
         waits up to `wait_ms` for changes. It gives a `Listing`, True if the fencing token was too
-        low, or None without an answer.
+        low, False for an answer without lists, or None without an answer.
     """
 
     start: Callable[..., Awaitable[StartResult]]
@@ -198,12 +199,13 @@
             gate.record_lease_extension(asked_ms)
         call = self._make_call(wait_ms + HOLD_ANSWER_TIMEOUT_MS, renews)
         answer = await self._port.hold(call, gate.highest_final_end, wait_ms)
+        if isinstance(answer, bool):
+            gate.losses.note_answer()
         if answer is True:
             self._raise_fence()
             return False
         if not isinstance(answer, Listing):
-            is_refused = self._note_failure(asked_ms, call)
-            self._set_silent(True, "refused" if is_refused else "timeout")
+            self._set_silent(True, self._find_cause(answer, asked_ms, call))
             return False
         self._set_silent(False)
         if answer.boot >= gate.boot:
@@ -275,6 +277,12 @@
         self._gate.fence += FENCE_STEP
         emit(FENCE_RAISED, fence=self._gate.fence)
 
+    def _find_cause(self, answer: bool | None, asked_ms: float, call: Call) -> str:
+        """Return why a hold call gave no lists, and record one that was refused."""
+        if answer is not None:
+            return "error"
+        return "refused" if self._note_failure(asked_ms, call) else "timeout"
+
     def _note_failure(self, asked_ms: float, call: Call) -> bool:
         """Record a call without an answer; return whether it was refused, not left to time out."""
         is_refused = self._clock() - asked_ms < call.timeout_ms
--- a/apricotrail/runners/tests/test_driver.py
+++ b/apricotrail/runners/tests/test_driver.py
@@ -112,6 +112,29 @@
         self.assertEqual(len(case.made("stop")), 3)
 
 
+class TestRefusedCalls(unittest.IsolatedAsyncioTestCase):
+    # Guards against a runner that answers with errors, or late, taken for one that has crashed.
+    async def test_only_calls_that_fail_at_once_count_as_refused(self):
+        for answer, wait_ms, is_down in (
+            (None, 0.0, True),
+            (None, HOLD_ANSWER_TIMEOUT_MS, False),
+            (False, 0.0, False),
+        ):
+            with self.subTest(answer=answer, wait_ms=wait_ms):
+                case = DriverCase(holds=[answer, answer])
+                waits = [wait_ms, wait_ms]
+                hold = case.driver._port.hold
+
+                async def hold_slowly(*arguments, hold=hold, waits=waits, case=case):
+                    case.clock.advance(waits.pop(0))
+                    return await hold(*arguments)
+
+                case.driver._port = case.driver._port._replace(hold=hold_slowly)
+                for _ in range(2):
+                    await case.driver._hold(0)
+                self.assertEqual(case.gate.losses.is_down, is_down)
+
+
 class TestListings(unittest.TestCase):
     def test_one_lost_call_does_not_stop_an_idle_runner_from_accepting(self):
         """Found by a test under load: an idle runner accepted no runs after one lost call."""
