--- a/apricotrail/queues/_crashes.py
+++ b/apricotrail/queues/_crashes.py
@@ -72,6 +72,10 @@
         self.is_cleared = False
         self.cause = ""
 
+    def is_same(self, agent: str, boot: int) -> bool:
+        """Return whether this is the loss of a runner's boot; a boot is lost for good only once."""
+        return (self.agent, self.boot) == (agent, boot) and not self.is_cleared
+
     def counts_for(self, task: str) -> bool:
         """Return whether this is a crash, as far as is known, that `task` may have caused."""
         is_crash = not self.is_cleared and (self.is_down or self.is_confirmed)
@@ -119,7 +123,7 @@
         for run in lost.runs or ():
             _, tasks = self._jobs.setdefault(_job_of(run.task), (noted_ms + KEPT_MS, {}))
             presences = tasks.setdefault(run.task, [])
-            if any(it.crash.agent == agent and it.crash.boot == lost.boot for it in presences):
+            if any(it.crash.is_same(agent, lost.boot) for it in presences):
                 continue
             is_recent = (run.running_ms or 0) <= SUSPECT_MS
             presences.append(_Presence(crash, is_recent, bool(run.alone)))
@@ -162,13 +166,14 @@
         confirmed = sum(it.crash.is_confirmed for it in presences)
         return Restart.NEVER if confirmed >= GIVE_UP_CRASHES else Restart.LATER
 
-    def count_down(self) -> int:
-        """Return how many runners have crashed, by all that is known, and may be back soon."""
+    def list_down(self) -> list[str]:
+        """Return the agents whose runners seem to have crashed and may be back soon."""
         since_ms = self._clock() - DOWN_MS
-        return sum(
-            any(crash.is_down and crash.noted_ms > since_ms for crash in crashes)
-            for crashes in self._open.values()
-        )
+        return [
+            agent
+            for agent, crashes in self._open.items()
+            if any(crash.is_down and crash.noted_ms > since_ms for crash in crashes)
+        ]
 
     def list_lost_at(self, task: str) -> list[str]:
         """Return the agents whose runners seem to have crashed under a task."""
@@ -187,7 +192,7 @@
     def _find_crash(self, agent: str, boot: int, noted_ms: float) -> _Crash:
         """Return the open loss of a runner's boot, a new one if there is none."""
         for crash in self._open.setdefault(agent, []):
-            if crash.boot == boot:
+            if crash.is_same(agent, boot):
                 return crash
         crash = _Crash(agent, boot, noted_ms)
         self._open[agent].append(crash)
--- a/apricotrail/queues/_dispatcher.py
+++ b/apricotrail/queues/_dispatcher.py
@@ -494,12 +494,7 @@
             if restarts[task.name] is Restart.LATER:
                 continue
             task.is_isolated = restarts[task.name] is Restart.ISOLATED
-            if task.is_isolated:
-                runner = self.registry.choose_isolated(
-                    job.queue.pool, step, task, self.crashes.count_down()
-                )
-            else:
-                runner = self._choose(job, usable, step, task)
+            runner = self._choose(job, usable, step, task)
             if runner is not None:
                 runner.note_sent(step, task.is_isolated)
                 task.agent = runner.agent
@@ -514,10 +509,6 @@
 
         The first task of a job may be the trial run of an unhealthy runner.
         """
-        if job.starts == 0 and task.index == 0:
-            trial = self.registry.find_trial_runner(usable, step)
-            if trial is not None:
-                return trial
         limit = step.max_per_runner
 
         def is_allowed(agent: str) -> bool:
@@ -526,6 +517,13 @@
             same = [it for it in job.tasks if it.step == task.step and it.agent == agent]
             return sum(it.phase is not TaskPhase.WAITING for it in same) < limit
 
+        if task.is_isolated:
+            down = self.crashes.list_down()
+            return self.registry.choose_isolated(job.queue.pool, step, task, is_allowed, down)
+        if job.starts == 0 and task.index == 0:
+            trial = self.registry.find_trial_runner(usable, step)
+            if trial is not None:
+                return trial
         is_urgent = job.slack.due_ms - (self._clock() - job.received_ms) <= URGENT_MS
         return self.registry.choose(usable, step, task, is_allowed, is_urgent)
 
--- a/apricotrail/queues/_registry.py
+++ b/apricotrail/queues/_registry.py
@@ -233,26 +233,37 @@
         return None
 
     def choose_isolated(
-        self, pool: str, step: Step, task: Task, down_count: int
+        self,
+        pool: str,
+        step: Step,
+        task: Task,
+        is_allowed: Callable[[str], bool],
+        down: list[str],
     ) -> RunnerStatus | None:
         """Return the runner for a task that must run alone, or None if it has to wait.
 
         The healthy runner that is idle soonest is chosen, if possible not one in ``task.avoid``.
-        No further runner is kept from other tasks for it while `MAX_ISOLATING_SHARE` of them are,
-        counting the `down_count` that have crashed: the task may crash this one, too.
+        No further runner is kept from other tasks for it while `MAX_ISOLATING_SHARE` of the pool
+        are, counting those of the agents in `down`, which have crashed: the task may crash this
+        one, too. The other parameters are those of `choose`.
         """
         healthy = [
             runner
             for runner in self._list_accepting(pool)
-            if runner.trials_left() < 0 and _fits(runner, step)
+            if runner.trials_left() < 0 and _fits(runner, step) and is_allowed(runner.agent)
         ]
         isolating = [runner for runner in healthy if runner.is_isolating()]
+        down_count = sum(self._is_in_pool(agent, pool) for agent in down)
         limit = max(1, int(MAX_ISOLATING_SHARE * (len(healthy) + down_count)))
         is_limited = len(isolating) + down_count >= limit
         candidates = isolating if is_limited else healthy
         elsewhere = [runner for runner in candidates if runner.agent not in task.avoid]
         return min(elsewhere or candidates, key=lambda it: it.idle_ms(), default=None)
 
+    def _is_in_pool(self, agent: str, pool: str) -> bool:
+        runner = self.by_agent.get(agent)
+        return runner is not None and runner.load is not None and runner.load.pool == pool
+
     def find_trial_runner(self, usable: list[RunnerStatus], step: Step) -> RunnerStatus | None:
         """Return an unhealthy runner with capacity that may take a trial run now, or None."""
         for runner in usable:
--- a/apricotrail/queues/tests/test_crashes.py
+++ b/apricotrail/queues/tests/test_crashes.py
@@ -86,13 +86,20 @@
             self.history.note_boot("x", 2, True)
         self.assertEqual(self.history.list_lost_at(TASK), ["x"])
 
+    # Guards against a crash that is missed since the same boot had been cut off before.
+    def test_crash_after_a_cut_of_the_same_boot_counts(self):
+        self.lose("x", (TASK, RECENT_MS), is_down=False)
+        self.history.note_boot("x", 1, True)
+        self.lose("x", (TASK, RECENT_MS))
+        self.assertIs(self.history.decide(TASK), Restart.ISOLATED)
+
     # Guards against suspects that wait for ever for a runner that was lost for good.
     def test_runner_that_stays_away_no_longer_counts_as_down(self):
         self.lose("x", (TASK, RECENT_MS))
         self.lose("y", (NEIGHBOUR, RECENT_MS), is_down=False)
-        self.assertEqual(self.history.count_down(), 1)
+        self.assertEqual(self.history.list_down(), ["x"])
         self.clock.advance(DOWN_MS)
-        self.assertEqual(self.history.count_down(), 0)
+        self.assertEqual(self.history.list_down(), [])
 
     def test_old_losses_are_forgotten(self):
         self.lose("x", (TASK, RECENT_MS))
@@ -134,6 +141,35 @@
         case.end(case.runs()[1])
         self.assertEqual(answer.result().state, JobState.COMPLETED)
 
+    # Guards against an isolated task that is placed beyond the limit of its step for a runner.
+    async def test_suspect_keeps_to_the_limit_of_its_step(self):
+        case = DispatchCase("x", "y", "z")
+        answer = case.submit(make_request("j", count=2, max_per_runner=1))
+        first, other = case.runs()
+        case.report(first[0], accepting=False)
+        loss = make_loss((first[1], RECENT_MS), (NEIGHBOUR, RECENT_MS), is_down=False)
+        case.dispatcher.receive_runner_lost(first[0], loss)
+        case.report(first[0], boot=2)
+        case.end(first, RunState.LOST)
+        self.assertEqual(len({first[0], other[0], case.runs()[2][0]}), 3)
+        for run in (other, case.runs()[2]):
+            case.end(run)
+        self.assertEqual(answer.result().state, JobState.COMPLETED)
+
+    # Guards against crashes in one pool that hold back the suspects of another.
+    async def test_runners_of_other_pools_do_not_count(self):
+        case = DispatchCase("x", "y", "z")
+        case.report("z", pool="other")
+        case.submit(make_request("j"))
+        first = case.runs()[0]
+        for agent, task in ((first[0], TASK), ("z", "m.0.0.0")):
+            case.report(agent, accepting=False)
+            loss = make_loss((task, RECENT_MS), (NEIGHBOUR, EARLIER_MS))
+            case.dispatcher.receive_runner_lost(agent, loss)
+        case.report(first[0], accepting=True, boot=2)
+        case.end(first, RunState.LOST)
+        self.assertEqual(len(case.runs()), 2)
+
     async def test_suspect_is_started_alone_at_the_runner_that_is_idle_first(self):
         case = DispatchCase("x", "y", "z")
         case.report("x", idle_ms=900)
--- a/apricotrail/runners/_gate.py
+++ b/apricotrail/runners/_gate.py
@@ -267,6 +267,7 @@
             return
         self._enter_boot(listing.boot)
         self.losses.note_answer()
+        self.losses.note_boot(listing.boot)
         now_ms = self._heard_ms = self._clock()
         self._listing_asked_ms = max(self._listing_asked_ms, asked_ms)
         for row in listing.ended:
--- a/apricotrail/runners/_losses.py
+++ b/apricotrail/runners/_losses.py
@@ -65,6 +65,12 @@
         self._refusals = 0
         self._refused_since_ms = None
 
+    def note_boot(self, boot: int) -> None:
+        """Forget losses of the boot that answers now: the runner was only out of reach."""
+        if self._recent and self._recent[-1][1].boot == boot:
+            kept = [(at_ms, lost) for at_ms, lost in self._recent if lost.boot != boot]
+            self._recent = deque(kept, maxlen=MAX_LOSSES)
+
     def record(self, boot: int, runs: list[Run], heard_ms: float, is_down: bool = False) -> None:
         """Record and announce that `runs` were lost with a boot of the runner.
 
@@ -80,7 +86,8 @@
             Whether it is certain that the runner is down, even if no call has been refused.
         """
         now_ms = self._clock()
-        refused_ms, self._refused_since_ms = self._refused_since_ms, None
+        refused_ms = self._refused_since_ms if self.is_down else None
+        self._refused_since_ms = None
         lost_ms = heard_ms if refused_ms is None else refused_ms
         # A run that was ordered after the runner had refused a call can't be the cause.
         present = [run for run in runs if refused_ms is None or run.ordered_ms <= refused_ms]
--- a/apricotrail/runners/tests/test_gate.py
+++ b/apricotrail/runners/tests/test_gate.py
@@ -386,6 +386,19 @@
         case.list([(f"j.0.0.{number}", 1, 1) for number in range(10)])
         self.assertTrue(case.gate.describe_load(0).accepting)
 
+    # Guards against a cut that dispatchers linked later take for a crash, once the runner reboots.
+    def test_loss_of_a_runner_that_went_on_is_not_told_again(self):
+        case = GateCase()
+        case.start(make_start())
+        told = []
+        case.gate.losses.announce = told.append
+        case.clock.advance(2_000)
+        case.gate.tick()
+        self.assertEqual([(lost.boot, lost.is_down) for lost in told], [(BOOT, False)])
+        self.assertEqual(len(case.gate.losses.list_recent()), 1)
+        case.list()
+        self.assertEqual(case.gate.losses.list_recent(), [])
+
     # Guards against a reset connection that closes a runner that answers.
     def test_one_broken_call_closes_nothing(self):
         case = GateCase()
