Queues: crashes hold suspects back only once a task is known to cause them

Runners also crash for reasons of their own, one or several at a time. Crashed runners now count against the share of suspects only for a minute after some task has lost its runner alone a second time.

--- a/apricotrail/queues/_crashes.py
+++ b/apricotrail/queues/_crashes.py
@@ -11,6 +11,7 @@
 
 from collections import OrderedDict
 from enum import StrEnum
+from math import inf
 from typing import NamedTuple
 
 from apricotrail.clocks import Clock
@@ -114,6 +115,7 @@
         self._jobs: OrderedDict[str, tuple[float, dict[str, list[_Presence]]]] = OrderedDict()
         # Neither confirmed nor cleared yet, by agent.
         self._open: dict[str, list[_Crash]] = {}
+        self._cause_found_ms = -inf
 
     def note_loss(self, agent: str, lost: RunnerLost) -> None:
         """Record which tasks were at the runner of `agent` when it was lost."""
@@ -166,8 +168,13 @@
         confirmed = sum(it.crash.is_confirmed for it in presences)
         return Restart.NEVER if confirmed >= GIVE_UP_CRASHES else Restart.LATER
 
-    def list_down(self) -> list[str]:
-        """Return the agents whose runners seem to have crashed and may be back soon."""
+    def list_at_risk(self) -> list[str]:
+        """Return the agents whose runners suspects may have crashed, and that may be back soon.
+
+        As long as no task is known to crash runners, crashes come from elsewhere, and none counts.
+        """
+        if self._clock() - self._cause_found_ms >= KEPT_MS:
+            return []
         since_ms = self._clock() - DOWN_MS
         return [
             agent
@@ -203,6 +210,7 @@
         presences = self._list_presences(task)
         if len(presences) < GIVE_UP_CRASHES:
             return
+        self._cause_found_ms = self._clock()
         for presence in presences:
             presence.crash.cause = task
 
--- a/apricotrail/queues/_dispatcher.py
+++ b/apricotrail/queues/_dispatcher.py
@@ -518,7 +518,7 @@
             return sum(it.phase is not TaskPhase.WAITING for it in same) < limit
 
         if task.is_isolated:
-            down = self.crashes.list_down()
+            down = self.crashes.list_at_risk()
             return self.registry.choose_isolated(job.queue.pool, step, task, is_allowed, down)
         if job.starts == 0 and task.index == 0:
             trial = self.registry.find_trial_runner(usable, step)
