Agents: an unanswered start that was refused as old when repeated may have run

The runner carried the first start call out without an answer, the run ended after 0.1 s, and the repeated call was refused as old, which counted as not run.

Change: once a start call had no answer, only an answer that it started settles it; otherwise the run is stopped, and its listed end or its absence decides. The test failed before.

--- a/apricotrail/runners/_driver.py
+++ b/apricotrail/runners/_driver.py
@@ -218,7 +218,7 @@
     async def _start(self, order: Order) -> None:
         gate, key = self._gate, (order.task, order.run)
         reply = StartReply.UNANSWERED
-        may_be_delivered = False
+        may_have_started = False
         for _ in range(START_TRIES):
             asked_ms = self._clock()
             gate.record_lease_extension(asked_ms)
@@ -227,7 +227,7 @@
             reply = result.reply
             if result.clock_ms is not None and call.boot == gate.boot:
                 self._record_clock(result.clock_ms)
-            may_be_delivered = may_be_delivered or reply is not StartReply.UNDELIVERED
+            may_have_started = may_have_started or reply is StartReply.UNANSWERED
             if reply is StartReply.FENCED:
                 self._raise_fence()
             elif reply is StartReply.UNDELIVERED:
@@ -235,7 +235,8 @@
                 break
             elif reply is not StartReply.TOO_LATE and reply is not StartReply.UNANSWERED:
                 break
-        if reply is StartReply.UNDELIVERED and may_be_delivered:
+        # An earlier call may have started the run, which may even have ended since.
+        if may_have_started and reply is not StartReply.STARTED:
             reply = StartReply.UNANSWERED
         gate.receive_start_reply(key, reply)
 
--- a/apricotrail/runners/tests/test_driver.py
+++ b/apricotrail/runners/tests/test_driver.py
@@ -96,6 +96,16 @@
         self.assertEqual(len(case.made("stop")), 1)
         self.assertEqual(case.reports, [])
 
+    # Guards against work that runs again since its start was not answered (soak, seed 322).
+    async def test_run_that_ended_before_its_repeated_start_is_done(self):
+        replies = (StartReply.UNANSWERED, StartReply.SUPERSEDED)
+        case = DriverCase(starts=[StartResult(reply) for reply in replies])
+        case.start(reply=None)
+        await case.finish_calls()
+        self.assertEqual(case.reports, [])
+        case.list(ended=[(*KEY, "done")])
+        self.assertEqual(case.outcomes(), [(*KEY, RunState.DONE)])
+
     async def test_fenced_start_is_repeated_with_a_higher_token(self):
         case = DriverCase(starts=[StartResult(StartReply.FENCED, 500)])
         case.start(reply=None)
