Agents: an unanswered start at a runner that crashed may have run

The runner had started the runs and crashed before it answered; they were absent from the new boot, which counted as proof that they never ran.

Change: whatever had been ordered when the runner's boot changed may have run, so it ends as lost. The test failed before.

--- a/apricotrail/runners/_gate.py
+++ b/apricotrail/runners/_gate.py
@@ -580,6 +580,7 @@
         present = self.list_running()
         self._record_loss(former_boot, present, is_down=True)
         for run in present:
+            run.may_have_run = True
             # An order sent after the last listing of the former boot may have reached the new boot.
             if run.ordered_ms < self._listing_asked_ms:
                 self._finish(run, RunState.LOST, RunReason.NONE)
--- a/apricotrail/runners/tests/test_gate.py
+++ b/apricotrail/runners/tests/test_gate.py
@@ -368,6 +368,19 @@
         self.assertEqual(case.gate.describe_load(0).isolated_runs, 0)
 
 
+class TestCrashDuringStart(unittest.TestCase):
+    # Guards against "not run" for what a crashed runner had started, unanswered (soak, seed 326).
+    def test_unanswered_start_before_a_crash_is_lost_not_refused(self):
+        case = GateCase()
+        case.clock.advance(10)
+        case.start(make_start(), reply=StartReply.UNANSWERED)
+        case.list(boot=BOOT + 1)
+        case.gate.receive_stop_reply(("j.0.0.0", 1), True)
+        case.clock.advance(10)
+        case.list(boot=BOOT + 1)
+        self.assertEqual(case.outcomes(), [("j.0.0.0", 1, RunState.LOST)])
+
+
 class TestRefusedCalls(unittest.TestCase):
     # Guards against runs that are ordered at a runner after it has crashed, and lost with it.
     def test_runner_that_refuses_calls_gets_no_runs_until_it_answers(self):
