--- a/apricotrail/tests/fleet.py
+++ b/apricotrail/tests/fleet.py
@@ -74,7 +74,6 @@
         self.gate = RunGate(fleet.clock, GateLimits(), self.order, self.report, fence=1)
         self.gate.losses.announce = self.announce_loss
         self.replies: deque[tuple[RunKey, StartReply]] = deque()
-        self.lost_runs = 0
         self.unanswered_stops: list[RunKey] = []
         self.lease_end_ms = 0.0
 
