--- a/apricotrail/runners/_driver.py
+++ b/apricotrail/runners/_driver.py
@@ -27,6 +27,8 @@
 FENCE_STEP = 60_000  # in ms, above the jumps of the wall clock between two agents
 MIN_CLOCK_RATE = 0.97  # the runner's clock may be 2 % slow
 
+_REPEATED_REPLIES = (StartReply.UNANSWERED, StartReply.TOO_LATE, StartReply.FENCED)
+
 RUNNER_SILENT = declare_event(
     11101,
     "runner_silent",
@@ -42,6 +44,12 @@
     Level.WARNING,
     "The runner has seen a higher fencing token, so this agent raises its own and tries again.",
 )
+START_REPEATED = declare_event(
+    11105,
+    "start_repeated",
+    Level.INFO,
+    "A start is sent again, since it was not answered or refused as late or fenced.",
+)
 RUNNER_CALL_FAILED = declare_event(
     11104,
     "runner_call_failed",
@@ -228,6 +236,11 @@
             if result.clock_ms is not None and call.boot == gate.boot:
                 self._record_clock(result.clock_ms)
             may_have_started = may_have_started or reply is StartReply.UNANSWERED
+            if reply in _REPEATED_REPLIES:
+                waited_ms = round(self._clock() - asked_ms)
+                emit(
+                    START_REPEATED, task=order.task, run=order.run, reply=reply, waited_ms=waited_ms
+                )
             if reply is StartReply.FENCED:
                 self._raise_fence()
             elif reply is StartReply.UNDELIVERED:
--- a/apricotrail/runners/_gate.py
+++ b/apricotrail/runners/_gate.py
@@ -688,8 +688,24 @@
         run.stop_reason = reason
         run.stop_ordered_ms = self._clock()
         self._order(Order(OrderKind.STOP, *run.key))
-        name = RunReason._VALUES_TO_NAMES.get(reason, "")
-        emit(RUN_STOP_ORDERED, task=run.start.task, run=run.start.run, reason=name)
+        emit(
+            RUN_STOP_ORDERED,
+            task=run.start.task,
+            run=run.start.run,
+            reason=RunReason._VALUES_TO_NAMES.get(reason, ""),
+            owner_alive_ms_ago=self._find_silence_ms(run),
+            lease_left_ms=round(self._lease_end_ms - run.stop_ordered_ms),
+        )
+
+    def _find_silence_ms(self, run: Run) -> int | None:
+        """Return the time since the last sign of life of a run's owner, None if none is known."""
+        alive_ms = self._find_alive_ms(run.owner)
+        return None if alive_ms is None else round(self._clock() - alive_ms)
+
+    def _find_alive_ms(self, owner: Owner | None) -> float | None:
+        if owner is None:
+            return None
+        return self._owner_alive_ms.get(owner, self._silent_since_ms.get(owner))
 
     def _stop_owned(self, owner: Owner, reason: int) -> None:
         owned = [run for run in self._runs.values() if run.owner == owner]
