Agents: a start is checked against its permission when it is sent, and each time it is sent again

Callers saw one task run twice, or a runner over its capacity: an agent that was paused between the order and the call, or while a call stayed unanswered, sent the start when it woke, with the token, boot and lease of that moment. By then its owner had written the run off, or the gate had reported it as lost and no longer counted it.

The gate is now asked just before the bytes are written (the client's hook for that existed): the run must still be starting, the runner take runs, and the owner have been alive within its limit. Otherwise nothing is sent, and the run ends as not run if no earlier call may have started it, else it is stopped. An answer of "late" is repeated under the same check.

Ruled out: a time limit on orders alone; it would not see a run given up within the limit.

--- a/apricotrail/runners/_driver.py
+++ b/apricotrail/runners/_driver.py
@@ -50,6 +50,13 @@
     Level.INFO,
     "A start is sent again, since it was not answered or refused as late or fenced.",
 )
+START_WITHDRAWN = declare_event(
+    11106,
+    "start_withdrawn",
+    Level.WARNING,
+    "A start was not sent, or not sent again, since its permission had ended by then: its owner is "
+    "silent, its run was given up, or the runner takes no runs. This process may have been paused.",
+)
 RUNNER_CALL_FAILED = declare_event(
     11104,
     "runner_call_failed",
@@ -116,7 +123,8 @@
     Attributes
     ----------
     start : callable
-        ``start(call, task, run, spec)`` gives a `StartResult`.
+        ``start(call, task, run, spec, may_send)`` gives a `StartResult`. ``may_send()`` is asked
+        just before the call is written; if it returns False, nothing is sent.
     stop : callable
         ``stop(call, task, run)`` gives a `StopResult`.
     hold : callable
@@ -226,12 +234,23 @@
     async def _start(self, order: Order) -> None:
         gate, key = self._gate, (order.task, order.run)
         reply = StartReply.UNANSWERED
-        may_have_started = False
+        may_have_started = is_withdrawn = False
+
+        def may_send() -> bool:
+            # This process may have been paused since the start was ordered or last sent.
+            nonlocal is_withdrawn
+            is_withdrawn = not gate.may_send_start(key)
+            return not is_withdrawn
+
         for _ in range(START_TRIES):
+            if not may_send():
+                break
             asked_ms = self._clock()
             gate.record_lease_extension(asked_ms)
             call = self._make_call(START_TIMEOUT_MS, True)
-            result = await self._call_start(call, order)
+            result = await self._call_start(call, order, may_send)
+            if is_withdrawn:
+                break
             reply = result.reply
             if result.clock_ms is not None and call.boot == gate.boot:
                 self._record_clock(result.clock_ms)
@@ -248,14 +267,19 @@
                 break
             elif reply is not StartReply.TOO_LATE and reply is not StartReply.UNANSWERED:
                 break
+        if is_withdrawn:
+            reply = StartReply.WITHDRAWN
+            emit(START_WITHDRAWN, task=order.task, run=order.run, was_sent=may_have_started)
         # An earlier call may have started the run, which may even have ended since.
         if may_have_started and reply is not StartReply.STARTED:
             reply = StartReply.UNANSWERED
         gate.receive_start_reply(key, reply)
 
-    async def _call_start(self, call: Call, order: Order) -> StartResult:
+    async def _call_start(
+        self, call: Call, order: Order, may_send: Callable[[], bool]
+    ) -> StartResult:
         try:
-            return await self._port.start(call, order.task, order.run, order.spec)
+            return await self._port.start(call, order.task, order.run, order.spec, may_send)
         except Exception as error:
             emit(RUNNER_CALL_FAILED, call="start", task=order.task, error=repr(error))
             return StartResult(StartReply.UNANSWERED)
--- a/apricotrail/runners/_gate.py
+++ b/apricotrail/runners/_gate.py
@@ -283,6 +283,13 @@
         self._stop_unseen_claims()
         self._start_queued()
 
+    def may_send_start(self, key: RunKey) -> bool:
+        """Return whether the ordered start of a run may be sent, or sent again, now."""
+        run = self._runs.get(key)
+        if run is None or run.phase is not RunPhase.STARTING:
+            return False
+        return self._is_open() and self._has_live_owner(run)
+
     def receive_start_reply(self, key: RunKey, reply: StartReply) -> None:
         """Update a run from the runner's reply to its start order."""
         run = self._runs.get(key)
@@ -294,6 +301,8 @@
             run.started_ms = run.progress_ms = self._clock()
         elif reply is StartReply.UNANSWERED:
             self._cancel_unanswered_start(run)
+        elif reply is StartReply.WITHDRAWN:
+            self._finish(run, RunState.NOT_RUN, RunReason.EXPIRED)
         elif reply is StartReply.SUPERSEDED:
             self._finish(run, RunState.NOT_RUN, RunReason.SUPERSEDED)
         elif reply is StartReply.OTHER_BOOT or reply is StartReply.UNDELIVERED:
@@ -636,7 +645,7 @@
         now_ms = self._clock()
         queued.sort(key=lambda run: (not run.start.isolated, run.effective_due_ms(now_ms)))
         for run in queued:
-            if not self._start(run):
+            if self._has_live_owner(run) and not self._start(run):
                 return
 
     def _start(self, run: Run) -> bool:
@@ -697,6 +706,10 @@
             lease_left_ms=round(self._lease_end_ms - run.stop_ordered_ms),
         )
 
+    def _has_live_owner(self, run: Run) -> bool:
+        alive_ms = self._find_alive_ms(run.owner)
+        return alive_ms is not None and self._clock() - alive_ms < self._limits.owner_silent_ms
+
     def _find_silence_ms(self, run: Run) -> int | None:
         """Return the time since the last sign of life of a run's owner, None if none is known."""
         alive_ms = self._find_alive_ms(run.owner)
--- a/apricotrail/runners/_runs.py
+++ b/apricotrail/runners/_runs.py
@@ -139,7 +139,8 @@
     With `SUPERSEDED` the runner has seen this run or a higher one of the task, with `FENCED` a
     higher fencing token; with `OTHER_BOOT` it is not in the boot that the order was for. `REJECTED`
     stands for all other refusals. The order is repeated a few times after `FENCED`, `TOO_LATE` and
-    `UNANSWERED`. `UNDELIVERED` means that not one byte of it was sent, so the run can't start.
+    `UNANSWERED`. `UNDELIVERED` means that not one byte of it was sent, so the run can't start;
+    `WITHDRAWN` that it was not sent since its permission had ended.
     """
 
     STARTED = "started"
@@ -152,6 +153,7 @@
     REJECTED = "rejected"
     UNANSWERED = "unanswered"
     UNDELIVERED = "undelivered"
+    WITHDRAWN = "withdrawn"
 
 
 class RunPhase(StrEnum):
--- a/apricotrail/runners/tests/test_driver.py
+++ b/apricotrail/runners/tests/test_driver.py
@@ -45,7 +45,9 @@
         self.calls.append((kind, call))
         return self.answers[kind].pop(0) if self.answers[kind] else default
 
-    async def _start(self, call, task, run, spec):
+    async def _start(self, call, task, run, spec, may_send):
+        if not may_send():
+            return StartResult(StartReply.UNDELIVERED)
         return self._next("start", call, StartResult(StartReply.STARTED, 500))
 
     async def _stop(self, call, task, run):
