Agents: no lease goes on for longer than the owner of each run is known to live

Callers saw one task run twice: a caller whose dispatcher was gone, or had answered 504, sent its job again after 1.3 s, and another dispatcher started the task while the first run was at work. Stops that stay unanswered let a run go on for 1,850 ms after its owner's last sign of life (silence 500, tick 50, stop overdue 250, lease 1,050); starts of other jobs extended its lease further, without end; an agent that had been paused renewed before it noted the silence; and a new agent renewed runs that it found for 900 ms without knowing whether their owners lived (agent and dispatcher killed together: every order answered, and still two runs at once).

Each run now carries the last time at which its owner is known to have wanted it, and no call extends the lease beyond 1,100 ms after that; a run without an owner gets no further lease until it is claimed. Starts that could only get a lease of under 400 ms wait.

Ruled out: a shorter lease for all (0.5 s), which lapses beside short pauses of an agent; stopping runs when a link breaks, which loses work at each reset.

--- a/apricotrail/membership/__init__.py
+++ b/apricotrail/membership/__init__.py
@@ -13,14 +13,34 @@
     replica_name,
 )
 from apricotrail.membership._roster import Roster, RosterParts
+from apricotrail.membership._run_limits import (
+    AGENT_LOST_AFTER_MS,
+    CALLER_RETRY_MS,
+    IN_DOUBT_AFTER_MS,
+    LEASE_MS,
+    MAX_NOTICE_MS,
+    OWNER_GRACE_MS,
+    OWNER_SILENT_MS,
+    START_VALID_MS,
+    TICK_MS,
+)
 from apricotrail.membership._view import NO_VIEW, View, ViewMember, read_view
 
 __all__ = [
+    "AGENT_LOST_AFTER_MS",
+    "CALLER_RETRY_MS",
     "CONFIG_STALE_MS",
+    "IN_DOUBT_AFTER_MS",
+    "LEASE_MS",
+    "MAX_NOTICE_MS",
     "MEMORY_LOG_PREFIX",
     "NEVER_CONFIRMED_AGE_MS",
     "NO_VIEW",
+    "OWNER_GRACE_MS",
+    "OWNER_SILENT_MS",
     "REPLICA_ID_SEPARATOR",
+    "START_VALID_MS",
+    "TICK_MS",
     "Configuration",
     "Freshness",
     "Roster",
--- a/apricotrail/queues/_application.py
+++ b/apricotrail/queues/_application.py
@@ -8,7 +8,7 @@
 from apricotrail.application import Application
 from apricotrail.clocks import monotonic_ms, wall_ms
 from apricotrail.events import Level, declare_event, emit
-from apricotrail.membership import Roster, RosterParts
+from apricotrail.membership import TICK_MS, Roster, RosterParts
 from apricotrail.metrics import add_status_listener
 from apricotrail.queues._dispatcher import Dispatcher, DispatcherParts
 from apricotrail.queues._document import POOL_PREFIX, QUEUE_PREFIX, QueueTable, read_queue_table
@@ -32,7 +32,6 @@
     "",
     "Address for /healthz, /readyz and /metrics; empty for none.",
 )
-TICK_MS = 50
 STOP_WAIT_MS = 400  # a job sent again waits this long for its stopped runs to end
 POLL_MS = 10
 START_WAIT_MS = 600  # a new process has its links and queues within this once its peers run
--- a/apricotrail/queues/_dispatcher.py
+++ b/apricotrail/queues/_dispatcher.py
@@ -13,6 +13,7 @@
 
 from apricotrail.clocks import Clock
 from apricotrail.events import Level, declare_event, emit
+from apricotrail.membership import AGENT_LOST_AFTER_MS, START_VALID_MS
 from apricotrail.metrics import make_metrics
 from apricotrail.queues._admission import URGENT_MS, AdmissionDecision, decide_admission
 from apricotrail.queues._answers import AnswerCache
@@ -39,14 +40,6 @@
 __all__ = ["Dispatcher", "DispatcherParts"]
 
 MAX_JOBS = 8_192
-# How long after it is sent an agent may act on a start; a later one is refused as expired. Long
-# enough for a loaded machine, and less than the agents' limit for a silent owner.
-START_VALID_MS = 400.0
-# After this, counted from an agent's last heartbeat, the runs there have ended: the agent's limit
-# for a silent owner (500), its tick (50) and the limit for an overdue stop (250), then the lease of
-# 1 s on a clock that may be 2 % slow (1,050); the rest is margin. The agent can't have
-# received the echo of a later heartbeat.
-AGENT_LOST_AFTER_MS = 1_950.0
 # An agent that lost its links to control, too, lets the lease lapse at most UNLISTED_FOR_MS after
 # control stopped listing it. One that is still listed STILL_LISTED_MS after its last heartbeat
 # finalises outcomes: it acknowledges them at the runner, and their tasks must not run again.
--- a/apricotrail/runners/_application.py
+++ b/apricotrail/runners/_application.py
@@ -6,7 +6,7 @@
 from apricotrail.application import Application
 from apricotrail.clocks import monotonic_ms, wall_ms
 from apricotrail.events import Level, declare_event, emit
-from apricotrail.membership import Roster, RosterParts
+from apricotrail.membership import TICK_MS, Roster, RosterParts
 from apricotrail.metrics import add_status_listener
 from apricotrail.runners._driver import RunnerDriver, RunnerPort
 from apricotrail.runners._gate import GateLimits, RunGate
@@ -46,7 +46,6 @@
 # Control answers at once, so contact with it is at most this old, and a round trip: less than the
 # gate's limit for its silence.
 CONTROL_HEARTBEAT_MS = 500.0
-TICK_MS = 50
 STOP_POLL_MS = 20
 
 AGENT_STOPPING = declare_event(
--- a/apricotrail/runners/_driver.py
+++ b/apricotrail/runners/_driver.py
@@ -302,9 +302,12 @@
 
     def _make_call(self, timeout_ms: float, renews: bool) -> Call:
         lease_until_ms = None
-        if renews and self._runner_clock_ms is not None:
-            passed_ms = (self._clock() - self._clock_recorded_ms) * MIN_CLOCK_RATE
-            lease_until_ms = int(self._runner_clock_ms + passed_ms + LEASE_MS)
+        now_ms = self._clock()
+        left_ms = self._gate.find_lease_limit_ms() - now_ms
+        if renews and left_ms > 0 and self._runner_clock_ms is not None:
+            passed_ms = (now_ms - self._clock_recorded_ms) * MIN_CLOCK_RATE
+            lease_ms = min(LEASE_MS, left_ms * MIN_CLOCK_RATE)
+            lease_until_ms = int(self._runner_clock_ms + passed_ms + lease_ms)
         return Call(self._gate.boot, self._gate.fence, lease_until_ms, timeout_ms)
 
     def _record_clock(self, clock_ms: int) -> None:
--- a/apricotrail/runners/_gate.py
+++ b/apricotrail/runners/_gate.py
@@ -9,10 +9,17 @@
 """
 
 from collections.abc import Callable
+from math import inf
 from typing import NamedTuple
 
 from apricotrail.clocks import Clock
 from apricotrail.events import Level, declare_event, emit
+from apricotrail.membership import (
+    IN_DOUBT_AFTER_MS,
+    LEASE_MS,
+    OWNER_GRACE_MS,
+    OWNER_SILENT_MS,
+)
 from apricotrail.metrics import make_metrics
 from apricotrail.runners._health import HealthChange, RunnerHealth
 from apricotrail.runners._load import describe_load, describe_unknown_runner, sum_resources
@@ -42,6 +49,7 @@
 __all__ = ["GateLimits", "RunGate"]
 
 MAX_QUEUED_RUNS = 256
+MIN_START_LEASE_MS = 400.0  # a run that starts with less would lapse before a stop is answered
 MAX_SILENT_OWNERS = 1_024  # more than there are dispatchers
 
 _STATE_BY_END = {"done": RunState.DONE, "failed": RunState.FAILED, "stopped": RunState.STOPPED}
@@ -106,7 +114,10 @@
     Attributes
     ----------
     owner_silent_ms : float
-        Silence of an owner after which its runs are stopped.
+        Silence of an owner after which its runs are stopped and none is started.
+    owner_grace_ms : float
+        How long after the last sign of life of its owner a run may go on: no lease is extended
+        beyond that.
     stop_overdue_ms : float
         Time without an answer to a stop order after which leases are no longer renewed.
     renew_silent_ms : float
@@ -127,13 +138,14 @@
         Age of the last listing at which no further run is started.
     """
 
-    owner_silent_ms: float = 500.0
+    owner_silent_ms: float = OWNER_SILENT_MS
+    owner_grace_ms: float = OWNER_GRACE_MS
     stop_overdue_ms: float = 250.0
     renew_silent_ms: float = 300.0
     stall_ms: float = 700.0
     claim_window_ms: float = 900.0
-    in_doubt_after_ms: float = 750.0
-    lease_ms: float = 1_050.0
+    in_doubt_after_ms: float = IN_DOUBT_AFTER_MS
+    lease_ms: float = LEASE_MS
     listing_stale_ms: float = 800.0
 
 
@@ -288,7 +300,7 @@
         run = self._runs.get(key)
         if run is None or run.phase is not RunPhase.STARTING:
             return False
-        return self._is_open() and self._has_live_owner(run)
+        return self._is_open() and self._has_lease_left() and self._has_live_owner(run)
 
     def receive_start_reply(self, key: RunKey, reply: StartReply) -> None:
         """Update a run from the runner's reply to its start order."""
@@ -342,7 +354,8 @@
         asked_ms : float
             Time, on the own clock, at which the call was sent.
         """
-        self._lease_end_ms = max(self._lease_end_ms, asked_ms + self._limits.lease_ms)
+        until_ms = min(asked_ms + self._limits.lease_ms, self.find_lease_limit_ms())
+        self._lease_end_ms = max(self._lease_end_ms, until_ms)
 
     # ---- messages from owners ----
 
@@ -372,8 +385,8 @@
         former = {run.owner for run in self._runs.values() if run.owner is not None}
         for other in former:
             if other.name == owner.name and other != owner:
-                self._owner_alive_ms.pop(other, None)
                 self._stop_owned(other, RunReason.OWNER_SILENT)
+                self._owner_alive_ms.pop(other, None)
         for other in self._unconfirmed.list_owners():
             if other is not None and other.name == owner.name and other != owner:
                 # The jobs were lost with the former process, so nothing starts their tasks again.
@@ -500,14 +513,17 @@
     def may_renew(self) -> bool:
         """Return whether leases may be renewed.
 
-        They may be while something runs, the runner answers, no stop is overdue and no end is in
-        doubt. Each call may renew the leases even if it is not answered, so without this the leases
-        of a runner that is gone would never count as lapsed.
+        They may be while something runs, the runner answers, no stop is overdue, no end is in doubt
+        and the limit of `find_lease_limit_ms` has not passed. Each call may renew the leases even
+        if it is not answered, so without this the leases of a runner that is gone would never count
+        as lapsed.
         """
         now_ms = self._clock()
         is_silent = now_ms - self._heard_ms >= self._limits.renew_silent_ms
         if self._in_doubt or is_silent or self.losses.is_down:
             return False
+        if now_ms >= self.find_lease_limit_ms():
+            return False
         has_runs = False
         for run in self._runs.values():
             if run.phase is RunPhase.STOPPING:
@@ -518,6 +534,24 @@
                 has_runs = True
         return has_runs
 
+    def find_lease_limit_ms(self) -> float:
+        """Return the time, on the own clock, beyond which no lease may be extended now.
+
+        A lease holds for all runs at the runner, so each limits it that may be going on: one that
+        is wanted, to `owner_grace_ms` after the last sign of life of its owner; one whose stop is
+        not answered, to what it was when the stop was ordered. A run without an owner gets no
+        further lease, since its owner may have been gone for longer than this agent knows.
+        """
+        grace_ms = self._limits.owner_grace_ms
+        return min(
+            (
+                self._find_wanted_ms(run) + grace_ms
+                for run in self._runs.values()
+                if run.phase is not RunPhase.QUEUED and run.stop_answered_ms is None
+            ),
+            default=inf,
+        )
+
     def refuse_queued_if_closed(self) -> None:
         """Refuse the queued runs if operators took the zone out of service."""
         if not self.zone_open:
@@ -535,8 +569,9 @@
         now_ms = self._clock()
         if self.runner is None:
             return describe_unknown_runner(received, now_ms)
+        accepting = self._is_open() and self._has_lease_left()
         return describe_load(
-            self.runner, list(self._runs.values()), self._is_open(), self.health, received, now_ms
+            self.runner, list(self._runs.values()), accepting, self.health, received, now_ms
         )
 
     def list_running(self) -> list[Run]:
@@ -621,6 +656,10 @@
             and self._clock() - self._listing_asked_ms < self._limits.listing_stale_ms
         )
 
+    def _has_lease_left(self) -> bool:
+        """Return whether a run that starts now could have a lease of useful length."""
+        return self.find_lease_limit_ms() - self._clock() >= MIN_START_LEASE_MS
+
     def _find_refusal(self, run: Run) -> int | None:
         start = run.start
         if self.stopping:
@@ -654,7 +693,9 @@
         Nothing starts beside a run without an owner, since the capacity that it takes is not known,
         nor beside an isolated run, which itself starts only while nothing runs.
         """
-        if not self._is_open() or any(it.owner is None for it in self._runs.values()):
+        if not self._is_open() or not self._has_lease_left():
+            return False
+        if any(it.owner is None for it in self._runs.values()):
             return False
         running = self.list_running()
         if running and (run.start.isolated or any(it.start.isolated for it in running)):
@@ -693,6 +734,7 @@
             return
         if run.phase in (RunPhase.STOPPING, RunPhase.LAPSED):
             return
+        run.wanted_ms = self._find_wanted_ms(run)
         run.phase = RunPhase.STOPPING
         run.stop_reason = reason
         run.stop_ordered_ms = self._clock()
@@ -706,6 +748,13 @@
             lease_left_ms=round(self._lease_end_ms - run.stop_ordered_ms),
         )
 
+    def _find_wanted_ms(self, run: Run) -> float:
+        """Return the latest time at which the owner of a run is known to have wanted it."""
+        if run.wanted_ms is not None:
+            return run.wanted_ms
+        alive_ms = self._find_alive_ms(run.owner)
+        return -inf if alive_ms is None else alive_ms
+
     def _has_live_owner(self, run: Run) -> bool:
         alive_ms = self._find_alive_ms(run.owner)
         return alive_ms is not None and self._clock() - alive_ms < self._limits.owner_silent_ms
@@ -768,6 +817,9 @@
                 self._stop(run, RunReason.UNKNOWN_RUN)
             return
         run.may_have_run = True
+        if run.phase is RunPhase.LAPSED:
+            run.phase = RunPhase.RUNNING
+            self._stop(run, RunReason.UNKNOWN_RUN)
         if run.phase is RunPhase.STARTING:
             run.phase = RunPhase.RUNNING
             run.started_ms = run.progress_ms = now_ms
@@ -806,6 +858,7 @@
             self._record_loss(self.boot, lapsed)
         for run in lapsed:
             run.phase = RunPhase.LAPSED
+            run.wanted_ms = -inf
             self._report_once(run, RunState.LOST, RunReason.NONE, 0.0)
 
     def _refuse_queued(self, reason: int) -> None:
--- a/apricotrail/runners/_runs.py
+++ b/apricotrail/runners/_runs.py
@@ -221,6 +221,9 @@
         When its start was ordered, 0 before.
     percent, progress_ms : int, float
         Last known progress, and when it changed; a run whose progress does not change is stopped.
+    wanted_ms : float or None
+        Latest time at which its owner is known to have wanted it, once it is being stopped or has
+        lapsed; None before.
     stop_reason : int
         The ``RunReason`` for which its stop was ordered.
     stop_ordered_ms, stop_answered_ms : float
@@ -244,6 +247,7 @@
         self.started_ms = now_ms
         self.percent = 0
         self.progress_ms = now_ms
+        self.wanted_ms: float | None = None
         self.stop_reason = 0
         self.stop_ordered_ms = 0.0
         self.stop_answered_ms: float | None = None
--- a/apricotrail/runners/tests/test_finality.py
+++ b/apricotrail/runners/tests/test_finality.py
@@ -6,7 +6,8 @@
 
 import unittest
 
-from apricotrail.queues._dispatcher import AGENT_LOST_AFTER_MS, UNLISTED_FOR_MS
+from apricotrail.membership import AGENT_LOST_AFTER_MS
+from apricotrail.queues._dispatcher import UNLISTED_FOR_MS
 from apricotrail.runners._runs import Owner
 from apricotrail.runners._unconfirmed import CONTACT_AFTER_SILENCE_MS
 from apricotrail.runners.tests.harness import ALICE, BOB, GateCase, make_start
