Agents: orders name the boot they are for, and are fenced off from the next one

The calls named no boot, and the agent kept its token over boots, so an equal token let the old order pass.

At each new boot the agent raises its token, for a runner that starts again under its id.

--- a/apricotrail/runners/_driver.py
+++ b/apricotrail/runners/_driver.py
@@ -79,12 +79,16 @@
         New end of all leases on the runner's clock; None leaves them unchanged.
     timeout_ms : float
         Timeout for the answer.
+    instance : str
+        Id of the runner that the call is for, empty for any. A runner may start again under its id
+        or another one, and a call may arrive seconds later.
     """
 
     boot: int
     fence: int
     lease_until_ms: int | None
     timeout_ms: float
+    instance: str = ""
 
 
 class StartResult(NamedTuple):
@@ -308,7 +312,8 @@
             passed_ms = (now_ms - self._clock_recorded_ms) * MIN_CLOCK_RATE
             lease_ms = min(LEASE_MS, left_ms * MIN_CLOCK_RATE)
             lease_until_ms = int(self._runner_clock_ms + passed_ms + lease_ms)
-        return Call(self._gate.boot, self._gate.fence, lease_until_ms, timeout_ms)
+        gate = self._gate
+        return Call(gate.boot, gate.fence, lease_until_ms, timeout_ms, gate.instance)
 
     def _record_clock(self, clock_ms: int) -> None:
         self._runner_clock_ms = clock_ms
--- a/apricotrail/runners/_gate.py
+++ b/apricotrail/runners/_gate.py
@@ -369,6 +369,12 @@
         """Let the ends of runs be acknowledged whose owner confirmed that it got their outcomes."""
         self._unconfirmed.confirm(set(keys))
 
+    @property
+    def instance(self) -> str:
+        """Return the id of the runner in its latest known boot, empty if it is not known yet."""
+        runner = self.runner
+        return runner.runner if runner is not None and runner.boot == self.boot else ""
+
     @property
     def has_unconfirmed(self) -> bool:
         """Return whether any end awaits the confirmation of its owner."""
@@ -619,6 +625,8 @@
         self.highest_end = 0
         if not former_boot:
             return
+        # The new boot knows no token yet; orders to the former one that arrive late are refused.
+        self.fence += 1
         self.health.reset()
         self._records.clear_run_numbers()
         present = self.list_running()
