Agents: a dispatcher's link and claim are dated by when the link was opened

An agent that was paused reads the handshake and the claim of a dispatcher when it wakes, and took it for alive at that moment; the dispatcher may be gone since. Its runs then got leases beyond the time after which its callers return. The peer proves its key on a challenge made when the link is opened, so that is when it was certainly alive; the next heartbeat dates it anew.

--- a/apricotrail/runners/_application.py
+++ b/apricotrail/runners/_application.py
@@ -243,7 +243,10 @@
         if link.peer.role != "dispatcher":
             return
         self._received_starts[link.peer.name] = 0
-        self.gate.replace_owner(Owner(link.peer.name, link.peer.incarnation))
+        # The peer answered a challenge that was made when the link was opened, but this process
+        # may have been paused since the answer came.
+        owner = Owner(link.peer.name, link.peer.incarnation)
+        self.gate.replace_owner(owner, link.opened_ms)
         for lost in self.gate.losses.list_recent():
             link.send(lost)
         link.send_heartbeat()
@@ -283,5 +286,5 @@
     def _receive_claim(self, link: Link, message: ClaimRuns) -> None:
         owner = Owner(link.peer.name, link.peer.incarnation)
         self._received_starts[link.peer.name] += len(message.runs or ())
-        self.gate.receive_claim(owner, list(message.runs or ()))
+        self.gate.receive_claim(owner, list(message.runs or ()), link.opened_ms)
         link.send_heartbeat()
--- a/apricotrail/runners/_gate.py
+++ b/apricotrail/runners/_gate.py
@@ -385,9 +385,17 @@
         """Return the highest number up to which the runner may forget ends."""
         return self._unconfirmed.highest_final_number(self.highest_end)
 
-    def replace_owner(self, owner: Owner) -> None:
-        """Record that an owner's process is linked and stop the runs of its former incarnations."""
-        self.record_owner_alive(owner, self._clock())
+    def replace_owner(self, owner: Owner, alive_ms: float | None = None) -> None:
+        """Record that an owner's process is linked and stop the runs of its former incarnations.
+
+        Parameters
+        ----------
+        owner : Owner
+            The linked process.
+        alive_ms : float, optional
+            Time, on the own clock, at which it was certainly alive; the present by default.
+        """
+        self.record_owner_alive(owner, self._clock() if alive_ms is None else alive_ms)
         former = {run.owner for run in self._runs.values() if run.owner is not None}
         for other in former:
             if other.name == owner.name and other != owner:
@@ -448,9 +456,21 @@
                 self._records.add_outcome(outcome)
             self._report(owner, outcome)
 
-    def receive_claim(self, owner: Owner, starts: list[RunStart]) -> None:
-        """Reconcile the runs that an owner believes to be here with those that are."""
-        self.record_owner_alive(owner, self._clock())
+    def receive_claim(
+        self, owner: Owner, starts: list[RunStart], alive_ms: float | None = None
+    ) -> None:
+        """Reconcile the runs that an owner believes to be here with those that are.
+
+        Parameters
+        ----------
+        owner : Owner
+            The process that claims.
+        starts : list of RunStart
+            Its runs.
+        alive_ms : float, optional
+            Time, on the own clock, at which it was certainly alive; the present by default.
+        """
+        self.record_owner_alive(owner, self._clock() if alive_ms is None else alive_ms)
         claimed = {(start.task, start.run): start for start in starts}
         self._unconfirmed.match_claim(owner, claimed)
         for run in list(self._runs.values()):
--- a/apricotrail/runners/tests/test_permissions.py
+++ b/apricotrail/runners/tests/test_permissions.py
@@ -6,6 +6,7 @@
 """
 
 import unittest
+from unittest.mock import patch
 
 from apricotrail.runners import Listing, RunningRow, StartReply, StartResult, StopResult
 from apricotrail.runners._runs import OrderKind
@@ -18,6 +19,12 @@
 KEY, OTHER = ("j.0.0.0", 1), ("k.0.0.0", 1)
 
 
+def setUpModule() -> None:
+    no_pause = patch("apricotrail.runners._driver.STOP_RETRY_MS", 0.0)
+    no_pause.start()
+    unittest.addModuleCleanup(no_pause.stop)
+
+
 class PermissionCase(DriverCase):
     """A driver whose runner keeps the leases of the calls that it gets, by the slowest clock."""
 
@@ -204,6 +211,20 @@
         await case.pass_time(400, alive=[ALICE])
         self.assertGreater(case.lease_end_ms, case.clock())
 
+    # Guards against runs of a dispatcher that died while the agent that it claims from was paused.
+    async def test_claim_that_is_read_after_a_pause_counts_from_when_its_link_was_opened(self):
+        case = PermissionCase()
+        case.gate._has_listing = False
+        case.running = [KEY]
+        opened_ms = case.clock()
+        await case.pass_time(50)
+        case.clock.advance(610)
+        case.gate.replace_owner(ALICE, opened_ms)
+        case.gate.receive_claim(ALICE, [make_start()], opened_ms)
+        await case.pass_time(200)
+        self.assertLessEqual(case.lease_end_ms, opened_ms + CALLER_RETRY_MS)
+        self.assertEqual(len(case.made("stop")), 1)
+
 
 class TestNewBoot(unittest.IsolatedAsyncioTestCase):
     # Guards against an order to a former boot that the new one carries out seconds later.
--- a/apricotrail/wire/_link.py
+++ b/apricotrail/wire/_link.py
@@ -100,6 +100,9 @@
         Who the other end is; None before the handshake.
     dialing : bool
         Whether this side opened the connection.
+    opened_ms : float
+        When the connection was opened, on the endpoint's clock. A peer that has proven its key was
+        alive after that.
     """
 
     def __init__(self, endpoint: Any, dialing: bool) -> None:
@@ -124,9 +127,9 @@
         self._sent_at_ms: dict[int, float] = {}
         self._highest_received = 0
         self._beat_ms = 0.0
-        self._opened_ms = self._clock()
-        self._heard_ms = self._opened_ms
-        self._echoed_ms = self._opened_ms
+        self.opened_ms = self._clock()
+        self._heard_ms = self.opened_ms
+        self._echoed_ms = self.opened_ms
 
     # ---- asyncio callbacks ----
 
