Dispatchers: a job whose caller has left while it waited is not submitted

A job waits up to 0.4 s for its former runs to stop and up to 0.6 s for runners to be known, and was then submitted whether or not its caller was still there. Its tasks were started and stopped at once; with stops unanswered they went on beside the runs of the dispatcher that the caller went to. The caller is now looked for after the waits, just before the job is submitted. Failed before: test_job_of_a_caller_that_left_while_it_waited_is_not_submitted.

--- a/apricotrail/queues/_application.py
+++ b/apricotrail/queues/_application.py
@@ -147,6 +147,9 @@
         registry = self.dispatcher.registry
         if not registry.is_complete(queue.pool):
             await self._wait_until(lambda: self.dispatcher.would_admit(request, queue))
+        if disconnected is not None and disconnected.done():
+            # The caller may have sent the job to another dispatcher by now.
+            return None
         answer = self.dispatcher.submit(request, queue)
         if not answer.done() and disconnected is not None:
             await asyncio.wait({answer, disconnected}, return_when=asyncio.FIRST_COMPLETED)
