Dispatchers: after a pause, what came meanwhile is read before a sign of life or a start is sent

A dispatcher that was paused for less than 0.4 s answered heartbeats as it woke, before it had read that callers had left, or took a job whose caller had left: agents then counted its runs from that sign of life, up to 0.4 s after their caller began to wait for its next attempt. Failed before: the two tests of a paused dispatcher, the test of the link. Ruled out: giving up all jobs after 150 ms, which costs work at each short pause of a slow machine.

--- a/apricotrail/queues/_application.py
+++ b/apricotrail/queues/_application.py
@@ -109,6 +109,7 @@
         self.endpoint.on_up(self._link_up)
         self.endpoint.on_down(self._link_down)
         self.endpoint.make_heartbeat = self._make_heartbeat
+        self.endpoint.may_echo = lambda: self.dispatcher.check_for_pause() == 0.0
         self.endpoint.receive_heartbeat = self._receive_heartbeat
         metrics = self.dispatcher.metrics
         metrics.links.watch(lambda: len(self.endpoint.links))
@@ -143,6 +144,8 @@
         self, request: JobRequest, queue: Any, disconnected: asyncio.Future | None
     ) -> JobAnswer | None:
         """Run a job and return its answer; None if its caller disconnected first."""
+        while (unsettled_ms := self.dispatcher.check_for_pause()) > 0.0:
+            await asyncio.sleep(unsettled_ms / 1000)
         await self._wait_until_stopped(request.job_id)
         registry = self.dispatcher.registry
         if not registry.is_complete(queue.pool):
@@ -215,6 +218,10 @@
                 self.dispatcher.receive_heartbeat(link.peer.name, heartbeat.runner_load)
             # Answering at once shows the agent that the owner of its runs is alive.
             link.send_heartbeat()
+            unsettled_ms = self.dispatcher.check_for_pause()
+            if unsettled_ms > 0.0:
+                loop = asyncio.get_running_loop()
+                loop.call_later(unsettled_ms / 1000, link.send_heartbeat)
 
     def _receive_outcomes(self, link: Link, message: RunOutcomes) -> None:
         self.dispatcher.receive_outcomes(link.peer.name, message)
--- a/apricotrail/queues/_dispatcher.py
+++ b/apricotrail/queues/_dispatcher.py
@@ -13,7 +13,7 @@
 
 from apricotrail.clocks import Clock
 from apricotrail.events import Level, declare_event, emit
-from apricotrail.membership import AGENT_LOST_AFTER_MS, START_VALID_MS
+from apricotrail.membership import AGENT_LOST_AFTER_MS, MAX_NOTICE_MS, START_VALID_MS
 from apricotrail.metrics import make_metrics
 from apricotrail.queues._admission import URGENT_MS, AdmissionDecision, decide_admission
 from apricotrail.queues._answers import AnswerCache
@@ -48,6 +48,9 @@
 # After a pause of this process of at least this length, its open jobs start nothing more; less than
 # the agents' limit for a silent owner.
 MAX_PAUSE_MS = 400.0
+# After a shorter pause, time for what came meanwhile, callers that left included, to be read before
+# agents are told that this process is alive.
+SETTLE_MS = 20.0
 RETIRED_IDLE_MS = 1_000.0  # time without a start or an outcome before a link is closed
 MAX_QUEUE_WAIT_MS = 400  # longest wait at one agent before the task is placed again
 ISOLATED_WAIT_MS = 2_000  # longest wait for a runner to become idle; most runs are shorter
@@ -215,6 +218,7 @@
         self._answers = AnswerCache()
         self._lost_agents: dict[str, _LostAgent] = {}
         self._last_active_ms = parts.clock()
+        self._settled_ms = parts.clock()
         self.metrics.open_jobs.watch(lambda: len(self.jobs))
         self.metrics.runners.watch(lambda: len(self._list_accepting()))
         self.metrics.free_cpu_millis.watch(lambda: sum_free_cpu(self._list_accepting()))
@@ -227,7 +231,7 @@
         A job that is sent again attaches to the open one, or gets the cached answer. If the open
         one is answered and only waits for its runs to end, the answer is that it is being stopped.
         """
-        self._check_for_pause()
+        self.check_for_pause()
         answer: asyncio.Future[JobAnswer] = asyncio.get_running_loop().create_future()
         present = self.jobs.get(request.job_id)
         if present is not None and present.stopping:
@@ -310,7 +314,7 @@
 
     def link_up(self, agent: str) -> None:
         """Add the runner of a linked agent, and claim the runs believed to be there."""
-        self._check_for_pause()
+        self.check_for_pause()
         self._lost_agents.pop(agent, None)
         runner = self.registry.add(agent)
         starts = []
@@ -373,7 +377,7 @@
 
         Outcomes of unknown runs change nothing, but are confirmed all the same.
         """
-        self._check_for_pause()
+        self.check_for_pause()
         if message.load is not None:
             self.receive_report(agent, message.load)
         if agent in self.registry.by_agent:
@@ -400,7 +404,7 @@
 
     def tick(self) -> None:
         """Declare runs of lost agents lost, place waiting tasks, and answer overdue jobs."""
-        self._check_for_pause()
+        self.check_for_pause()
         now_ms = self._clock()
         self._declare_runs_lost(now_ms)
         for job in list(self.jobs.values()):
@@ -414,19 +418,22 @@
     def _list_accepting(self) -> list[RunnerStatus]:
         return [it for it in self.registry.by_agent.values() if it.load and it.load.accepting]
 
-    def _check_for_pause(self) -> None:
-        """Bar all open jobs from further starts if this process paused for `MAX_PAUSE_MS` or more.
+    def check_for_pause(self) -> float:
+        """Note a pause of this process; return how long, in ms, messages of before may be unread.
 
-        Agents have then stopped its runs, and callers may have sent the jobs to other dispatchers.
-        Jobs whose runs were done all the same are still answered.
+        After `MAX_PAUSE_MS` or more all open jobs are barred from further starts: agents have then
+        stopped their runs, and callers may have sent the jobs to other dispatchers. Jobs whose runs
+        were done all the same are still answered.
         """
         now_ms = self._clock()
         gap_ms, self._last_active_ms = now_ms - self._last_active_ms, now_ms
-        if gap_ms < MAX_PAUSE_MS:
-            return
-        emit(DISPATCHER_FROZE, gap_ms=round(gap_ms), jobs=len(self.jobs))
-        for job in self.jobs.values():
-            job.may_start = False
+        if gap_ms >= MAX_NOTICE_MS:
+            self._settled_ms = now_ms + SETTLE_MS
+        if gap_ms >= MAX_PAUSE_MS:
+            emit(DISPATCHER_FROZE, gap_ms=round(gap_ms), jobs=len(self.jobs))
+            for job in self.jobs.values():
+                job.may_start = False
+        return max(0.0, self._settled_ms - now_ms)
 
     def _declare_runs_lost(self, now_ms: float) -> None:
         """End the runs of agents without a link once their leases must have lapsed.
--- a/apricotrail/queues/tests/test_application.py
+++ b/apricotrail/queues/tests/test_application.py
@@ -1,9 +1,12 @@
-"""Jobs of callers that leave."""
+"""Jobs of callers that leave, and signs of life of a dispatcher that was paused."""
 
 import asyncio
 import unittest
 
+from apricotrail.clocks import VirtualClock
+from apricotrail.membership import MAX_NOTICE_MS
 from apricotrail.queues import QueueDispatcher
+from apricotrail.queues._dispatcher import SETTLE_MS, Dispatcher, DispatcherParts
 from apricotrail.queues.tests.harness import QUEUE, make_request
 from apricotrail.settings import Settings
 
@@ -28,3 +31,27 @@
         async with asyncio.timeout(10):
             self.assertIsNone(await running)
         self.assertEqual(self.submitted, [])
+
+    # Guards against a request read after a pause, before the news that its caller has left.
+    async def test_job_that_is_read_after_a_pause_waits_for_what_came_with_it(self):
+        dispatcher = self.process.dispatcher
+        dispatcher.registry.is_complete = lambda pool: True
+        dispatcher._last_active_ms -= MAX_NOTICE_MS
+        disconnected = asyncio.get_running_loop().create_future()
+        asyncio.get_running_loop().call_later(SETTLE_MS / 4_000, disconnected.set_result, None)
+        self.assertIsNone(await self.process.run_job(make_request(), QUEUE, disconnected))
+        self.assertEqual(self.submitted, [])
+
+
+class TestPausedDispatcher(unittest.TestCase):
+    # Guards against a sign of life that is sent before callers that left meanwhile are noticed.
+    def test_a_paused_dispatcher_echoes_heartbeats_only_once_it_has_settled(self):
+        process = QueueDispatcher(Settings({}))
+        clock = VirtualClock(1_000.0)
+        process.dispatcher = Dispatcher(DispatcherParts(clock, None, lambda agent, message: True))
+        for gap_ms, may_echo in ((MAX_NOTICE_MS - 1, True), (MAX_NOTICE_MS, False), (1.0, False)):
+            with self.subTest(gap_ms=gap_ms):
+                clock.advance(gap_ms)
+                self.assertEqual(process.endpoint.may_echo(), may_echo)
+        clock.advance(SETTLE_MS)
+        self.assertTrue(process.endpoint.may_echo())
--- a/apricotrail/wire/_endpoint.py
+++ b/apricotrail/wire/_endpoint.py
@@ -79,6 +79,9 @@
     ----------
     links : dict of str to Link
         Ready links by the peer's name; the newest link of a peer replaces an older one.
+    may_echo : callable
+        Whether heartbeats may tell peers now that theirs were received, which shows them that this
+        process is alive and has acted on all that came before.
     heartbeat_ms_by_role : dict of str to float
         Time between heartbeats to peers of a role, if it is longer than ``link.heartbeat_ms``.
     """
@@ -100,6 +103,7 @@
         self.buffer_bytes = settings.get(BUFFER_BYTES)
         self.make_heartbeat: HeartbeatSource = lambda link: Heartbeat(config_version=0)
         self.receive_heartbeat: HeartbeatSink = lambda link, heartbeat, heartbeat_sent_ms: None
+        self.may_echo: Callable[[], bool] = lambda: True
         self.heartbeat_ms_by_role: dict[str, float] = {}
         self._heartbeat_ms = settings.get(HEARTBEAT_MS)
         self._redial_ms = settings.get(REDIAL_MS)
--- a/apricotrail/wire/_link.py
+++ b/apricotrail/wire/_link.py
@@ -126,6 +126,7 @@
         self._sequence = 0
         self._sent_at_ms: dict[int, float] = {}
         self._highest_received = 0
+        self._echo = 0
         self._beat_ms = 0.0
         self.opened_ms = self._clock()
         self._heard_ms = self.opened_ms
@@ -237,7 +238,9 @@
         heartbeat: Heartbeat = self._endpoint.make_heartbeat(self)
         self._sequence += 1
         heartbeat.sequence = self._sequence
-        heartbeat.echo = self._highest_received
+        if self._endpoint.may_echo():
+            self._echo = self._highest_received
+        heartbeat.echo = self._echo
         if len(self._sent_at_ms) < MAX_SENT_TIMES and self.send(heartbeat):
             self._sent_at_ms[self._sequence] = now_ms
             self._beat_ms = now_ms
--- a/apricotrail/wire/tests/test_links.py
+++ b/apricotrail/wire/tests/test_links.py
@@ -70,6 +70,22 @@
             # One answer each, and up to four that the clock sent before.
             self.assertLessEqual(len(clocked), 14)
 
+    # Guards against a sign of life by the clock of a process that has not read its messages yet.
+    async def test_heartbeats_echo_nothing_new_while_they_may_not(self):
+        async with Pair() as pair:
+            echoed = []
+            pair.left.receive_heartbeat = lambda link, heartbeat, sent_ms: echoed.append(
+                heartbeat.echo
+            )
+            await wait_until(lambda: len(echoed) > 2)
+            pair.right.may_echo = lambda: False
+            await wait_until(lambda: len(echoed) > 3)
+            echoed.clear()
+            await wait_until(lambda: len(echoed) > 3)
+            self.assertEqual(len(set(echoed[1:])), 1)
+            pair.right.may_echo = lambda: True
+            await wait_until(lambda: echoed[-1] > echoed[1] + 3)
+
     async def test_an_error_in_one_heartbeat_silences_no_link(self):
         """Operators of a similar system: one unexpected error took a whole process down."""
 
