Agents: the time after which callers return is a setting, taken from the platform's bounds

The grace of runs was summed for callers that return after 1.3 s. A deployment may name a shorter time (resendMs of its settings), with which runs would outlast it again.

--- a/apricotrail/membership/__init__.py
+++ b/apricotrail/membership/__init__.py
@@ -23,6 +23,7 @@
     OWNER_SILENT_MS,
     START_VALID_MS,
     TICK_MS,
+    compute_owner_grace_ms,
 )
 from apricotrail.membership._view import NO_VIEW, View, ViewMember, read_view
 
@@ -47,6 +48,7 @@
     "RosterParts",
     "View",
     "ViewMember",
+    "compute_owner_grace_ms",
     "has_durable_log",
     "read_view",
     "replica_name",
--- a/apricotrail/membership/_run_limits.py
+++ b/apricotrail/membership/_run_limits.py
@@ -29,16 +29,31 @@
     "OWNER_SILENT_MS",
     "START_VALID_MS",
     "TICK_MS",
+    "compute_owner_grace_ms",
 ]
 
 CALLER_RETRY_MS = 1_300.0
-"""Shortest time after which callers send a job again."""
+"""Shortest time after which callers send a job again, by default."""
 
 MAX_NOTICE_MS = 150.0
 """Longest pause of a dispatcher after which it answers heartbeats at once."""
 
-OWNER_GRACE_MS = 1_100.0
-"""How long after the last sign of life of its owner a run may go on."""
+_MARGIN_MS = 50.0  # a round trip between zones, and the lag of a loaded process
+
+
+def compute_owner_grace_ms(caller_retry_ms: float) -> float:
+    """Return how long after the last sign of life of its owner a run may go on, in ms.
+
+    Parameters
+    ----------
+    caller_retry_ms : float
+        Shortest time after which callers send a job again.
+    """
+    return caller_retry_ms - MAX_NOTICE_MS - _MARGIN_MS
+
+
+OWNER_GRACE_MS = compute_owner_grace_ms(CALLER_RETRY_MS)
+"""How long after the last sign of life of its owner a run may go on by default."""
 
 OWNER_SILENT_MS = 500.0
 """Silence of an owner after which its runs are stopped and none is started."""
--- a/apricotrail/runners/_application.py
+++ b/apricotrail/runners/_application.py
@@ -6,7 +6,13 @@
 from apricotrail.application import Application
 from apricotrail.clocks import monotonic_ms, wall_ms
 from apricotrail.events import Level, declare_event, emit
-from apricotrail.membership import TICK_MS, Roster, RosterParts
+from apricotrail.membership import (
+    CALLER_RETRY_MS,
+    TICK_MS,
+    Roster,
+    RosterParts,
+    compute_owner_grace_ms,
+)
 from apricotrail.metrics import add_status_listener
 from apricotrail.runners._driver import RunnerDriver, RunnerPort
 from apricotrail.runners._gate import GateLimits, RunGate
@@ -39,6 +45,15 @@
     unit="ms",
     minimum=0,
 )
+CALLER_RETRY = declare_setting(
+    "runner.caller_retry_ms",
+    CALLER_RETRY_MS,
+    "Shortest time after which a caller, whose dispatcher is gone or has answered that its job is "
+    "unfinished, sends the job again. Runs end before that; leases are shortened where it needs.",
+    unit="ms",
+    minimum=500,
+    maximum=60_000,
+)
 STATUS_LISTEN = declare_setting(
     "runner.status_listen", "", "Address for /healthz, /readyz and /metrics; empty for none."
 )
@@ -106,7 +121,8 @@
         self._outcomes: dict[Owner, list[RunOutcome]] = defaultdict(list)
         self._received_starts: dict[str, int] = defaultdict(int)
         self._is_flush_scheduled = False
-        self.gate = RunGate(monotonic_ms, GateLimits(), self._order, self._report, wall_ms())
+        limits = GateLimits(owner_grace_ms=compute_owner_grace_ms(settings.get(CALLER_RETRY)))
+        self.gate = RunGate(monotonic_ms, limits, self._order, self._report, wall_ms())
         self.driver = RunnerDriver(self.gate, port, monotonic_ms, self.application.spawn)
         self.roster = Roster(
             RosterParts(
