control: sync at the start what is read from the data folder

Cause: a process killed between a write and its sync, or between a rename and the sync of the folder, leaves bytes and names that a restarted replica read and then confirmed (entries by acknowledging appends without new ones, a vote by granting it again). A power loss before its next sync took them away again; an unsynced rename of the log took every later entry, too. Change: load() syncs the log and the folder before its result is used.

--- a/apricotrail/control/_storage.py
+++ b/apricotrail/control/_storage.py
@@ -132,12 +132,14 @@
         self._vote = ""
 
     def load(self) -> StoredState:
-        """Read the folder, and truncate an incomplete last write of the log.
+        """Read the folder, truncate an incomplete last write of the log, and sync the rest.
+
+        A process that was killed may have left bytes and names of files that were never synced.
 
         Raises
         ------
         StorageError
-            If bytes that had been synced are damaged or missing.
+            If bytes that had been synced are damaged or missing, or a write or sync failed.
         """
         identity = self._load_identity()
         snapshot = self._load_snapshot()
@@ -149,6 +151,7 @@
             )
         if scan.end < len(data):
             self._run_write(lambda: self._files.truncate(_LOG_FILE, scan.end))
+        self._run_write(lambda: self._sync_loaded(bool(data)))
         self.log_bytes = scan.end
         covered_index = snapshot.index if snapshot is not None else 0
         if not scan.records and covered_index > FORMATION_INDEX:
@@ -232,6 +235,11 @@
             raise _make_damage_error("The snapshot is damaged.")
         return snapshot
 
+    def _sync_loaded(self, has_log: bool) -> None:
+        if has_log:
+            self._files.sync(_LOG_FILE)
+        self._files.sync_folder()
+
     def _replay(self, records: list[Record]) -> list[LogEntry]:
         entries: list[LogEntry] = []
         for record in records:
--- a/apricotrail/control/tests/disk.py
+++ b/apricotrail/control/tests/disk.py
@@ -1,5 +1,6 @@
 """A data folder in memory that may lose unsynced bytes in a crash and fail at a chosen step."""
 
+from errno import ENOSPC
 from random import Random
 
 from apricotrail.control._files import FileOperations
@@ -19,7 +20,8 @@
 
     `crash` drops, keeps or corrupts unsynced bytes at random. `crash_at` is the file operation in
     which the process dies, before or after it takes effect; from the operation `fail_at` on all of
-    them fail, as on a full disk. `synced_files` is the folder as of its last sync.
+    them fail, as on a faulty disk. While the disk is `full`, a part of what is written is taken
+    before the operation fails. `synced_files` is the folder as of its last sync.
     """
 
     def __init__(self, random: Random) -> None:
@@ -29,6 +31,7 @@
         self.steps = 0
         self.crash_at: int | None = None
         self.fail_at: int | None = None
+        self.full = False
         self.on_sync = lambda: None
 
     def operations(self) -> FileOperations:
@@ -80,10 +83,16 @@
         return file.data if file is not None else None
 
     def _write(self, name: str, data: bytes) -> None:
-        self.files.setdefault(name, _File()).data = data
+        self.files.setdefault(name, _File()).data = b""
+        self._append(name, data)
 
     def _append(self, name: str, data: bytes) -> None:
-        self.files.setdefault(name, _File()).data += data
+        taken_bytes = len(data)
+        if self.full and data:
+            taken_bytes = self.random.randrange(len(data))
+        self.files.setdefault(name, _File()).data += data[:taken_bytes]
+        if taken_bytes < len(data):
+            raise OSError(ENOSPC, "no space left")
 
     def _truncate(self, name: str, size_bytes: int) -> None:
         file = self.files[name]
--- a/apricotrail/control/tests/test_storage.py
+++ b/apricotrail/control/tests/test_storage.py
@@ -1,6 +1,7 @@
 """The data folder after crashes and damage, on a full disk, and opened by a second process."""
 
 import tempfile
+from contextlib import suppress
 from pathlib import Path
 from random import Random
 
@@ -90,6 +91,26 @@
     expect_storage_error(storage.commit)
 
 
+# Guards against a replica that confirms what it read after the end of its process, while the bytes
+# or the name of the file have never been synced.
+def test_what_was_read_after_a_kill_outlasts_a_power_loss():
+    for step in range(1, 40):
+        for seed in range(8):
+            disk = MemoryDisk(Random(seed))
+            disk.crash_at = step
+            with suppress(Crash):
+                storage = Storage(disk.operations(), lambda: "1")
+                fill(storage)
+                kept = [LogEntry(index, 4, b"command %d" % index) for index in (7, 8)]
+                storage.save_snapshot(Snapshot(6, 3, b"state"), kept)
+                storage.add_entry(LogEntry(9, 4, b"command 9"))
+                storage.commit()
+            disk.crash_at = None
+            read = Storage(disk.operations(), lambda: "2").load()
+            disk.crash()
+            assert Storage(disk.operations(), lambda: "3").load() == read, (step, seed)
+
+
 def test_a_folder_is_locked_by_one_process_and_keeps_its_identity():
     with tempfile.TemporaryDirectory() as folder:
         files = open_data_folder(Path(folder) / "data")
