control: free the room of half-written files at the start

Change: load() empties them. Failed first: the bytes were still there after load(). Ruled out: a loss of data, as only files before their rename are concerned.

--- a/apricotrail/control/_storage.py
+++ b/apricotrail/control/_storage.py
@@ -141,6 +141,7 @@
         StorageError
             If bytes that had been synced are damaged or missing, or a write or sync failed.
         """
+        self._run_write(self._empty_unfinished_files)
         identity = self._load_identity()
         snapshot = self._load_snapshot()
         data = self._files.read(_LOG_FILE) or b""
@@ -214,6 +215,11 @@
         """Close the files and release the lock of the folder."""
         self._files.close()
 
+    def _empty_unfinished_files(self) -> None:
+        for name in (_SNAPSHOT_FILE, _LOG_FILE, _IDENTITY_FILE):
+            if self._files.read(name + _NEW_SUFFIX):
+                self._files.write(name + _NEW_SUFFIX, b"")
+
     def _load_identity(self) -> str:
         stored = self._files.read(_IDENTITY_FILE)
         if stored:
--- a/apricotrail/control/tests/test_storage.py
+++ b/apricotrail/control/tests/test_storage.py
@@ -111,6 +111,19 @@
             assert Storage(disk.operations(), lambda: "3").load() == read, (step, seed)
 
 
+# Guards against half-written files of a full disk that keep it full.
+def test_half_written_files_take_no_room_after_the_next_start():
+    disk = MemoryDisk(Random(1))
+    storage = Storage(disk.operations())
+    fill(storage)
+    disk.full = True
+    expect_storage_error(lambda: storage.save_snapshot(Snapshot(8, 4, b"state" * 1_000), []))
+    assert disk.files["snapshot.new"].data
+    stored = Storage(disk.operations()).load()
+    assert not disk.files["snapshot.new"].data
+    assert [entry.index for entry in stored.entries] == [1, 2, 3, 4, 5, 6, 7, 8]
+
+
 def test_a_folder_is_locked_by_one_process_and_keeps_its_identity():
     with tempfile.TemporaryDirectory() as folder:
         files = open_data_folder(Path(folder) / "data")
