control: a change that may be logged is not refused as not done

Cause: submit() tries again after an unknown outcome and answered with its last try only. If that met no leader (lost at the failure, none elected within control.propose_ms), the answer was no_quorum, which says that nothing was logged, though the first try may be committed. Change: an unknown outcome is kept until a try is answered from the log; refusals of tries that were not logged (no_quorum, unreachable, overloaded) don't replace it. The test failed first with no_quorum in place of unknown_outcome.

--- a/apricotrail/control/_proposals.py
+++ b/apricotrail/control/_proposals.py
@@ -29,7 +29,8 @@
 RETRY_MS = 50
 MAX_REQUEST_ID_CHARS = 200
 _PROPOSERS = frozenset({"control", "entry"})
-_RETRIED_KINDS = frozenset({ErrorKind.NO_QUORUM.value})
+_RETRIED_KINDS = frozenset({ErrorKind.NO_QUORUM.value, ErrorKind.UNREACHABLE.value})
+_UNLOGGED_KINDS = frozenset({*_RETRIED_KINDS, ErrorKind.OVERLOADED.value})
 
 
 class ProposalRouter:
@@ -65,11 +66,18 @@
 
         A command that another replica `forwarded` is tried once and not forwarded again. Others
         are retried, but only while nothing can have been logged or if a repetition has no effect.
+        Once the outcome of a try is unknown, later tries that were not logged don't change that.
         """
         deadline_ms = monotonic_ms() + self._propose_ms
+        unknown: ProposeReply | None = None
         while True:
             left_ms = deadline_ms - monotonic_ms()
             reply = await self._try_once(command, forwarded, left_ms)
+            kind = _read_refusal_kind(reply)
+            if kind == ErrorKind.UNKNOWN_OUTCOME.value:
+                unknown = reply
+            elif unknown is not None and not reply.accepted and kind in _UNLOGGED_KINDS:
+                reply = unknown
             if forwarded or not self._should_retry(command, reply):
                 return reply
             if deadline_ms - monotonic_ms() <= RETRY_MS:
@@ -116,7 +124,7 @@
         if reply.accepted:
             return False
         kind = _read_refusal_kind(reply)
-        if kind in _RETRIED_KINDS or kind == ErrorKind.UNREACHABLE.value:
+        if kind in _RETRIED_KINDS:
             return True
         # A queue document of a version that is stored already changes nothing.
         is_idempotent = bool(command.request_id) or command.put_queues is not None
