control: a replica whose disk had no room for a moment goes on by itself

Cause: after a failed write a replica stopped for good: links closed, no timers, no elections. Its process was meant to end and be started again, but nothing ended it: cli.serve waits for signals only. It kept its address for operators and left calls unanswered for 5 s, if it had led, or refused them as no_quorum. Once the disks of a majority had been full, one after another, no change was accepted any more while all processes ran. Change: the replica opens its data folder again, after 250 ms and then at least each second, until that works, and joins its group with new links and state read from the disk. As the system may hold bytes in memory that a failed sync has not brought to the disk, the log is first written again and synced; that also shows that there is room. Until then calls are refused at once. An error while the group forms counts as a failure of the disk, too; it ended the forming. Ruled out: ending the process, which needs a supervisor and ends again and again while the disk is full; writing on in the same file, whose end is unknown. Failed first: both tests in test_full_disks.py (no change acknowledged within 4.8 s while a later disk was full), the last test of test_proposals.py (no answer in 5 s).

--- a/apricotrail/control/_application.py
+++ b/apricotrail/control/_application.py
@@ -10,13 +10,19 @@
 from apricotrail.control._acceptance import PROMOTION_KEY_FILE, TRIAL_ENVIRONMENT, Promotion
 from apricotrail.control._answers import StatusRouter
 from apricotrail.control._changes import DocumentFunctions
-from apricotrail.control._files import FileOperations, make_memory_files, open_data_folder
+from apricotrail.control._files import (
+    FileOperations,
+    StorageError,
+    make_memory_files,
+    open_data_folder,
+)
 from apricotrail.control._formation import form_group
 from apricotrail.control._members import make_memory_identity
 from apricotrail.control._meters import time_syncs, watch_service
 from apricotrail.control._node import Node
 from apricotrail.control._operations import QueueOperations
 from apricotrail.control._proposals import PROPOSE_MS, ProposalRouter
+from apricotrail.control._reopening import keep_trying
 from apricotrail.control._replica import Timing
 from apricotrail.control._service import ControlService, ServiceParts
 from apricotrail.control._setup import Limits, NodeSetup
@@ -116,9 +122,9 @@
     application : Application
         Start and stop hooks and background tasks.
     service : ControlService or None
-        The running replica, None before the start.
+        The running replica, or the last one while the disk can't be used; None before the start.
     operations : QueueOperations or None
-        Calls of operators of queues, None before the start.
+        Calls of operators of queues, None before the start and while the disk can't be used.
     """
 
     def __init__(
@@ -131,6 +137,7 @@
         self.application = Application("control")
         self.service: ControlService | None = None
         self.operations: QueueOperations | None = None
+        self._reopening: asyncio.Task | None = None
         self.metrics = make_metrics("control")
         seeds = settings.get(SEEDS)
         self._open_group = bool(seeds)
@@ -161,21 +168,35 @@
                 self._peers.setdefault(seed, seed)
 
     async def _start(self) -> None:
-        node = self._open_node()
-        self.service = ControlService(self._make_parts(node))
-        self._connect(self.service)
-        endpoint = self.service.endpoint
+        await self._open()
+        self._reopening = self.application.spawn(self._reopen_forever())
+
+    async def _open(self, after_failure: bool = False) -> None:
+        """Open the data folder and run a replica on it."""
+        former = self.service
+        node = self._open_node(after_failure)
+        self.service = service = ControlService(self._make_parts(node))
+        operations = self._connect(service)
         try:
-            await endpoint.listen(*parse_address(self.settings.get(LISTEN)))
-        except OSError:
+            await service.endpoint.listen(*parse_address(self.settings.get(LISTEN)))
+        except (OSError, asyncio.CancelledError):
             node.close()
-            self.service = None
+            self.service = former
             raise
-        endpoint.start()
-        await self._form_if_single(self.service)
-        self.application.spawn(self.service.tick_forever())
-        self.application.spawn(self.service.oversee_forever())
-        self.application.spawn(form_group(self.service))
+        self.operations = operations
+        service.endpoint.start()
+        await self._form_if_single(service)
+        self.application.spawn(service.tick_forever())
+        self.application.spawn(service.oversee_forever())
+        self.application.spawn(form_group(service))
+
+    async def _reopen_forever(self) -> None:
+        """After each failure of the disk, open the data folder again as soon as it can be used."""
+        while True:
+            await self.service.failed.wait()
+            self.operations = None
+            await self.service.close_failed()
+            await keep_trying(lambda: self._open(after_failure=True))
 
     def _is_ready(self) -> bool:
         """Return whether the configuration was confirmed within ``membership.config_stale_ms``."""
@@ -193,6 +214,8 @@
     async def _stop(self) -> None:
         if self.service is None:
             return
+        self._reopening.cancel()
+        await asyncio.wait([self._reopening])
         await self._transfer_leadership(self.service)
         await self.service.endpoint.stop()
         self.service.node.close()
@@ -209,28 +232,32 @@
                 return
             await asyncio.sleep(TRANSFER_POLL_MS / 1000)
 
-    def _open_node(self) -> Node:
+    def _open_node(self, after_failure: bool) -> Node:
         settings = self.settings
         folder = settings.get(DATA_FOLDER)
         file_operations = open_data_folder(Path(folder)) if folder else make_memory_files()
         files = self._wrap_files(file_operations)
-        return Node(
-            NodeSetup(
-                name=settings.get(NAME),
-                files=time_syncs(files, self.metrics.sync_ms.observe, monotonic_ms),
-                documents=DocumentFunctions(parse_document, check_succession, make_items),
-                clock=monotonic_ms,
-                random=Random(),
-                send=lambda replica_id, message: self.service.send(replica_id, message),
-                on_change=lambda: self.service.on_change(),
-                timing=Timing(settings.get(ROUND_MS), settings.get(ELECTION_MS)),
-                limits=Limits(
-                    snapshot_entries=settings.get(SNAPSHOT_ENTRIES),
-                    snapshot_log_bytes=settings.get(SNAPSHOT_LOG_BYTES),
-                ),
-                make_identity=make_random_identity if folder else make_memory_identity,
-            )
+        setup = NodeSetup(
+            name=settings.get(NAME),
+            files=time_syncs(files, self.metrics.sync_ms.observe, monotonic_ms),
+            documents=DocumentFunctions(parse_document, check_succession, make_items),
+            clock=monotonic_ms,
+            random=Random(),
+            send=lambda replica_id, message: self.service.send(replica_id, message),
+            on_change=lambda: self.service.on_change(),
+            timing=Timing(settings.get(ROUND_MS), settings.get(ELECTION_MS)),
+            limits=Limits(
+                snapshot_entries=settings.get(SNAPSHOT_ENTRIES),
+                snapshot_log_bytes=settings.get(SNAPSHOT_LOG_BYTES),
+            ),
+            make_identity=make_random_identity if folder else make_memory_identity,
+            after_failure=after_failure,
         )
+        try:
+            return Node(setup)
+        except StorageError:
+            files.close()
+            raise
 
     def _make_parts(self, node: Node) -> ServiceParts:
         settings = self.settings
@@ -251,7 +278,7 @@
             settings.get(FOUND),
         )
 
-    def _connect(self, service: ControlService) -> None:
+    def _connect(self, service: ControlService) -> QueueOperations:
         settings = self.settings
         promotion = Promotion(
             settings.get(ENVIRONMENT),
@@ -259,11 +286,11 @@
             settings.get(PROMOTION_KEY_FILE),
         )
         router = ProposalRouter(service, promotion, float(settings.get(PROPOSE_MS)))
-        self.operations = QueueOperations(service, router)
         service.connect()
         watch_service(self.metrics, service)
         service.endpoint.on(Propose, router.answer)
         service.endpoint.on(StatusRequest, StatusRouter(service, self.metrics.render).answer)
+        return QueueOperations(service, router)
 
 
 def make_control(settings: Settings) -> Application:
--- a/apricotrail/control/_formation.py
+++ b/apricotrail/control/_formation.py
@@ -39,9 +39,8 @@
     while not node.is_formed and not service.failed.is_set():
         members = await _find_founding_members(service, names)
         if members is not None and not node.is_formed and _is_first_voter(own_name, names, members):
-            node.form(members)
-            emit(CONTROL_FORMED, members=sorted(members))
-            service.flush()
+            if service.form(members):
+                emit(CONTROL_FORMED, members=sorted(members))
             return
         await asyncio.sleep(RETRY_MS / 1000)
 
--- a/apricotrail/control/_node.py
+++ b/apricotrail/control/_node.py
@@ -70,7 +70,7 @@
     def __init__(self, setup: NodeSetup) -> None:
         self.setup = setup
         self.storage = Storage(setup.files, setup.make_identity)
-        stored = self.storage.load()
+        stored = self.storage.load(setup.after_failure)
         self.replica_id = make_replica_id(setup.name, stored.identity)
         self.machine = StateMachine(setup.documents)
         self.applied_index = 0
--- a/apricotrail/control/_proposals.py
+++ b/apricotrail/control/_proposals.py
@@ -83,8 +83,13 @@
             if deadline_ms - monotonic_ms() <= RETRY_MS:
                 return reply
             await asyncio.sleep(RETRY_MS / 1000)
+            if self._service.failed.is_set():
+                return reply
 
     async def _try_once(self, command: Command, forwarded: bool, left_ms: float) -> ProposeReply:
+        if self._service.failed.is_set():
+            remedy = "Send it to another replica."
+            return self._refuse(Problem(ErrorKind.NO_QUORUM, "This replica has stopped.", remedy))
         if self._service.node.replica.is_leader:
             return await self._propose_here(command, left_ms)
         link = self._service.leader_link
--- a/apricotrail/control/_service.py
+++ b/apricotrail/control/_service.py
@@ -14,6 +14,7 @@
 from apricotrail.clocks import monotonic_ms, wall_ms
 from apricotrail.control._entries import EntryTable
 from apricotrail.control._files import StorageError
+from apricotrail.control._members import Members
 from apricotrail.control._node import Node
 from apricotrail.control._nodes import NodeSharing
 from apricotrail.control._protocol import MESSAGE_TYPES, ms_until_tick
@@ -48,7 +49,8 @@
     3001,
     "control_storage_failed",
     Level.ERROR,
-    "The disk of this replica failed and the replica has stopped; check the disk, then restart it.",
+    "The disk of this replica failed and the replica has stopped; it opens the data folder again "
+    "until that works. Free space on the disk, or replace it if it is faulty.",
 )
 LEADER_CHANGED = declare_event(
     3004,
@@ -122,7 +124,7 @@
         Own monotonic time at which this replica applied each of the last `MAX_COMMIT_TIMES`
         versions.
     failed : asyncio.Event
-        Set when the disk has failed; the replica does nothing from then on.
+        Set when the disk has failed; this object does nothing from then on.
     """
 
     def __init__(self, parts: ServiceParts) -> None:
@@ -191,12 +193,29 @@
         self._track_leader()
 
     def fail(self, error: StorageError) -> None:
-        """Stop for good, since it is unknown what the disk holds after a failed write or sync."""
+        """Stop, since it is unknown what the disk holds after a failed write or sync."""
+        if self.failed.is_set():
+            return
         emit(CONTROL_STORAGE_FAILED, problem=str(error.problem))
         self.failed.set()
         self.node.fail_pending()
         self._closing = asyncio.ensure_future(self.endpoint.stop())
 
+    async def close_failed(self) -> None:
+        """Wait until the links of this failed replica are closed, and release its data folder."""
+        await self._closing
+        self.node.close()
+
+    def form(self, members: Members) -> bool:
+        """Form a new group; False if the disk failed, which stops the replica."""
+        try:
+            self.node.form(members)
+        except StorageError as error:
+            self.fail(error)
+            return False
+        self.flush()
+        return True
+
     async def propose(self, command: Command) -> Result[Outcome, Problem]:
         """Append a command to the log of this replica and wait for its outcome.
 
--- a/apricotrail/control/_setup.py
+++ b/apricotrail/control/_setup.py
@@ -59,6 +59,8 @@
         Limits on snapshots, log and waiting commands.
     make_identity : callable
         Returns a new identity for an empty data folder.
+    after_failure : bool
+        Whether the folder is opened again after a write or sync failed.
     """
 
     name: str
@@ -71,3 +73,4 @@
     timing: Timing = Timing()
     limits: Limits = Limits()
     make_identity: Callable[[], str] = make_random_identity
+    after_failure: bool = False
--- a/apricotrail/control/_storage.py
+++ b/apricotrail/control/_storage.py
@@ -128,14 +128,21 @@
         self._make_identity = make_identity
         self._batch: list[Record] = []
         self._failed = False
+        self._closed = False
         self._term = 0
         self._vote = ""
 
-    def load(self) -> StoredState:
+    def load(self, after_failure: bool = False) -> StoredState:
         """Read the folder, truncate an incomplete last write of the log, and sync the rest.
 
         A process that was killed may have left bytes and names of files that were never synced.
 
+        Parameters
+        ----------
+        after_failure : bool
+            Whether a write or sync failed before. What is read may then never have reached the
+            disk even if a later sync succeeds, so the log is written again.
+
         Raises
         ------
         StorageError
@@ -150,7 +157,9 @@
             raise _make_damage_error(
                 f"The log is damaged at byte {scan.end}, which had been synced."
             )
-        if scan.end < len(data):
+        if after_failure:
+            self._run_write(lambda: self._replace_file(_LOG_FILE, data[: scan.end]))
+        elif scan.end < len(data):
             self._run_write(lambda: self._files.truncate(_LOG_FILE, scan.end))
         self._run_write(lambda: self._sync_loaded(bool(data)))
         self.log_bytes = scan.end
@@ -212,8 +221,10 @@
         self._rewrite_log(kept)
 
     def close(self) -> None:
-        """Close the files and release the lock of the folder."""
-        self._files.close()
+        """Close the files and release the lock of the folder, unless that was done before."""
+        if not self._closed:
+            self._closed = True
+            self._files.close()
 
     def _empty_unfinished_files(self) -> None:
         for name in (_SNAPSHOT_FILE, _LOG_FILE, _IDENTITY_FILE):
@@ -300,5 +311,5 @@
 
 
 def _make_write_error(message: str) -> StorageError:
-    remedy = "Free space on the disk or replace it, then start this replica again."
+    remedy = "Free space on the disk; the replica then goes on. Replace the disk if it is faulty."
     return StorageError(Problem(ErrorKind.STORAGE, f"{message}; the replica stops.", remedy))
--- a/apricotrail/control/tests/disk.py
+++ b/apricotrail/control/tests/disk.py
@@ -15,6 +15,26 @@
         self.data, self.synced = b"", b""
 
 
+class FillableDisk:
+    """Wraps the operations on a real folder; while `full`, it takes a part of what is written."""
+
+    def __init__(self) -> None:
+        self.full = False
+
+    def wrap(self, files: FileOperations) -> FileOperations:
+        def limit(work):
+            def write(name: str, data: bytes) -> None:
+                if not self.full or not data:
+                    work(name, data)
+                    return
+                work(name, data[: len(data) // 2])
+                raise OSError(ENOSPC, "no space left")
+
+            return write
+
+        return files._replace(write=limit(files.write), append=limit(files.append))
+
+
 class MemoryDisk:
     """One folder of files.
 
--- /dev/null
+++ b/apricotrail/control/tests/test_full_disks.py
@@ -0,0 +1,98 @@
+"""Control processes whose disks fill up and have room again, with real links and files."""
+
+import asyncio
+from itertools import count
+from random import Random
+
+from returns.result import Success
+
+from apricotrail.clocks import monotonic_ms
+from apricotrail.control.tests.disk import FillableDisk
+from apricotrail.control.tests.test_process import (
+    ControlCase,
+    find_ports,
+    put_document,
+    wait_until,
+)
+from apricotrail.wire.generated.ttypes import Command, Propose, SetZoneState
+
+FULL_S = 0.8
+ACK_S = 4.0
+CALL_MS = 1_000
+
+
+class TestFullDisks(ControlCase):
+    async def asyncSetUp(self):
+        await super().asyncSetUp()
+        self.random = Random(1)
+        self.numbers = count(1)
+        self.acknowledged: dict[str, tuple[int, bytes]] = {}
+
+    async def start_group(self, size: int):
+        names = "abcde"[:size]
+        ports = find_ports(size)
+        peers = [f"{name}=127.0.0.1:{port}" for name, port in zip(names, ports, strict=True)]
+        self.disks = {name: FillableDisk() for name in names}
+        self.controls = {
+            name: await self.start_control(name, port, peers, self.disks[name])
+            for name, port in zip(names, ports, strict=True)
+        }
+        self.entry = await self.start_entry(*(it.address for it in self.controls.values()))
+
+    async def submit(self, propose: Propose, peer: str = "") -> None:
+        """Send a change to one replica after another until it is acknowledged, as operators do.
+
+        With `peer`, it is sent to the replica of that name only.
+        """
+        while True:
+            links = [it for key, it in self.entry.endpoint.links.items() if key.startswith(peer)]
+            if links:
+                reply = await self.random.choice(links).call(propose, CALL_MS)
+                if isinstance(reply, Success) and reply.unwrap().accepted:
+                    answer = (reply.unwrap().version, reply.unwrap().answer)
+                    first = self.acknowledged.setdefault(propose.command.request_id, answer)
+                    self.assertEqual(answer, first)
+                    return
+            await asyncio.sleep(0.02)
+
+    async def submit_until(self, end_ms: float) -> None:
+        while monotonic_ms() < end_ms:
+            await self.submit(self.make_change())
+
+    def make_change(self) -> Propose:
+        number = next(self.numbers)
+        change = SetZoneState("barranca", bool(number % 2))
+        return Propose(Command(f"change {number}", "ana", 0, set_zone_state=change))
+
+    async def check_disks_full_in_turn(self, size: int) -> None:
+        await self.start_group(size)
+        await self.submit(put_document("one"))
+        for disk in self.disks.values():
+            disk.full = True
+            try:
+                await asyncio.wait_for(
+                    self.submit_until(monotonic_ms() + FULL_S * 1000), FULL_S + ACK_S
+                )
+            finally:
+                disk.full = False
+        for name in self.controls:
+            await asyncio.wait_for(self.submit(self.make_change(), f"{name}#"), ACK_S)
+        await self.check_nothing_is_lost()
+
+    async def check_nothing_is_lost(self) -> None:
+        versions = [version for version, _ in self.acknowledged.values()]
+        self.assertEqual(versions, sorted(versions))
+        nodes = [control.service.node for control in self.controls.values()]
+        await wait_until(lambda: min(it.machine.version for it in nodes) >= versions[-1])
+        for request_id, first in self.acknowledged.items():
+            for node in nodes:
+                outcome = node.machine.requests.find(request_id)[1]
+                self.assertEqual((outcome.version, outcome.answer), first)
+
+    # Guards against replicas that stop for good, one after another, though the disk of each was
+    # full only for a moment.
+    async def test_changes_are_accepted_after_each_disk_of_three_was_full_in_turn(self):
+        await self.check_disks_full_in_turn(3)
+
+    async def test_changes_are_accepted_after_each_disk_of_five_was_full_in_turn(self):
+        await self.check_disks_full_in_turn(5)
--- a/apricotrail/control/tests/test_process.py
+++ b/apricotrail/control/tests/test_process.py
@@ -9,6 +9,7 @@
 from pathlib import Path
 
 from apricotrail.control import Control
+from apricotrail.control.tests.disk import FillableDisk
 from apricotrail.settings import Settings
 from apricotrail.wire import KeyRing, LinkEndpoint
 from apricotrail.wire.generated.ttypes import (
@@ -98,7 +99,7 @@
         for stop in reversed(self.running):
             await stop()
 
-    async def start_control(self, name: str, port: int = 0, peers=()) -> Control:
+    async def start_control(self, name: str, port: int = 0, peers=(), disk=None) -> Control:
         control = Control(
             Settings(
                 {
@@ -108,7 +109,8 @@
                     "control.data_folder": str(self.folder / name),
                     "control.peers": list(peers),
                 }
-            )
+            ),
+            (disk or FillableDisk()).wrap,
         )
         await control.application.start()
         self.running.append(control.application.stop)
@@ -186,7 +188,7 @@
 
 class TestThreeReplicas(ControlCase):
     async def test_group_goes_on_and_takes_back_a_leader_that_lost_its_disk(self):
-        ports = _find_ports(3)
+        ports = find_ports(3)
         peers = [f"{name}=127.0.0.1:{port}" for name, port in zip("abc", ports, strict=True)]
         controls = {
             name: await self.start_control(name, port, peers)
@@ -225,7 +227,7 @@
         return control
 
     async def test_replicas_without_disks_serve_calls_and_never_vote(self):
-        ports = _find_ports(4)
+        ports = find_ports(4)
         seeds = [f"127.0.0.1:{port}" for port in ports[:3]]
         # The first seed has no disk: the second one founds the group.
         folders = ("", "b", "c", "d")
@@ -253,7 +255,7 @@
         self.assertFalse(node.replica.is_voter)
 
 
-def _find_ports(count: int) -> list[int]:
+def find_ports(count: int) -> list[int]:
     sockets = [socket.socket() for _ in range(count)]
     for held in sockets:
         held.bind(("127.0.0.1", 0))
--- a/apricotrail/control/tests/test_proposals.py
+++ b/apricotrail/control/tests/test_proposals.py
@@ -1,5 +1,6 @@
 """What a replica answers to a change that it could not bring to the leader."""
 
+import asyncio
 import json
 import unittest
 from types import SimpleNamespace
@@ -28,7 +29,7 @@
 async def submit_to_lost_leader(kind: ErrorKind) -> str:
     replica = SimpleNamespace(is_leader=False)
     node = SimpleNamespace(replica=replica, machine=SimpleNamespace(version=3))
-    service = SimpleNamespace(node=node, leader_link=None)
+    service = SimpleNamespace(node=node, leader_link=None, failed=asyncio.Event())
     service.leader_link = FailingLink(service, kind)
     router = ProposalRouter(service, Promotion("trial", "trial", ""), PROPOSE_MS)
     change = SetZoneState("pipa", False)
@@ -46,3 +47,18 @@
 
     async def test_change_that_was_never_sent_is_refused(self):
         self.assertEqual(await submit_to_lost_leader(ErrorKind.UNREACHABLE), "no_quorum")
+
+    # Guards against a replica that leaves calls unanswered after its disk failed as it led.
+    async def test_replica_that_has_stopped_refuses_at_once_though_it_led(self):
+        failed = asyncio.Event()
+        failed.set()
+        replica = SimpleNamespace(is_leader=True)
+        machine = SimpleNamespace(version=3, find_answer=lambda command: None)
+        node = SimpleNamespace(replica=replica, machine=machine)
+        service = SimpleNamespace(node=node, leader_link=None, failed=failed)
+        service.propose = lambda command: asyncio.get_running_loop().create_future()
+        router = ProposalRouter(service, Promotion("trial", "trial", ""), 60_000)
+        change = SetZoneState("pipa", False)
+        async with asyncio.timeout(5):
+            reply = await router.submit(Command("one", "ana", 0, set_zone_state=change))
+        self.assertEqual(json.loads(reply.answer)["kind"], "no_quorum")
