--- a/apricotrail/control/_node.py
+++ b/apricotrail/control/_node.py
@@ -24,16 +24,27 @@
 from apricotrail.control._replication import append_command
 from apricotrail.control._requests import Outcome
 from apricotrail.control._setup import NodeSetup
+from apricotrail.control._snapshots import Snapshot
 from apricotrail.control._state import StateMachine
-from apricotrail.control._storage import FORMATION_INDEX, Snapshot, Storage
+from apricotrail.control._storage import FORMATION_INDEX, Storage
 from apricotrail.control._transfer import commit_snapshot_if_held, reset_to_snapshot
 from apricotrail.errors import Problem
+from apricotrail.events import Level, declare_event, emit
 from apricotrail.wire import decode_message, encode_message
 from apricotrail.wire.generated.ttypes import ChangeMember, Command
 
 __all__ = ["Node"]
 
 FORMATION_TERM = 1
+SNAPSHOT_RETRY_SHARE = 0.1  # of the entries between two snapshots
+
+SNAPSHOT_POSTPONED = declare_event(
+    3009,
+    "snapshot_postponed",
+    Level.ERROR,
+    "There is no room on the disk for a snapshot, so the log goes on growing; it is tried again "
+    "later. Free space on the disk.",
+)
 
 Answer = Result[Outcome, Problem]
 
@@ -75,6 +86,7 @@
         self.machine = StateMachine(setup.documents)
         self.applied_index = 0
         self.snapshot_index = 0
+        self._snapshot_retry_index = 0
         self._pending: dict[int, _Pending] = {}
         members: Members = {}
         snapshot = stored.snapshot
@@ -251,6 +263,8 @@
 
     def _save_snapshot_if_due(self) -> None:
         limits = self.setup.limits
+        if self.applied_index < self._snapshot_retry_index:
+            return
         if (
             self.applied_index - self.snapshot_index < limits.snapshot_entries
             and self.storage.log_bytes < limits.snapshot_log_bytes
@@ -262,7 +276,7 @@
         """Write a snapshot of the applied state and drop the entries it covers.
 
         The last `retained_entries` of them are kept. Does nothing if the log is already compacted
-        up to the applied entry.
+        up to the applied entry. If there is no room on the disk, it is tried again later.
         """
         log = self.replica.log
         index = self.applied_index
@@ -272,10 +286,17 @@
         if snapshot is None:
             return
         base = max(log.base_index, index - self.setup.limits.retained_entries)
-        self.storage.save_snapshot(snapshot, log.entries_from(base + 1))
+        if not self.storage.save_snapshot_if_room(snapshot, log.entries_from(base + 1)):
+            self._postpone_snapshot()
+            return
         log.compact(base)
         self.snapshot_index = index
 
+    def _postpone_snapshot(self) -> None:
+        pause_entries = max(1, int(self.setup.limits.snapshot_entries * SNAPSHOT_RETRY_SHARE))
+        self._snapshot_retry_index = self.applied_index + pause_entries
+        emit(SNAPSHOT_POSTPONED, index=self.applied_index, retry_index=self._snapshot_retry_index)
+
     def _install(self, snapshot: Snapshot) -> None:
         self.storage.save_snapshot(snapshot, [])
         version_before = self.machine.version
--- a/apricotrail/control/_replica.py
+++ b/apricotrail/control/_replica.py
@@ -13,7 +13,7 @@
 from typing import Any, NamedTuple
 
 from apricotrail.control._log import ReplicatedLog
-from apricotrail.control._storage import Snapshot
+from apricotrail.control._snapshots import Snapshot
 from apricotrail.membership import NEVER_CONFIRMED_AGE_MS, Freshness
 from apricotrail.wire.generated.ttypes import LogEntry
 
--- a/apricotrail/control/_storage.py
+++ b/apricotrail/control/_storage.py
@@ -7,24 +7,20 @@
 written: what the disk then holds is unknown until the next start.
 """
 
-import json
 from collections.abc import Callable, Sequence
 from typing import NamedTuple
 from uuid import uuid4
-from zlib import crc32
 
 from apricotrail.control._files import FileOperations, StorageError
 from apricotrail.control._records import ENTRY, TERM, Record, encode_record, scan_records
+from apricotrail.control._snapshots import Snapshot, decode_snapshot, encode_snapshot
 from apricotrail.errors import ErrorKind, Problem
 from apricotrail.wire.generated.ttypes import LogEntry
 
 __all__ = [
     "FORMATION_INDEX",
-    "Snapshot",
     "Storage",
     "StoredState",
-    "decode_snapshot",
-    "encode_snapshot",
     "make_random_identity",
 ]
 
@@ -37,22 +33,6 @@
 _NEW_SUFFIX = ".new"
 
 
-class Snapshot(NamedTuple):
-    """State of the state machine after a given entry.
-
-    Attributes
-    ----------
-    index, term : int
-        Index and term of the last entry covered.
-    payload : bytes
-        State as exported by the state machine.
-    """
-
-    index: int
-    term: int
-    payload: bytes
-
-
 class StoredState(NamedTuple):
     """State that a replica reads from its data folder at its start.
 
@@ -77,28 +57,6 @@
     entries: list[LogEntry]
 
 
-def encode_snapshot(snapshot: Snapshot) -> bytes:
-    """Return a snapshot as stored and sent: a line of JSON with a checksum, then the payload."""
-    header = {
-        "index": snapshot.index,
-        "term": snapshot.term,
-        "bytes": len(snapshot.payload),
-        "crc32": crc32(snapshot.payload),
-    }
-    return json.dumps(header).encode() + b"\n" + snapshot.payload
-
-
-def decode_snapshot(data: bytes) -> Snapshot | None:
-    """Return the snapshot in `data`, or None if it is damaged."""
-    header_text, _, payload = data.partition(b"\n")
-    try:
-        header = json.loads(header_text)
-        intact = header["bytes"] == len(payload) and header["crc32"] == crc32(payload)
-        return Snapshot(int(header["index"]), int(header["term"]), payload) if intact else None
-    except (ValueError, KeyError, TypeError):
-        return None
-
-
 def make_random_identity() -> str:
     """Return a new identity for an empty folder."""
     return uuid4().hex[:12]
@@ -217,8 +175,33 @@
         StorageError
             If a write failed.
         """
-        self._run_write(lambda: self._replace_file(_SNAPSHOT_FILE, encode_snapshot(snapshot)))
-        self._rewrite_log(kept)
+        if not self.save_snapshot_if_room(snapshot, kept):
+            self._failed = True
+            raise _make_write_error("A snapshot could not be written")
+
+    def save_snapshot_if_room(self, snapshot: Snapshot, kept: Sequence[LogEntry]) -> bool:
+        """Like `save_snapshot`, but return False if the new files could not be written.
+
+        Snapshot and log are then as before and can be used further.
+
+        Raises
+        ------
+        StorageError
+            If the written files could not be put in place.
+        """
+        self._refuse_after_failure()
+        log = self._encode_log(kept)
+        try:
+            self._write_aside(_SNAPSHOT_FILE, encode_snapshot(snapshot))
+            self._write_aside(_LOG_FILE, log)
+        except OSError:
+            self._run_write(self._empty_unfinished_files)
+            return False
+        self._run_write(lambda: self._put_in_place(_SNAPSHOT_FILE))
+        self._run_write(lambda: self._put_in_place(_LOG_FILE))
+        self._batch.clear()
+        self.log_bytes = len(log)
+        return True
 
     def close(self) -> None:
         """Close the files and release the lock of the folder, unless that was done before."""
@@ -271,23 +254,35 @@
         return entries
 
     def _rewrite_log(self, kept: Sequence[LogEntry]) -> None:
-        records = [Record(TERM, 0, self._term, self._vote.encode())]
-        records += [Record(ENTRY, entry.index, entry.term, entry.command) for entry in kept]
-        log = b"".join(encode_record(record, 0) for record in records)
+        log = self._encode_log(kept)
         self._batch.clear()
         self._run_write(lambda: self._replace_file(_LOG_FILE, log))
         self.log_bytes = len(log)
 
+    def _encode_log(self, kept: Sequence[LogEntry]) -> bytes:
+        records = [Record(TERM, 0, self._term, self._vote.encode())]
+        records += [Record(ENTRY, entry.index, entry.term, entry.command) for entry in kept]
+        return b"".join(encode_record(record, 0) for record in records)
+
     def _replace_file(self, name: str, data: bytes) -> None:
+        self._write_aside(name, data)
+        self._put_in_place(name)
+
+    def _write_aside(self, name: str, data: bytes) -> None:
         self._files.write(name + _NEW_SUFFIX, data)
         self._files.sync(name + _NEW_SUFFIX)
+
+    def _put_in_place(self, name: str) -> None:
         self._files.rename(name + _NEW_SUFFIX, name)
         self._files.sync_folder()
 
-    def _run_write(self, work: Callable[[], None]) -> None:
-        """Run `work`, and refuse every later write if it fails."""
+    def _refuse_after_failure(self) -> None:
         if self._failed:
             raise _make_write_error("An earlier write failed")
+
+    def _run_write(self, work: Callable[[], None]) -> None:
+        """Run `work`, and refuse every later write if it fails."""
+        self._refuse_after_failure()
         try:
             work()
         except OSError as error:
--- a/apricotrail/control/_transfer.py
+++ b/apricotrail/control/_transfer.py
@@ -7,7 +7,7 @@
     become_follower,
     postpone_election,
 )
-from apricotrail.control._storage import decode_snapshot, encode_snapshot
+from apricotrail.control._snapshots import decode_snapshot, encode_snapshot
 from apricotrail.wire.generated.ttypes import InstallSnapshot, SnapshotReply
 
 __all__ = [
--- a/apricotrail/control/tests/disk.py
+++ b/apricotrail/control/tests/disk.py
@@ -44,8 +44,8 @@
     `crash` drops, keeps or corrupts unsynced bytes at random. `crash_at` is the file operation in
     which the process dies, before or after it takes effect; from the operation `fail_at` on all of
     them fail, as on a faulty disk. While the disk is `full`, a part of what is written is taken
-    before the operation fails; if it is also `late`, only the sync fails. `synced_files` is the
-    folder as of its last sync.
+    before the operation fails; if it is also `late`, only the sync fails. There is never room for
+    the file `too_large`. `synced_files` is the folder as of its last sync.
     """
 
     def __init__(self, random: Random) -> None:
@@ -56,6 +56,7 @@
         self.crash_at: int | None = None
         self.fail_at: int | None = None
         self.full = self.late = False
+        self.too_large = ""
         self.on_sync = lambda: None
 
     def operations(self) -> FileOperations:
@@ -112,7 +113,7 @@
 
     def _append(self, name: str, data: bytes) -> None:
         taken_bytes = len(data)
-        if self.full and not self.late and data:
+        if data and (name == self.too_large or self.full and not self.late):
             taken_bytes = self.random.randrange(len(data))
         self.files.setdefault(name, _File()).data += data[:taken_bytes]
         if taken_bytes < len(data):
--- a/apricotrail/control/tests/test_protocol.py
+++ b/apricotrail/control/tests/test_protocol.py
@@ -10,7 +10,7 @@
 from apricotrail.control._protocol import mark_synced, receive, tick
 from apricotrail.control._replica import ReplicaState, Timing, confirmation_age_ms
 from apricotrail.control._replication import append_command
-from apricotrail.control._storage import Snapshot, encode_snapshot
+from apricotrail.control._snapshots import Snapshot, encode_snapshot
 from apricotrail.errors import ErrorKind
 from apricotrail.membership import NEVER_CONFIRMED_AGE_MS
 from apricotrail.wire.generated.ttypes import (
--- a/apricotrail/control/tests/test_storage.py
+++ b/apricotrail/control/tests/test_storage.py
@@ -13,7 +13,8 @@
 from apricotrail.control._members import Member
 from apricotrail.control._node import Node
 from apricotrail.control._setup import Limits, NodeSetup
-from apricotrail.control._storage import Snapshot, Storage
+from apricotrail.control._snapshots import Snapshot
+from apricotrail.control._storage import Storage
 from apricotrail.control.tests.disk import Crash, MemoryDisk
 from apricotrail.control.tests.simulation import DOCUMENTS, ZONES
 from apricotrail.wire.generated.ttypes import (
@@ -131,10 +132,10 @@
 # Guards against half-written files of a full disk that keep it full.
 def test_half_written_files_take_no_room_after_the_next_start():
     disk = MemoryDisk(Random(1))
-    storage = Storage(disk.operations())
-    fill(storage)
-    disk.full = True
-    expect_storage_error(lambda: storage.save_snapshot(Snapshot(8, 4, b"state" * 1_000), []))
+    fill(Storage(disk.operations()))
+    disk.crash_at = disk.steps + 2
+    with suppress(Crash):
+        Storage(disk.operations()).save_snapshot(Snapshot(8, 4, b"state" * 1_000), [])
     assert disk.files["snapshot.new"].data
     stored = Storage(disk.operations()).load()
     assert not disk.files["snapshot.new"].data
@@ -240,6 +241,21 @@
     assert single.node.machine.read_item("zone-state/pipa") in (None, {"in_service": False})
 
 
+# Guards against a replica that stops at each change while its disk has room for the log only.
+def test_changes_are_answered_without_room_for_a_snapshot_which_is_written_later():
+    single = Single(1)
+    single.disk.too_large = "snapshot.new"
+    for number in range(30):
+        single.propose(Command(f"r{number}", "ana", 1, set_zone_state=SetZoneState("pipa", True)))
+        if number == 20:
+            assert single.node.snapshot_index == 1
+            single.disk.too_large = ""
+    assert len(single.accepted) == 30
+    assert single.node.snapshot_index > 20
+    single.restart()
+    assert len(single.node.machine.requests.export()) == 30
+
+
 names = st.sampled_from(["x", "y"])
 bodies = st.one_of(
     st.builds(
