control: a replica can start while its disk is full

Cause: without room for its first file, or for the sync and the clearing at the start, the process ended at its start, again and again under a supervisor. Change: a failed write at the start is treated like a later one: the folder is opened again until that works. Damaged or locked folders still end the start. The test failed first: the start raised StorageError. The other new test, a planned stop while the folder is being opened again, passes with and without this change.

--- a/apricotrail/control/_application.py
+++ b/apricotrail/control/_application.py
@@ -13,6 +13,7 @@
 from apricotrail.control._files import (
     FileOperations,
     StorageError,
+    WriteError,
     make_memory_files,
     open_data_folder,
 )
@@ -24,11 +25,12 @@
 from apricotrail.control._proposals import PROPOSE_MS, ProposalRouter
 from apricotrail.control._reopening import keep_trying
 from apricotrail.control._replica import Timing
-from apricotrail.control._service import ControlService, ServiceParts
+from apricotrail.control._service import CONTROL_STORAGE_FAILED, ControlService, ServiceParts
 from apricotrail.control._setup import Limits, NodeSetup
 from apricotrail.control._storage import make_random_identity
 from apricotrail.document import check_succession, make_items, parse_document
 from apricotrail.errors import ApricotrailError, ErrorKind, Problem
+from apricotrail.events import emit
 from apricotrail.membership import CONFIG_STALE_MS, replica_name
 from apricotrail.metrics import add_status_listener, make_metrics
 from apricotrail.settings import Settings, declare_constraint, declare_setting
@@ -168,7 +170,10 @@
                 self._peers.setdefault(seed, seed)
 
     async def _start(self) -> None:
-        await self._open()
+        try:
+            await self._open()
+        except WriteError as error:
+            emit(CONTROL_STORAGE_FAILED, problem=str(error.problem))
         self._reopening = self.application.spawn(self._reopen_forever())
 
     async def _open(self, after_failure: bool = False) -> None:
@@ -193,9 +198,10 @@
     async def _reopen_forever(self) -> None:
         """After each failure of the disk, open the data folder again as soon as it can be used."""
         while True:
-            await self.service.failed.wait()
-            self.operations = None
-            await self.service.close_failed()
+            if self.service is not None:
+                await self.service.failed.wait()
+                self.operations = None
+                await self.service.close_failed()
             await keep_trying(lambda: self._open(after_failure=True))
 
     def _is_ready(self) -> bool:
@@ -212,10 +218,11 @@
             service.flush()
 
     async def _stop(self) -> None:
+        if self._reopening is not None:
+            self._reopening.cancel()
+            await asyncio.wait([self._reopening])
         if self.service is None:
             return
-        self._reopening.cancel()
-        await asyncio.wait([self._reopening])
         await self._transfer_leadership(self.service)
         await self.service.endpoint.stop()
         self.service.node.close()
--- a/apricotrail/control/_files.py
+++ b/apricotrail/control/_files.py
@@ -8,7 +8,13 @@
 
 from apricotrail.errors import ApricotrailError, ErrorKind, Problem
 
-__all__ = ["FileOperations", "StorageError", "make_memory_files", "open_data_folder"]
+__all__ = [
+    "FileOperations",
+    "StorageError",
+    "WriteError",
+    "make_memory_files",
+    "open_data_folder",
+]
 
 LOCK_NAME = "lock"
 
@@ -17,6 +23,10 @@
     """The data folder can't be used; the replica stops and confirms nothing further."""
 
 
+class WriteError(StorageError):
+    """A write or sync failed, as on a full disk; the folder may be usable again later."""
+
+
 class FileOperations(NamedTuple):
     """Operations on the files of one folder, by file name.
 
--- a/apricotrail/control/_storage.py
+++ b/apricotrail/control/_storage.py
@@ -11,7 +11,7 @@
 from typing import NamedTuple
 from uuid import uuid4
 
-from apricotrail.control._files import FileOperations, StorageError
+from apricotrail.control._files import FileOperations, StorageError, WriteError
 from apricotrail.control._records import ENTRY, TERM, Record, encode_record, scan_records
 from apricotrail.control._snapshots import Snapshot, decode_snapshot, encode_snapshot
 from apricotrail.errors import ErrorKind, Problem
@@ -115,7 +115,7 @@
             raise _make_damage_error(
                 f"The log is damaged at byte {scan.end}, which had been synced."
             )
-        if after_failure:
+        if after_failure and data:
             self._run_write(lambda: self._replace_file(_LOG_FILE, data[: scan.end]))
         elif scan.end < len(data):
             self._run_write(lambda: self._files.truncate(_LOG_FILE, scan.end))
@@ -305,6 +305,6 @@
     return StorageError(Problem(ErrorKind.STORAGE, message, remedy))
 
 
-def _make_write_error(message: str) -> StorageError:
+def _make_write_error(message: str) -> WriteError:
     remedy = "Free space on the disk; the replica then goes on. Replace the disk if it is faulty."
-    return StorageError(Problem(ErrorKind.STORAGE, f"{message}; the replica stops.", remedy))
+    return WriteError(Problem(ErrorKind.STORAGE, f"{message}; the replica stops.", remedy))
--- a/apricotrail/control/tests/test_full_disks.py
+++ b/apricotrail/control/tests/test_full_disks.py
@@ -30,8 +30,9 @@
 
     async def start_group(self, size: int):
         names = "abcde"[:size]
-        ports = find_ports(size)
+        self.ports = ports = find_ports(size)
         peers = [f"{name}=127.0.0.1:{port}" for name, port in zip(names, ports, strict=True)]
+        self.peers = peers
         self.disks = {name: FillableDisk() for name in names}
         self.controls = {
             name: await self.start_control(name, port, peers, self.disks[name])
@@ -96,3 +97,27 @@
 
     async def test_changes_are_accepted_after_each_disk_of_five_was_full_in_turn(self):
         await self.check_disks_full_in_turn(5)
+
+    # Guards against a process that ends again and again while the disk is full at its start.
+    async def test_replica_starts_on_a_full_disk_and_joins_once_it_has_room(self):
+        disk = FillableDisk()
+        disk.full = True
+        (port,) = find_ports(1)
+        control = await self.start_control("a", port, disk=disk)
+        self.assertIsNone(control.operations)
+        disk.full = False
+        await wait_until(lambda: control.operations is not None)
+        self.entry = await self.start_entry(control.address)
+        await asyncio.wait_for(self.submit(put_document("one")), ACK_S)
+
+    async def test_process_stops_while_its_disk_is_full(self):
+        await self.start_group(3)
+        await self.submit(put_document("one"))
+        self.disks["b"].full = True
+        await self.submit(self.make_change())
+        await wait_until(self.controls["b"].service.failed.is_set)
+        await self.running.pop(1)()
+        self.disks["b"].full = False
+        self.controls["b"] = await self.start_control("b", self.ports[1], self.peers)
+        await asyncio.wait_for(self.submit(self.make_change(), "b#"), ACK_S)
+        await self.check_nothing_is_lost()
