control: no error ends the attempts to open the data folder again

Cause: an error other than those expected, or one after the folder was locked, ended the attempts or left the folder locked by this process, and the replica stayed stopped while its process ran. Change: every error is logged and tried again, and the folder is released first. The test failed first with the ValueError; the release on such errors has no test of its own.

--- a/apricotrail/control/_application.py
+++ b/apricotrail/control/_application.py
@@ -12,7 +12,6 @@
 from apricotrail.control._changes import DocumentFunctions
 from apricotrail.control._files import (
     FileOperations,
-    StorageError,
     WriteError,
     make_memory_files,
     open_data_folder,
@@ -180,11 +179,11 @@
         """Open the data folder and run a replica on it."""
         former = self.service
         node = self._open_node(after_failure)
-        self.service = service = ControlService(self._make_parts(node))
-        operations = self._connect(service)
         try:
+            self.service = service = ControlService(self._make_parts(node))
+            operations = self._connect(service)
             await service.endpoint.listen(*parse_address(self.settings.get(LISTEN)))
-        except (OSError, asyncio.CancelledError):
+        except BaseException:
             node.close()
             self.service = former
             raise
@@ -262,7 +261,7 @@
         )
         try:
             return Node(setup)
-        except StorageError:
+        except BaseException:
             files.close()
             raise
 
--- a/apricotrail/control/_reopening.py
+++ b/apricotrail/control/_reopening.py
@@ -34,7 +34,7 @@
         await asyncio.sleep(pause_ms / 1000)
         try:
             await reopen()
-        except (ApricotrailError, OSError) as error:
+        except Exception as error:
             problem = str(error.problem) if isinstance(error, ApricotrailError) else repr(error)
             if problem != logged:
                 emit(CONTROL_REOPENING_FAILED, problem=problem)
--- a/apricotrail/control/tests/test_full_disks.py
+++ b/apricotrail/control/tests/test_full_disks.py
@@ -7,6 +7,7 @@
 from returns.result import Success
 
 from apricotrail.clocks import monotonic_ms
+from apricotrail.control._reopening import keep_trying
 from apricotrail.control.tests.disk import FillableDisk
 from apricotrail.control.tests.test_process import (
     ControlCase,
@@ -137,3 +138,14 @@
         self.controls["b"] = await self.start_control("b", self.ports[1], self.peers)
         await asyncio.wait_for(self.submit(self.make_change(), "b#"), ACK_S)
         await self.check_nothing_is_lost()
+
+    # Guards against an unexpected error that ends the attempts, so that the replica stays stopped.
+    async def test_an_unexpected_error_does_not_end_the_attempts_to_open_the_folder(self):
+        errors = [ValueError("unexpected"), OSError("no space left")]
+
+        async def reopen() -> None:
+            if errors:
+                raise errors.pop(0)
+
+        await keep_trying(reopen)
+        self.assertEqual(errors, [])
