--- a/apricotrail/control/_proposals.py
+++ b/apricotrail/control/_proposals.py
@@ -29,7 +29,8 @@
 RETRY_MS = 50
 MAX_REQUEST_ID_CHARS = 200
 _PROPOSERS = frozenset({"control", "entry"})
-_RETRIED_KINDS = frozenset({ErrorKind.NO_QUORUM.value})
+_RETRIED_KINDS = frozenset({ErrorKind.NO_QUORUM.value, ErrorKind.UNREACHABLE.value})
+_UNLOGGED_KINDS = frozenset({*_RETRIED_KINDS, ErrorKind.OVERLOADED.value})
 
 
 class ProposalRouter:
@@ -65,18 +66,30 @@
 
         A command that another replica `forwarded` is tried once and not forwarded again. Others
         are retried, but only while nothing can have been logged or if a repetition has no effect.
+        Once the outcome of a try is unknown, later tries that were not logged don't change that.
         """
         deadline_ms = monotonic_ms() + self._propose_ms
+        unknown: ProposeReply | None = None
         while True:
             left_ms = deadline_ms - monotonic_ms()
             reply = await self._try_once(command, forwarded, left_ms)
+            kind = _read_refusal_kind(reply)
+            if kind == ErrorKind.UNKNOWN_OUTCOME.value:
+                unknown = reply
+            elif unknown is not None and not reply.accepted and kind in _UNLOGGED_KINDS:
+                reply = unknown
             if forwarded or not self._should_retry(command, reply):
                 return reply
             if deadline_ms - monotonic_ms() <= RETRY_MS:
                 return reply
             await asyncio.sleep(RETRY_MS / 1000)
+            if self._service.failed.is_set():
+                return reply
 
     async def _try_once(self, command: Command, forwarded: bool, left_ms: float) -> ProposeReply:
+        if self._service.failed.is_set():
+            remedy = "Send it to another replica."
+            return self._refuse(Problem(ErrorKind.NO_QUORUM, "This replica has stopped.", remedy))
         if self._service.node.replica.is_leader:
             return await self._propose_here(command, left_ms)
         link = self._service.leader_link
@@ -116,7 +129,7 @@
         if reply.accepted:
             return False
         kind = _read_refusal_kind(reply)
-        if kind in _RETRIED_KINDS or kind == ErrorKind.UNREACHABLE.value:
+        if kind in _RETRIED_KINDS:
             return True
         # A queue document of a version that is stored already changes nothing.
         is_idempotent = bool(command.request_id) or command.put_queues is not None
--- a/apricotrail/control/tests/disk.py
+++ b/apricotrail/control/tests/disk.py
@@ -1,5 +1,6 @@
 """A data folder in memory that may lose unsynced bytes in a crash and fail at a chosen step."""
 
+from errno import ENOSPC
 from random import Random
 
 from apricotrail.control._files import FileOperations
@@ -10,8 +11,31 @@
 
 
 class _File:
+    """A file. Once a sync has failed it is `unsyncable`: later ones succeed without effect."""
+
     def __init__(self) -> None:
         self.data, self.synced = b"", b""
+        self.unsyncable = False
+
+
+class FillableDisk:
+    """Wraps the operations on a real folder; while `full`, it takes a part of what is written."""
+
+    def __init__(self) -> None:
+        self.full = False
+
+    def wrap(self, files: FileOperations) -> FileOperations:
+        def limit(work):
+            def write(name: str, data: bytes) -> None:
+                if not self.full or not data:
+                    work(name, data)
+                    return
+                work(name, data[: len(data) // 2])
+                raise OSError(ENOSPC, "no space left")
+
+            return write
+
+        return files._replace(write=limit(files.write), append=limit(files.append))
 
 
 class MemoryDisk:
@@ -19,7 +43,9 @@
 
     `crash` drops, keeps or corrupts unsynced bytes at random. `crash_at` is the file operation in
     which the process dies, before or after it takes effect; from the operation `fail_at` on all of
-    them fail, as on a full disk. `synced_files` is the folder as of its last sync.
+    them fail, as on a faulty disk. While the disk is `full`, a part of what is written is taken
+    before the operation fails; if it is also `late`, only the sync fails. There is never room for
+    the file `too_large`. `synced_files` is the folder as of its last sync.
     """
 
     def __init__(self, random: Random) -> None:
@@ -29,6 +55,8 @@
         self.steps = 0
         self.crash_at: int | None = None
         self.fail_at: int | None = None
+        self.full = self.late = False
+        self.too_large = ""
         self.on_sync = lambda: None
 
     def operations(self) -> FileOperations:
@@ -80,18 +108,30 @@
         return file.data if file is not None else None
 
     def _write(self, name: str, data: bytes) -> None:
-        self.files.setdefault(name, _File()).data = data
+        self.files.setdefault(name, _File()).data = b""
+        self._append(name, data)
 
     def _append(self, name: str, data: bytes) -> None:
-        self.files.setdefault(name, _File()).data += data
+        taken_bytes = len(data)
+        if data and (name == self.too_large or self.full and not self.late):
+            taken_bytes = self.random.randrange(len(data))
+        self.files.setdefault(name, _File()).data += data[:taken_bytes]
+        if taken_bytes < len(data):
+            raise OSError(ENOSPC, "no space left")
 
     def _truncate(self, name: str, size_bytes: int) -> None:
         file = self.files[name]
-        file.data = file.synced = file.data[:size_bytes]
+        file.data = file.data[:size_bytes]
+        file.synced = file.synced[:size_bytes] if file.unsyncable else file.data
 
     def _sync(self, name: str) -> None:
         self.on_sync()
-        self.files[name].synced = self.files[name].data
+        file = self.files[name]
+        if self.full and file.data != file.synced:
+            file.unsyncable = True
+            raise OSError(ENOSPC, "no space left")
+        if not file.unsyncable:
+            file.synced = file.data
 
     def _rename(self, old: str, new: str) -> None:
         self.files[new] = self.files.pop(old)
--- a/apricotrail/control/tests/test_storage.py
+++ b/apricotrail/control/tests/test_storage.py
@@ -1,6 +1,7 @@
 """The data folder after crashes and damage, on a full disk, and opened by a second process."""
 
 import tempfile
+from contextlib import suppress
 from pathlib import Path
 from random import Random
 
@@ -12,7 +13,8 @@
 from apricotrail.control._members import Member
 from apricotrail.control._node import Node
 from apricotrail.control._setup import Limits, NodeSetup
-from apricotrail.control._storage import Snapshot, Storage
+from apricotrail.control._snapshots import Snapshot
+from apricotrail.control._storage import Storage
 from apricotrail.control.tests.disk import Crash, MemoryDisk
 from apricotrail.control.tests.simulation import DOCUMENTS, ZONES
 from apricotrail.wire.generated.ttypes import (
@@ -90,6 +92,56 @@
     expect_storage_error(storage.commit)
 
 
+# Guards against a replica that confirms what it read after the end of its process, while the bytes
+# or the name of the file have never been synced.
+def test_what_was_read_after_a_kill_outlasts_a_power_loss():
+    for step in range(1, 40):
+        for seed in range(8):
+            disk = MemoryDisk(Random(seed))
+            disk.crash_at = step
+            with suppress(Crash):
+                storage = Storage(disk.operations(), lambda: "1")
+                fill(storage)
+                kept = [LogEntry(index, 4, b"command %d" % index) for index in (7, 8)]
+                storage.save_snapshot(Snapshot(6, 3, b"state"), kept)
+                storage.add_entry(LogEntry(9, 4, b"command 9"))
+                storage.commit()
+            disk.crash_at = None
+            read = Storage(disk.operations(), lambda: "2").load()
+            disk.crash()
+            assert Storage(disk.operations(), lambda: "3").load() == read, (step, seed)
+
+
+# Guards against a replica that confirms what a failed sync left in memory only: a later
+# sync succeeds without bringing it to the disk.
+def test_what_was_read_after_a_failed_sync_outlasts_a_power_loss():
+    for seed in range(20):
+        disk = MemoryDisk(Random(seed))
+        storage = Storage(disk.operations())
+        fill(storage)
+        storage.add_entry(LogEntry(9, 4, b"command 9"))
+        disk.full = disk.late = True
+        expect_storage_error(storage.commit)
+        disk.full = False
+        read = Storage(disk.operations()).load(after_failure=True)
+        assert [entry.index for entry in read.entries] == [1, 2, 3, 4, 5, 6, 7, 8, 9]
+        disk.crash()
+        assert Storage(disk.operations()).load() == read, seed
+
+
+# Guards against half-written files of a full disk that keep it full.
+def test_half_written_files_take_no_room_after_the_next_start():
+    disk = MemoryDisk(Random(1))
+    fill(Storage(disk.operations()))
+    disk.crash_at = disk.steps + 2
+    with suppress(Crash):
+        Storage(disk.operations()).save_snapshot(Snapshot(8, 4, b"state" * 1_000), [])
+    assert disk.files["snapshot.new"].data
+    stored = Storage(disk.operations()).load()
+    assert not disk.files["snapshot.new"].data
+    assert [entry.index for entry in stored.entries] == [1, 2, 3, 4, 5, 6, 7, 8]
+
+
 def test_a_folder_is_locked_by_one_process_and_keeps_its_identity():
     with tempfile.TemporaryDirectory() as folder:
         files = open_data_folder(Path(folder) / "data")
@@ -189,6 +241,21 @@
     assert single.node.machine.read_item("zone-state/pipa") in (None, {"in_service": False})
 
 
+# Guards against a replica that stops at each change while its disk has room for the log only.
+def test_changes_are_answered_without_room_for_a_snapshot_which_is_written_later():
+    single = Single(1)
+    single.disk.too_large = "snapshot.new"
+    for number in range(30):
+        single.propose(Command(f"r{number}", "ana", 1, set_zone_state=SetZoneState("pipa", True)))
+        if number == 20:
+            assert single.node.snapshot_index == 1
+            single.disk.too_large = ""
+    assert len(single.accepted) == 30
+    assert single.node.snapshot_index > 20
+    single.restart()
+    assert len(single.node.machine.requests.export()) == 30
+
+
 names = st.sampled_from(["x", "y"])
 bodies = st.one_of(
     st.builds(
