Tests: runners whose capacity shrinks and grows again under load

Cause: the new rule LIMIT counts a start over a capacity that has shrunk. The gate's tests cover one runner, nothing covered a fleet of runners that shrink several times while more jobs come than usual. Change: the test fleet's runners announce themselves every 1.5 s, its check of LIMIT takes each task's own CPU and the capacity announced last. No code of the product changed: they pass on. Shown to fail: without the check of the announced capacity in _start (3 tests, 9 subtests), without _refuse_oversized (1), with a capacity that only shrinks (1).

--- a/apricotrail/tests/fleet.py
+++ b/apricotrail/tests/fleet.py
@@ -1,8 +1,9 @@
 """Dispatchers, agents and stand-in runners of one pool on virtual time, without network.
 
 Messages and calls take no time. A runner that is down refuses its agent's calls, one that is cut
-off does not answer them. Starts over a runner's capacity, and two runs of a task at the same time,
-are recorded in `Fleet.broken`.
+off does not answer them. Runners announce themselves every 1.5 s, each at its own moments, so a
+changed capacity becomes known with a delay. Starts over the capacity that a runner announced last,
+and two runs of a task at the same time, are recorded in `Fleet.broken`.
 """
 
 import asyncio
@@ -41,6 +42,7 @@
 STEP_MS = 5.0
 POLL_MS = 50.0
 HEARTBEAT_MS = 200.0
+ANNOUNCE_MS = 1_500.0
 CPU_MILLIS = 16_000
 CRASH_AFTER_MS = 10.0
 DOWN_MS = 3_300.0
@@ -63,6 +65,7 @@
         self.name = name
         self.boot = 1
         self.cpu_millis = CPU_MILLIS
+        self.announced_cpu_millis = 0
         self.back_ms = 0.0
         self.cut_until_ms = 0.0
         self.sequence = 0
@@ -87,6 +90,7 @@
 
     def announce(self) -> None:
         self.sequence += 1
+        self.announced_cpu_millis = self.cpu_millis
         self.gate.announce(
             RunnerReport(
                 f"i-{self.name}",
@@ -102,6 +106,10 @@
             )
         )
 
+    def announce_if_reachable(self) -> None:
+        if self.is_reachable and self.sequence > 0:
+            self.announce()
+
     def order(self, order: Order) -> None:
         key = (order.task, order.run)
         if order.kind is OrderKind.START:
@@ -213,6 +221,7 @@
     def __init__(self, runners: int = 11, dispatchers: int = 3, seed: int = 7) -> None:
         self.clock = VirtualClock(10_000.0)
         self.random = Random(seed)
+        self.cpu_by_step: dict[str, int] = {}
         self.deadly: set[str] = set()
         self.crash_after_ms = CRASH_AFTER_MS
         self.run_times: dict[str, float] = {}
@@ -260,10 +269,17 @@
     def submit(self, request: JobRequest, dispatcher: str = "d0", run_ms: float = 400.0) -> None:
         """Submit a job whose tasks take `run_ms` each."""
         self.run_times[request.job_id] = run_ms
+        for number, step in enumerate(request.steps):
+            self.cpu_by_step[f"{request.job_id}.0.{number}"] = step.cpu_millis
         answer = self.dispatchers[dispatcher].submit(request, QUEUE)
         self.answers[request.job_id] = answer
         self._flush()
 
+    def leave(self, job_id: str, dispatcher: str = "d0") -> None:
+        """Let the caller of a job leave, as at the end of its time budget."""
+        self.dispatchers[dispatcher].detach_caller(job_id, self.answers[job_id])
+        self._flush()
+
     def run_ms(self, task: str) -> float:
         return self.run_times.get(task.partition(".")[0], 400.0)
 
@@ -276,8 +292,9 @@
         for other in self.runners.values():
             if other.is_up and any(task == key[0] for task, _ in other.running):
                 self.broken.append(f"{key} runs at {other.name} and {runner.name}")
-        used = 1_600 * (len(runner.running) + 1)
-        if used > runner.cpu_millis:
+        tasks = (key[0], *(task for task, _ in runner.running))
+        used = sum(self.cpu_by_step[task.rpartition(".")[0]] for task in tasks)
+        if used > runner.announced_cpu_millis:
             self.broken.append(f"{runner.name} is over its capacity with {key}")
 
     def advance(self, total_ms: float) -> None:
@@ -286,7 +303,9 @@
         while self.clock() < end_ms:
             self.clock.advance(STEP_MS)
             now_ms = self.clock()
-            for runner in self.runners.values():
+            for number, runner in enumerate(self.runners.values()):
+                if (now_ms + number * ANNOUNCE_MS / len(self.runners)) % ANNOUNCE_MS < STEP_MS:
+                    runner.announce_if_reachable()
                 runner.step(now_ms)
                 if now_ms % POLL_MS == 0 or runner.ended:
                     runner.poll(now_ms)
