--- a/apricotrail/tests/test_deadly_tasks.py
+++ b/apricotrail/tests/test_deadly_tasks.py
@@ -5,12 +5,14 @@
 """
 
 import unittest
+from collections import deque
 from random import Random
 
 from apricotrail.queues._jobs import JobState
 from apricotrail.tests.fleet import Fleet, make_job
 
 MAX_CRASHES = 3  # with which a task must be given up; it may be after two
+RESEND_MS = 1_300.0  # after which a caller sends its job again when its connection broke
 KINDS = ((8, 120, 2_000.0), (4, 1_800, 12_000.0), (2, 400, 4_500.0))
 
 
@@ -99,6 +101,46 @@
                 self.assertEqual(fleet.answers["d"].result().state, JobState.FAILED)
                 self.assertEqual(fleet.broken, [])
 
+    # Guards against runs lost with a deadly task that no dispatcher starts again, or two do.
+    async def test_tasks_beside_a_deadly_one_are_done_when_their_entry_is_killed(self):
+        for killed_after_ms in (50.0, 300.0, 900.0, 1_200.0, 2_000.0):
+            with self.subTest(killed_after_ms=killed_after_ms):
+                fleet = Fleet(runners=4)
+                fleet.deadly.add("d.0.0.0")
+                jobs = [make_job(f"n{number}", 2, run_ms=1_800) for number in range(12)]
+                for job in jobs:
+                    fleet.submit(job, run_ms=1_800)
+                fleet.advance(300)
+                deadly = make_job("d", run_ms=1_800)
+                fleet.submit(deadly, run_ms=1_800)
+                fleet.advance(killed_after_ms)
+                fleet.restart_dispatcher("d0")
+                fleet.advance(RESEND_MS)
+                for job in (*jobs, deadly):
+                    if not fleet.answers[job.job_id].done():
+                        fleet.submit(job, "d1", run_ms=1_800)
+                fleet.advance(14_000)
+                self.assertLessEqual(fleet.starts["d.0.0.0"], MAX_CRASHES)
+                self.assertEqual(fleet.list_states(), {"completed": 12, "failed": 1})
+                self.assertEqual(fleet.broken, [])
+
+    # Guards against a runner kept idle for a suspect whose caller has left.
+    async def test_runner_is_free_again_once_the_caller_of_a_suspect_has_left(self):
+        fleet = Fleet(runners=2)
+        fleet.deadly.add("d.0.0.0")
+        fleet.submit(make_job("n", 4, run_ms=1_800), run_ms=3_600)
+        fleet.advance(100)
+        fleet.submit(make_job("d", budget_ms=2_000))
+        while not any(it.gate.describe_load(0).isolated_runs for it in fleet.runners.values()):
+            fleet.advance(50)
+        fleet.leave("d")
+        fleet.advance(50)
+        loads = [it.gate.describe_load(0) for it in fleet.runners.values()]
+        self.assertEqual(sum(load.isolated_runs for load in loads), 0)
+        fleet.submit(make_job("j"))
+        fleet.advance(500)
+        self.assertEqual(fleet.answers["j"].result().state, JobState.COMPLETED)
+
     # Guards against tasks given up because their runners were out of reach, not down.
     async def test_runners_that_are_cut_off_count_as_no_crash(self):
         fleet = Fleet(runners=6)
@@ -159,6 +201,31 @@
         self.assertGreaterEqual(others.count(JobState.COMPLETED), 0.98 * len(others))
         self.assertEqual(fleet.broken, [])
 
+    # Guards against crashes that go on, as no job of a short time budget is ever given up.
+    async def test_others_are_served_on_a_day_with_deadly_tasks_of_a_short_budget(self):
+        fleet = Fleet(runners=11)
+        random, budget_ms = Random(3), 2_000.0
+        deadly, leaving = set(), deque()
+        for number in range(300):
+            fleet.advance(40)
+            while leaving and leaving[0][0] <= fleet.clock():
+                fleet.leave(*leaving.popleft()[1:])
+            job_id, dispatcher = f"m{number}", f"d{number % 3}"
+            if number % 60 == 30:
+                deadly.add(f"{job_id}.0.0.0")
+                fleet.deadly.add(f"{job_id}.0.0.0")
+            request = make_job(job_id, random.randint(1, 8), 120, budget_ms=budget_ms)
+            fleet.submit(request, dispatcher, 120 * random.uniform(0.5, 1.5))
+            leaving.append((fleet.clock() + budget_ms, job_id, dispatcher))
+        fleet.advance(4_000)
+        self.assertLessEqual(max(fleet.starts[task] for task in deadly), MAX_CRASHES)
+        self.assertLessEqual(len(fleet.crashes), 2 * len(deadly))
+        culprits = {task.partition(".")[0] for task in deadly}
+        others = [it for job, it in fleet.answers.items() if job not in culprits]
+        done = [it for it in others if it.done() and it.result().state is JobState.COMPLETED]
+        self.assertGreaterEqual(len(done), 0.98 * len(others))
+        self.assertEqual(fleet.broken, [])
+
 
 if __name__ == "__main__":
     unittest.main()
