Dispatcher: a waiting job that fits no runner any more is refused at once

Cause: when the runners that a waiting job fitted have shrunk, its agents refuse its runs at once, but the dispatcher kept it for up to 600 ms and then called the refusal overloaded, though it knew from the reports that it can't be served. Change: _place refuses a job of which nothing can have begun with no_fitting_runner, as admission does. Ruled out: refusing a job of which something has begun; runners may grow again within its time budget, and its caller couldn't be told that nothing ran. The test failed before (not answered within 300 ms).

--- a/apricotrail/queues/_admission.py
+++ b/apricotrail/queues/_admission.py
@@ -14,7 +14,7 @@
 from apricotrail.queues._jobs import JobRequest, Slack, Step
 from apricotrail.queues._registry import RunnerStatus, sum_free_cpu
 
-__all__ = ["URGENT_MS", "AdmissionDecision", "decide_admission"]
+__all__ = ["URGENT_MS", "AdmissionDecision", "decide_admission", "fits_somewhere"]
 
 # Slack up to which a job counts as urgent. Agents forecast the wait behind urgent runs by the same
 # limit.
@@ -73,7 +73,7 @@
     if not eligible:
         return AdmissionDecision("no_runner", NO_RUNNER_RETRY_MS, 0, len(usable))
     free_cpu = sum_free_cpu(eligible)
-    if any(not _fits_somewhere(step, eligible) for step in request.steps):
+    if any(not fits_somewhere(step, eligible) for step in request.steps):
         return AdmissionDecision("no_fitting_runner", NO_RUNNER_RETRY_MS, free_cpu, len(eligible))
     wait_ms = _estimate_wait_ms(request, slack, eligible)
     further_waves_ms = _count_further_waves(request, eligible) * slack.critical_path_ms
@@ -126,7 +126,8 @@
     return most
 
 
-def _fits_somewhere(step: Step, runners: list[RunnerStatus]) -> bool:
+def fits_somewhere(step: Step, runners: list[RunnerStatus]) -> bool:
+    """Return whether a task of `step` fits the whole capacity and the labels of any runner."""
     return any(
         runner.load.cpu_millis >= step.cpu_millis
         and runner.load.memory_mb >= step.memory_mb
--- a/apricotrail/queues/_dispatcher.py
+++ b/apricotrail/queues/_dispatcher.py
@@ -14,7 +14,12 @@
 from apricotrail.clocks import Clock
 from apricotrail.events import Level, declare_event, emit
 from apricotrail.metrics import make_metrics
-from apricotrail.queues._admission import URGENT_MS, AdmissionDecision, decide_admission
+from apricotrail.queues._admission import (
+    URGENT_MS,
+    AdmissionDecision,
+    decide_admission,
+    fits_somewhere,
+)
 from apricotrail.queues._answers import AnswerCache
 from apricotrail.queues._crashes import CrashHistory, Restart
 from apricotrail.queues._document import Queue
@@ -466,8 +471,8 @@
         """Send the tasks that can start now to runners.
 
         A job with a task that crashes its runners has failed. One of which nothing can have begun
-        is refused if its pool has no usable runner or it has waited for longer than
-        `MAX_START_WAIT_MS`. One that may not start any more is given up.
+        is refused if its pool has no usable runner that a task of it fits, or if it has waited for
+        longer than `MAX_START_WAIT_MS`. One that may not start any more is given up.
         """
         if job.stopping:
             return
@@ -483,10 +488,9 @@
             return
         usable = self.registry.list_usable(job.queue.pool)
         may_have_begun = job.may_have_run or bool(job.list_sent())
-        waited_ms = self._clock() - job.received_ms
-        if not may_have_begun and (not usable or waited_ms > MAX_START_WAIT_MS):
-            reason = "overloaded" if usable else "no_runner"
-            self._answer(job, JobAnswer(JobState.REFUSED, reason, RETRY_AFTER_MS))
+        refusal = None if may_have_begun else self._find_refusal(job, usable)
+        if refusal is not None:
+            self._answer(job, JobAnswer(JobState.REFUSED, refusal, RETRY_AFTER_MS))
             return
         tasks_by_agent: dict[str, list[Task]] = {}
         for task in ready:
@@ -502,6 +506,18 @@
         for agent, tasks in tasks_by_agent.items():
             self._send_starts(job, agent, tasks)
 
+    def _find_refusal(self, job: Job, usable: list[RunnerStatus]) -> str | None:
+        """Return why a job of which nothing has begun is refused; None if it may wait on.
+
+        Runners may have left, or have shrunk, since it was admitted.
+        """
+        if not usable:
+            return "no_runner"
+        if not all(fits_somewhere(step, usable) for step in job.request.steps):
+            return "no_fitting_runner"
+        is_overdue = self._clock() - job.received_ms > MAX_START_WAIT_MS
+        return "overloaded" if is_overdue else None
+
     def _choose(
         self, job: Job, usable: list[RunnerStatus], step: Step, task: Task
     ) -> RunnerStatus | None:
--- a/apricotrail/tests/test_shrunk_runners.py
+++ b/apricotrail/tests/test_shrunk_runners.py
@@ -7,12 +7,14 @@
 import unittest
 from random import Random
 
+from apricotrail.queues._jobs import JobState
 from apricotrail.tests.fleet import CPU_MILLIS, Fleet, StandInRunner, make_job
 
 KINDS = ((8, 120, 2_000.0), (4, 1_800, 12_000.0), (2, 400, 4_500.0))
 RUNNERS = 6
 # Six tenths of the capacity left with two runners at a fifth, at 1.25 core-seconds a job.
 JOBS_PER_S = 0.6 * (4 + 2 * 0.2) * CPU_MILLIS / 1_000 / 1.25
+AT_ONCE_MS = 300.0  # a heartbeat of the agents and two ticks
 
 
 def submit_for(fleet: Fleet, total_ms: float, per_s: float, random: Random) -> None:
@@ -98,6 +100,21 @@
         fleet.advance(1_000)
         self.assertEqual(fleet.list_states(), {"completed": 1})
 
+    # Guards against a job that waits though the runners that it fitted have shrunk.
+    async def test_waiting_job_that_fits_no_runner_any_more_is_refused_at_once(self):
+        fleet = Fleet(runners=2)
+        for runner in fleet.runners.values():
+            fleet.submit(make_job(f"n{runner.name}", cpu=8_000, run_ms=1_800), run_ms=1_800)
+        fleet.advance(100)
+        fleet.submit(make_job("large", cpu=12_000))
+        for runner in fleet.runners.values():
+            runner.cpu_millis = 10_000
+            runner.announce()
+        fleet.advance(AT_ONCE_MS)
+        self.assertTrue(fleet.answers["large"].done())
+        self.assertEqual(fleet.answers["large"].result().state, JobState.REFUSED)
+        self.assertEqual(fleet.answers["large"].result().reason, "no_fitting_runner")
+
     # Guards against small tasks that wait behind a large one that has to wait for more room.
     async def test_tasks_that_fit_do_not_wait_behind_one_that_no_longer_fits(self):
         fleet = Fleet(runners=1)
