Dispatchers: a new link stops the runs of answered jobs in place of claiming them

Callers saw one task run twice, with every order answered: the connections of a dispatcher broke, those of its callers and its links at the same moment. It gave the jobs up and sent stops, which were lost with the links; 20 to 400 ms later the next link claimed the same runs, so agents kept and renewed them, and 1.3 s later the callers' jobs ran elsewhere, too. A stop was sent once, and a claim named every run, also those of jobs that are answered.

A link that comes up now claims the runs of open jobs only and sends stops for the others behind the claim. An agent that has no list yet tracks such a run and stops it, where it reported it as not run; nothing starts beside it, as its size is not known.

--- a/apricotrail/queues/_dispatcher.py
+++ b/apricotrail/queues/_dispatcher.py
@@ -318,17 +318,26 @@
     # ---- agents ----
 
     def link_up(self, agent: str) -> None:
-        """Add the runner of a linked agent, and claim the runs believed to be there."""
+        """Add the runner of a linked agent, and claim the runs believed to be there.
+
+        Runs of jobs that are answered are stopped: the stop may have been lost with the last link.
+        """
         self.check_for_pause()
         self._lost_agents.pop(agent, None)
         runner = self.registry.add(agent)
-        starts = []
+        starts, stops = [], []
         for (name, run), (job, task) in self._runs.items():
-            if task.agent == agent:
+            if task.agent != agent:
+                continue
+            runner.note_sent(job.request.steps[task.step], task.is_isolated)
+            if job.stopping:
+                stops.append(RunKey(name, run))
+            else:
                 starts.append(self._make_start(job, task, name, run, 0))
-                runner.note_sent(job.request.steps[task.step], task.is_isolated)
         self._send(agent, ClaimRuns(starts))
-        emit(AGENT_UP, agent=agent, claimed=len(starts))
+        if stops:
+            self._send(agent, StopRuns(stops))
+        emit(AGENT_UP, agent=agent, claimed=len(starts), stopped=len(stops))
 
     def link_down(self, agent: str) -> None:
         """Record the loss of the link to an agent; its runs count as lost after their leases."""
--- a/apricotrail/runners/_gate.py
+++ b/apricotrail/runners/_gate.py
@@ -443,11 +443,15 @@
     def receive_stop(self, owner: Owner, keys: list[RunKey]) -> None:
         """Stop runs at the request of their owner.
 
-        A run that is not known yet is recorded as ended, so that a later start is refused.
+        A run that is not known yet is recorded as ended, so that a later start is refused. Before
+        the first listing it may be at work, ordered by a former agent, and is stopped.
         """
         for key in keys:
             run = self._runs.get(key)
+            if run is None and not self._has_listing and self._records.find_outcome(key) is None:
+                run = self._track_unseen_stop(owner, key)
             if run is not None:
+                run.owner = owner
                 self._stop(run, RunReason.NONE)
                 continue
             outcome = self._records.find_outcome(key)
@@ -475,7 +479,7 @@
         self._unconfirmed.match_claim(owner, claimed)
         for run in list(self._runs.values()):
             if run.owner is None and run.key in claimed:
-                run.owner, run.start = owner, claimed[run.key]
+                run.owner, run.start, run.has_known_size = owner, claimed[run.key], True
             elif run.owner == owner and run.key not in claimed:
                 self._stop(run, RunReason.UNKNOWN_RUN)
         if claimed:
@@ -487,6 +491,14 @@
             elif key not in self._runs:
                 self._track_unseen_claim(owner, claimed[key])
 
+    def _track_unseen_stop(self, owner: Owner, key: RunKey) -> Run:
+        """Track a run that is to be stopped, of which a former agent alone knew the size."""
+        run = self._runs[key] = Run(RunStart(*key, b"", 0, 0, 0, 0, 0), owner, self._clock())
+        run.phase = RunPhase.STARTING
+        run.may_have_run = True
+        run.has_known_size = False
+        return run
+
     def _track_unseen_claim(self, owner: Owner, start: RunStart) -> None:
         """Track a claimed run that this agent does not know; a former agent may have ordered it.
 
@@ -718,12 +730,12 @@
     def _start(self, run: Run) -> bool:
         """Order the start of a run if capacity allows; return whether it was ordered.
 
-        Nothing starts beside a run without an owner, since the capacity that it takes is not known,
-        nor beside an isolated run, which itself starts only while nothing runs.
+        Nothing starts beside a run of unknown size, nor beside an isolated run, which itself starts
+        only while nothing runs.
         """
         if not self._is_open() or not self._has_lease_left():
             return False
-        if any(it.owner is None for it in self._runs.values()):
+        if not all(it.has_known_size for it in self._runs.values()):
             return False
         running = self.list_running()
         if running and (run.start.isolated or any(it.start.isolated for it in running)):
@@ -840,6 +852,7 @@
             # kept for that if the first listing shows it, and stopped if a later one does.
             run = Run(RunStart(*key, b"", 0, 0, 0, 0, 0), None, now_ms)
             run.phase = RunPhase.RUNNING
+            run.has_known_size = False
             self._runs[key] = run
             if self._has_listing:
                 self._stop(run, RunReason.UNKNOWN_RUN)
--- a/apricotrail/runners/_runs.py
+++ b/apricotrail/runners/_runs.py
@@ -231,6 +231,8 @@
     may_have_run : bool
         Whether the runner may have started it: a stopped run that is missing from the runner's
         list then ends as lost, otherwise as not run.
+    has_known_size : bool
+        Whether the capacity that it takes is known; not if it was found at the runner.
     is_reported : bool
         Whether its outcome was recorded and, if it has an owner, reported.
     """
@@ -252,6 +254,7 @@
         self.stop_ordered_ms = 0.0
         self.stop_answered_ms: float | None = None
         self.may_have_run = False
+        self.has_known_size = True
         self.is_reported = False
 
     def effective_due_ms(self, now_ms: float) -> float:
--- a/apricotrail/runners/tests/test_permissions.py
+++ b/apricotrail/runners/tests/test_permissions.py
@@ -211,6 +211,19 @@
         await case.pass_time(400, alive=[ALICE])
         self.assertGreater(case.lease_end_ms, case.clock())
 
+    # Guards against a run reported as not run, and left at work, since a new agent has no list yet.
+    async def test_stop_before_the_first_listing_stops_a_run_that_it_shows(self):
+        case = PermissionCase()
+        case.gate._has_listing = False
+        case.gate.receive_stop(ALICE, [KEY])
+        self.assertEqual(case.reports, [])
+        case.running = [KEY]
+        await case.pass_time(50, alive=[ALICE])
+        await case.finish_calls()
+        self.assertEqual(len(case.made("stop")), 1)
+        case.list(ended=[(*KEY, "stopped")])
+        self.assertEqual(case.outcomes(), [(*KEY, RunState.STOPPED)])
+
     # Guards against runs of a dispatcher that died while the agent that it claims from was paused.
     async def test_claim_that_is_read_after_a_pause_counts_from_when_its_link_was_opened(self):
         case = PermissionCase()
--- a/apricotrail/tests/leased_fleet.py
+++ b/apricotrail/tests/leased_fleet.py
@@ -175,13 +175,14 @@
     def _send_heartbeats(self) -> None:
         sent_ms = self.loop.clock_ms()
         for process in self.fleet.dispatchers.values():
-            load = self.gate.describe_load(process.received.get(self.name, 0))
-            process.deliver(process.receive_heartbeat, self, load, sent_ms)
+            if self.name in process.links:
+                load = self.gate.describe_load(process.received[self.name])
+                process.deliver(process.receive_heartbeat, self, load, sent_ms)
 
     def report(self, owner: Owner, outcome: RunOutcome) -> None:
         process = self.fleet.dispatchers[owner.name]
-        if process.owner == owner:
-            load = self.gate.describe_load(process.received.get(self.name, 0))
+        if process.owner == owner and self.name in process.links:
+            load = self.gate.describe_load(process.received[self.name])
             process.deliver(
                 process.dispatcher.receive_outcomes, self.name, RunOutcomes([outcome], load)
             )
@@ -207,6 +208,9 @@
         self.fleet = fleet
         self.owner = Owner(name, incarnation)
         self.received: dict[str, int] = {}
+        self.links: dict[str, int] = {}
+        self.callers: set[Callable[[], object]] = set()
+        self._opened_links = 0
         self.dispatcher = Dispatcher(
             DispatcherParts(fleet.loop.clock_ms, Random(fleet.random.random()), self.send)
         )
@@ -215,24 +219,51 @@
             self.link(agent)
 
     def link(self, agent: Agent) -> None:
-        """Open the link to a new process of an agent."""
+        """Open a link to an agent; each has a number, by which messages of former ones are lost."""
+        if self.is_dead or agent.is_dead or agent.name in self.links:
+            return
+        self._opened_links += 1
+        self.links[agent.name] = self._opened_links
         self.received[agent.name] = 0
-        agent.deliver(agent.gate.replace_owner, self.owner)
+        agent.deliver(agent.gate.replace_owner, self.owner, self.loop.clock_ms())
         self.deliver(self.dispatcher.link_up, agent.name)
 
+    def break_link(self, agent: str) -> None:
+        """Break the link to an agent, with what is on its way to it."""
+        if self.links.pop(agent, None) is not None:
+            self.deliver(self.dispatcher.link_down, agent)
+
+    def break_connections(self) -> None:
+        """Break all links, and the connections of all callers, at the same moment."""
+        for agent in list(self.links):
+            self.break_link(agent)
+        for notify in list(self.callers):
+            notify()
+
     def send(self, agent: str, message: Any) -> bool:
-        process = self.fleet.agents.get(agent)
-        if process is None:
+        process, number = self.fleet.agents.get(agent), self.links.get(agent)
+        if process is None or number is None:
             return False
         if isinstance(message, StartRuns):
             self.received[agent] += len(message.starts)
         valid_until_ms = getattr(message, "valid_until_ms", None) or 0.0
-        process.deliver(process.receive, self.owner, message, valid_until_ms)
+
+        def receive() -> None:
+            if self.links.get(agent) == number:
+                process.receive(self.owner, message, valid_until_ms)
+
+        process.deliver(receive)
         return True
 
     def receive_heartbeat(self, agent: Agent, load: Any, sent_ms: float) -> None:
         self.dispatcher.receive_heartbeat(agent.name, load)
-        agent.deliver(agent.gate.record_owner_alive, self.owner, sent_ms)
+        number = self.links.get(agent.name)
+
+        def receive_echo() -> None:
+            if number is not None and self.links.get(agent.name) == number:
+                agent.gate.record_owner_alive(self.owner, sent_ms)
+
+        agent.deliver(receive_echo)
 
 
 class Start(NamedTuple):
@@ -297,16 +328,28 @@
             return
         agent.kill()
         for process in self.dispatchers.values():
-            process.deliver(process.dispatcher.link_down, name)
+            process.break_link(name)
 
         def restart() -> None:
             self.agents[name] = Agent(self, name, agent.runner, agent.fence + 1_000)
             for process in self.dispatchers.values():
-                if not process.is_dead:
-                    process.link(self.agents[name])
+                process.link(self.agents[name])
 
         self.loop.call_later(RESTART_S, restart)
 
+    def reset_connections(self, name: str, down_s: float) -> None:
+        """Break all connections of a dispatcher; its links are open again after `down_s`."""
+        process = self.dispatchers[name]
+        if process.is_dead:
+            return
+        process.break_connections()
+
+        def relink() -> None:
+            for agent in self.agents.values():
+                process.link(agent)
+
+        self.loop.call_later(down_s, relink)
+
     def crash_runner(self, runner: LeasedRunner) -> None:
         """Crash a runner; it is back soon, under its id or another one."""
         self.boots += 1
@@ -345,19 +388,32 @@
         self, process: DispatcherProcess, request: JobRequest, end_s: float
     ) -> JobAnswer | None:
         answers: list[asyncio.Future[JobAnswer]] = []
-        answered = asyncio.Event()
+        ended, broken = asyncio.Event(), asyncio.Event()
 
         def submit() -> None:
-            answers.append(process.dispatcher.submit(request, QUEUE))
-            answers[0].add_done_callback(lambda answer: answered.set())
+            if not broken.is_set():
+                answers.append(process.dispatcher.submit(request, QUEUE))
+                answers[0].add_done_callback(lambda answer: ended.set())
+
+        def disconnect() -> None:
+            broken.set()
+            ended.set()
+            process.deliver(detach)
+
+        def detach() -> None:
+            if answers and not answers[0].done():
+                process.dispatcher.detach_caller(request.job_id, answers[0])
 
         process.deliver(submit)
-        process.died.append(answered.set)
+        process.died.append(ended.set)
+        process.callers.add(disconnect)
         with suppress(TimeoutError):
             async with asyncio.timeout(max(0.0, end_s - self.loop.time())):
-                await answered.wait()
+                await ended.wait()
+        process.callers.discard(disconnect)
         await asyncio.sleep(LINK_S)
-        return answers[0].result() if answers and answers[0].done() else None
+        is_answered = bool(answers) and answers[0].done() and not broken.is_set()
+        return answers[0].result() if is_answered else None
 
     def _find_run_ms(self, task: str) -> float:
         return self._run_times[task.partition(".")[0]]
--- a/apricotrail/tests/test_runs_at_once.py
+++ b/apricotrail/tests/test_runs_at_once.py
@@ -74,6 +74,13 @@
         fleet.crash_runner(fleet.random.choice(fleet.runners))
 
 
+async def reset_connections(fleet: LeasedFleet) -> None:
+    while True:
+        await asyncio.sleep(fleet.random.uniform(0.1, 0.8))
+        name = fleet.random.choice(list(fleet.dispatchers))
+        fleet.reset_connections(name, fleet.random.uniform(0.02, 0.4))
+
+
 def together(*kinds):
     async def run(fleet: LeasedFleet) -> None:
         await asyncio.gather(*(kind(fleet) for kind in kinds))
@@ -114,6 +121,10 @@
     def test_late_orders_start_nothing_at_the_next_boot_of_the_runner(self):
         self.check(crash_runners, unanswered_share=0.3)
 
+    # Guards against stops that are lost with a link, and runs that the next link claims.
+    def test_runs_end_when_their_callers_and_links_break_at_the_same_moment(self):
+        self.check(reset_connections)
+
     # Guards against orders and permissions of dispatchers that were paused.
     def test_dispatcher_that_was_paused_starts_nothing_beside_its_successor(self):
         self.check(together(pause_dispatchers, pause_agents), unanswered_share=0.1)
