--- a/apricotrail/tests/leased_fleet.py
+++ b/apricotrail/tests/leased_fleet.py
@@ -263,7 +263,15 @@
             if number is not None and self.links.get(agent.name) == number:
                 agent.gate.record_owner_alive(self.owner, sent_ms)
 
-        agent.deliver(receive_echo)
+        self.when_settled(lambda: agent.deliver(receive_echo))
+
+    def when_settled(self, work: Callable[[], object]) -> None:
+        """Call `work` now or, after a pause, once what came meanwhile has been read."""
+        unsettled_ms = self.dispatcher.check_for_pause()
+        if unsettled_ms > 0.0:
+            self.loop.call_later(unsettled_ms / 1_000, self._receive, self.when_settled, (work,))
+        else:
+            work()
 
 
 class Start(NamedTuple):
@@ -404,7 +412,7 @@
             if answers and not answers[0].done():
                 process.dispatcher.detach_caller(request.job_id, answers[0])
 
-        process.deliver(submit)
+        process.deliver(process.when_settled, submit)
         process.died.append(ended.set)
         process.callers.add(disconnect)
         with suppress(TimeoutError):
