Agents: a stop by a former owner of a run leaves its outcome to the present one

The tracking of stops before the first listing took a run over from its owner: after a job was sent again, a stop of the first dispatcher would have kept the outcome from the second, whose job then waited for its end.

--- a/apricotrail/runners/_gate.py
+++ b/apricotrail/runners/_gate.py
@@ -451,7 +451,7 @@
             if run is None and not self._has_listing and self._records.find_outcome(key) is None:
                 run = self._track_unseen_stop(owner, key)
             if run is not None:
-                run.owner = owner
+                run.owner = run.owner or owner
                 self._stop(run, RunReason.NONE)
                 continue
             outcome = self._records.find_outcome(key)
--- a/apricotrail/runners/tests/test_gate.py
+++ b/apricotrail/runners/tests/test_gate.py
@@ -221,6 +221,16 @@
         self.assertGreater(case.gate.fence, fence)
         self.assertEqual(len(case.gate.list_running()), 1)
 
+    # Guards against a job that never ends, since a former owner stopped its run and got the outcome.
+    def test_stop_by_a_former_owner_is_reported_to_the_present_one(self):
+        case = GateCase()
+        case.start()
+        case.gate.record_owner_alive(BOB, case.clock())
+        case.gate.receive_start(BOB, make_start(), False)
+        case.gate.receive_stop(ALICE, [KEY])
+        case.list(ended=[(*KEY, "stopped")])
+        self.assertEqual([owner for owner, _ in case.reports], [BOB])
+
     def test_stop_of_an_unknown_run_prevents_its_later_start(self):
         case = GateCase()
         case.gate.receive_stop(ALICE, [KEY])
