--- a/apricotrail/runners/tests/test_gate.py
+++ b/apricotrail/runners/tests/test_gate.py
@@ -221,7 +221,7 @@
         self.assertGreater(case.gate.fence, fence)
         self.assertEqual(len(case.gate.list_running()), 1)
 
-    # Guards against a job that never ends, since a former owner stopped its run and got the outcome.
+    # Guards against a job that never ends, as a former owner stopped its run and got the outcome.
     def test_stop_by_a_former_owner_is_reported_to_the_present_one(self):
         case = GateCase()
         case.start()
