Dispatchers: one that is slow for long goes on to answer heartbeats

Since a dispatcher whose event loop passes every 150 ms or more echoed nothing, as each pass looked like a pause: agents would have taken it for dead and stopped its runs, and its jobs would have waited without end. It now settles at most every 500 ms; between two of these, pauses of 150 ms or more go unnoticed. Found by reading the diff; the new test had no echo in 20 passes before.

--- a/apricotrail/queues/_dispatcher.py
+++ b/apricotrail/queues/_dispatcher.py
@@ -56,6 +56,7 @@
 # After a shorter pause, time for what came meanwhile, callers that left included, to be read before
 # agents are told that this process is alive.
 SETTLE_MS = 20.0
+SETTLE_AGAIN_MS = 500.0  # a process that is slow for long would never get to it otherwise
 RETIRED_IDLE_MS = 1_000.0  # time without a start or an outcome before a link is closed
 MAX_QUEUE_WAIT_MS = 400  # longest wait at one agent before the task is placed again
 ISOLATED_WAIT_MS = 2_000  # longest wait for a runner to become idle; most runs are shorter
@@ -223,7 +224,7 @@
         self._answers = AnswerCache()
         self._lost_agents: dict[str, _LostAgent] = {}
         self._last_active_ms = parts.clock()
-        self._settled_ms = parts.clock()
+        self._settled_ms = parts.clock() - SETTLE_AGAIN_MS
         self.metrics.open_jobs.watch(lambda: len(self.jobs))
         self.metrics.runners.watch(lambda: len(self._list_accepting()))
         self.metrics.free_cpu_millis.watch(lambda: sum_free_cpu(self._list_accepting()))
@@ -441,7 +442,7 @@
         """
         now_ms = self._clock()
         gap_ms, self._last_active_ms = now_ms - self._last_active_ms, now_ms
-        if gap_ms >= MAX_NOTICE_MS:
+        if gap_ms >= MAX_NOTICE_MS and now_ms >= self._settled_ms + SETTLE_AGAIN_MS:
             self._settled_ms = now_ms + SETTLE_MS
         if gap_ms >= MAX_PAUSE_MS:
             emit(DISPATCHER_FROZE, gap_ms=round(gap_ms), jobs=len(self.jobs))
--- a/apricotrail/queues/tests/test_application.py
+++ b/apricotrail/queues/tests/test_application.py
@@ -55,3 +55,16 @@
                 self.assertEqual(process.endpoint.may_echo(), may_echo)
         clock.advance(SETTLE_MS)
         self.assertTrue(process.endpoint.may_echo())
+
+    # Guards against a slow dispatcher that is taken for dead, and its runs stopped, since every pass
+    # of its event loop looks like a pause.
+    def test_a_dispatcher_that_is_slow_for_long_goes_on_to_echo_heartbeats(self):
+        process = QueueDispatcher(Settings({}))
+        clock = VirtualClock(1_000.0)
+        process.dispatcher = Dispatcher(DispatcherParts(clock, None, lambda agent, message: True))
+        echoes = []
+        for _ in range(20):
+            clock.advance(MAX_NOTICE_MS + 30)
+            echoes.append(process.endpoint.may_echo())
+        self.assertGreaterEqual(sum(echoes), len(echoes) // 2)
+        self.assertNotIn((False, False), list(zip(echoes, echoes[1:], strict=False)))
