--- a/apricotrail/queues/tests/test_application.py
+++ b/apricotrail/queues/tests/test_application.py
@@ -56,8 +56,7 @@
         clock.advance(SETTLE_MS)
         self.assertTrue(process.endpoint.may_echo())
 
-    # Guards against a slow dispatcher that is taken for dead, and its runs stopped, since every pass
-    # of its event loop looks like a pause.
+    # Guards against a slow dispatcher taken for dead, since each pass of its loop is like a pause.
     def test_a_dispatcher_that_is_slow_for_long_goes_on_to_echo_heartbeats(self):
         process = QueueDispatcher(Settings({}))
         clock = VirtualClock(1_000.0)
