Review, case 3: a late start is carried out by the next boot of a runner that keeps its id

Cause: fencing token and id tell the boots apart only once a call of the agent has reached the new one.

--- a/review/common/rig.py
+++ b/review/common/rig.py
@@ -119,7 +119,8 @@
         self.name, self.ip, self.zone, self.log = name, ip, zone, log
         self.service, self.cpu, self.mem = SERVICE, 16000, 32768
         self.state = "ready"
-        self.leave_order = lambda path, fields: None  # gives the seconds by which an order is late
+        self.leave_order = lambda path, fields: False  # whether an order gets no answer
+        self.left = None  # the last order that got none
         self._server = None
         self._tasks = []
         self._connections = set()
@@ -156,8 +157,11 @@
         for writer in list(self._connections):
             writer.transport.abort()
 
-    async def crash(self, down_s):
-        """Lose all runs and refuse calls; start again after `down_s`, under the same id."""
+    async def crash(self, down_s, first=None):
+        """Lose all runs and refuse calls; start again after `down_s`, under the same id.
+
+        `first` is an order that was left unanswered; the new boot carries it out as it starts.
+        """
         for task in self._tasks:
             task.cancel()
         for key in list(self.running):
@@ -166,6 +170,8 @@
         self._close()
         await asyncio.sleep(down_s)
         self.boot(self.instance)
+        if first is not None:
+            await self._answer(*first)
         await self.start()
 
     def report(self):
@@ -231,9 +237,8 @@
                     name, _, value = line.partition(":")
                     headers[name.lower()] = value.strip()
                 body = await reader.readexactly(int(headers.get("content-length", 0)))
-                late_s = self.leave_order(path, json.loads(body or b"{}"))
-                if late_s is not None:
-                    self._answer_later(late_s, method, path, headers, body)
+                if self.leave_order(path, json.loads(body or b"{}")):
+                    self.left = (method, path, headers, body)
                     await reader.read()  # no answer; until the caller gives the channel up
                     return
                 status, fields = await self._answer(method, path, headers, body)
@@ -248,10 +253,6 @@
             self._connections.discard(writer)
             writer.close()
 
-    def _answer_later(self, late_s, *order):
-        loop = asyncio.get_running_loop()
-        loop.call_later(late_s, lambda: asyncio.ensure_future(self._answer(*order)))
-
     async def _answer(self, method, path, headers, body):
         self._expire()
         if method == "GET":
