--- a/review/1/case.py
+++ b/review/1/case.py
@@ -56,6 +56,15 @@
     await deployment.start_role(new, "control")
     await deployment.start_role(new, "entry")
     deployment.fronts.insert(position, new)
+    for _ in range(50):  # the successor runs and answers, if only that it can't be sure
+        if (
+            await call((new["ip"], CONTROL), "GET", "/apricotrail/config", timeout_s=2.0)
+            is not None
+        ):
+            break
+        await asyncio.sleep(0.1)
+    else:
+        raise AssertionError("the successor doesn't answer")
     deployment.record.write(f"{old['name']} was replaced by an empty {new['name']}")
 
 
--- a/review/common/rig.py
+++ b/review/common/rig.py
@@ -19,6 +19,7 @@
 ROOT = Path(__file__).resolve().parents[2]
 BLOCK = f"127.{40 + os.getpid() % 200}.{os.getpid() // 200 % 250}"  # loopback addresses
 ZONES = ("natal", "pipa", "jeri")
+METRICS = (9401, 9402, 9403)  # fixed by the roles, at the machine's own loopback address
 SERVICE, HOST, PREFIX = "balcao", "nony24.example", "/lohu930/"
 CONTACT_MS, APPLY_MS, EVACUATE_MS, CANCEL_MS, RESEND_MS = 3000, 2000, 5000, 3000, 1300
 STOP_MS, MAX_HOLD_MS, PING_S = 50, 1000, 1.5
@@ -138,6 +139,7 @@
         self.service, self.cpu, self.mem = SERVICE, 16000, 32768
         self.state = "ready"
         self.leave_order = lambda path, fields: False  # whether an order gets no answer
+        self.peers = [self]  # all runners, whose ends are logged before a start is
         self.left = None  # the last order that got none
         self._server = None
         self._tasks = []
@@ -299,6 +301,8 @@
             return 409, {"reason": "old"}
         if self.clock() >= self._lease_ms:
             return 409, {"reason": "late"}
+        for peer in self.peers:
+            peer._expire()
         work_ms = float(fields["spec"].split()[1]) * 1000
         self.running[key] = (self.clock(), self.clock() + work_ms)
         self.log.append((now_ms(), "start", self.instance, *key))
@@ -350,7 +354,10 @@
         self.runners = [
             Runner(f"i-{side['name']}", side["ip"], side["zone"], self.log) for side in self.sides
         ]
+        for runner in self.runners:
+            runner.peers = self.runners
         self.processes = {}
+        self._killed = set()
         self.seeds = [f"{front['ip']}:{CONTROL}" for front in self.fronts[:3]]
         self.bootstrap = True
 
@@ -383,7 +390,7 @@
         await asyncio.sleep(CONTACT_MS / 1000)
 
     def _check_ports(self, ip):
-        for port in (FRONT, READY, CONTROL, LINK, LINK + 1, RUNNER):
+        for port in (FRONT, READY, CONTROL, LINK, LINK + 1, RUNNER, *METRICS):
             with socket.socket() as probe:
                 probe.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
                 try:
@@ -415,8 +422,16 @@
             process = self.processes.get((machine["name"], role))
             if process is not None and process.returncode is None:
                 process.send_signal(number)
+                if number == signal.SIGKILL:
+                    self._killed.add((machine["name"], role))
         self.record.write(f"{signal.Signals(number).name} to {machine['name']} {roles}")
 
+    def check_alive(self):
+        """Raise an error if a program ended that the case didn't kill: it says nothing then."""
+        ended = [key for key, it in self.processes.items() if it.returncode is not None]
+        if set(ended) - self._killed:
+            raise CannotRunError(f"ended by themselves: {set(ended) - self._killed}")
+
     async def stop(self):
         """End every process that was started, and the stand-ins."""
         for process in self.processes.values():
@@ -556,7 +571,8 @@
                 await deployment.start()
                 record.write("all is ready")
                 broken = await play(deployment, trouble)
-        except (CannotRunError, AssertionError, TimeoutError) as error:
+                deployment.check_alive()
+        except (Exception, asyncio.CancelledError) as error:
             record.write(f"the case could not run: {error!r}")
             return 2
         finally:
@@ -564,4 +580,10 @@
         record.write("BROKEN" if broken else "kept")
         return 1 if broken else 0
 
-    return asyncio.run(main())
+    async def run():
+        work = asyncio.ensure_future(main())
+        for number in (signal.SIGTERM, signal.SIGINT, signal.SIGHUP):
+            asyncio.get_running_loop().add_signal_handler(number, work.cancel)
+        return await work
+
+    return asyncio.run(run())
