Control: a replacement takes the place of a lost voter within the time that the platform counts it as lost

Cause: a newcomer was promoted beside the voter that it replaces, and that one was removed only after 12 s without a link, counted anew by each leader. Until then a group of three had four voters, one of them gone, and bore no loss, while the platform counts the machine as lost for 4 s after its successor has started.

Change: with an odd number of voters the voter that has been silent for longest, 2 s at least, is removed and the caught-up newcomer promoted at once after it; with an even number the newcomer is promoted first. A newcomer waits until each voter has answered a round sent since it joined or counts as lost. Every replica counts silences, not during its own stalls. No change is proposed that the replicas which answer now couldn't commit. Before a planned stop a replica leaves a group that is odd without it. _repair_limits.py adds the steps up: 3.25 s for two members.

Ruled out: a newcomer that joins late (it was promoted within a second of its start); swapping two voters in one log entry (majorities before and after need not meet); shorter silences alone (a successor that starts at once would be promoted beside its predecessor).

The simulation takes the product's own times, halved like its elections, in place of 1.5 s of its own.

--- a/apricotrail/control/_application.py
+++ b/apricotrail/control/_application.py
@@ -4,6 +4,7 @@
 from collections.abc import Callable, Iterable
 from pathlib import Path
 from random import Random
+from uuid import uuid4
 
 from apricotrail.application import Application
 from apricotrail.clocks import monotonic_ms, wall_ms
@@ -17,6 +18,7 @@
     open_data_folder,
 )
 from apricotrail.control._formation import form_group
+from apricotrail.control._member_repair import decide_departure
 from apricotrail.control._members import make_memory_identity
 from apricotrail.control._meters import time_syncs, watch_service
 from apricotrail.control._node import Node
@@ -29,12 +31,12 @@
 from apricotrail.control._storage import make_random_identity
 from apricotrail.document import check_succession, make_items, parse_document
 from apricotrail.errors import ApricotrailError, ErrorKind, Problem
-from apricotrail.events import emit
+from apricotrail.events import Level, declare_event, emit
 from apricotrail.membership import CONFIG_STALE_MS, replica_name
 from apricotrail.metrics import add_status_listener, make_metrics
 from apricotrail.settings import Settings, declare_constraint, declare_setting
 from apricotrail.wire import KEY_FILE, KeyRing, LinkEndpoint, parse_address
-from apricotrail.wire.generated.ttypes import Identity, Propose, StatusRequest
+from apricotrail.wire.generated.ttypes import Command, Identity, Propose, StatusRequest
 
 __all__ = ["Control", "make_control"]
 
@@ -106,6 +108,15 @@
     "Lower control.round_ms, or raise control.election_ms.",
 )
 TRANSFER_POLL_MS = 10
+LEAVE_MS = 1_000
+
+GROUP_LEFT = declare_event(
+    3010,
+    "group_left",
+    Level.INFO,
+    "This replica stops and asked to leave the group, as the others bear more losses without it; "
+    "it joins again after a start.",
+)
 
 
 class Control:
@@ -138,6 +149,7 @@
         self.application = Application("control")
         self.service: ControlService | None = None
         self.operations: QueueOperations | None = None
+        self._router: ProposalRouter | None = None
         self._reopening: asyncio.Task | None = None
         self.metrics = make_metrics("control")
         seeds = settings.get(SEEDS)
@@ -223,6 +235,7 @@
         if self.service is None:
             return
         await self._transfer_leadership(self.service)
+        await self._leave_group(self.service)
         await self.service.endpoint.stop()
         self.service.node.close()
 
@@ -238,6 +251,21 @@
                 return
             await asyncio.sleep(TRANSFER_POLL_MS / 1000)
 
+    async def _leave_group(self, service: ControlService) -> None:
+        """Leave an open group before a stop if the others are better off without this replica."""
+        if self._router is None or service.failed.is_set() or not self._open_group:
+            return
+        change = decide_departure(service.node.replica)
+        if change is None:
+            return
+        command = Command(uuid4().hex, service.node.replica_id, change_member=change)
+        try:
+            async with asyncio.timeout(LEAVE_MS / 1000):
+                reply = await self._router.submit(command)
+        except TimeoutError:
+            return
+        emit(GROUP_LEFT, accepted=reply.accepted)
+
     def _open_node(self, after_failure: bool) -> Node:
         settings = self.settings
         folder = settings.get(DATA_FOLDER)
@@ -292,6 +320,7 @@
             settings.get(PROMOTION_KEY_FILE),
         )
         router = ProposalRouter(service, promotion, float(settings.get(PROPOSE_MS)))
+        self._router = router
         service.connect()
         watch_service(self.metrics, service)
         service.endpoint.on(Propose, router.answer)
--- a/apricotrail/control/_checks.py
+++ b/apricotrail/control/_checks.py
@@ -1,7 +1,8 @@
 """Reasons to refuse a proposed command, and problems of commands whose commit is not known."""
 
-from apricotrail.control._members import make_replica_id
+from apricotrail.control._members import apply_member_change, make_replica_id
 from apricotrail.control._replica import ReplicaState
+from apricotrail.control._replication import has_live_quorum
 from apricotrail.errors import ErrorKind, Problem
 from apricotrail.wire.generated.ttypes import ChangeMember, Command
 
@@ -66,4 +67,9 @@
     if change.action == "remove" and voters == [replica_id]:
         message = f"{replica_id!r} is the only voter."
         return Problem(ErrorKind.REFUSED, message, "Add and promote another replica first.")
+    after = apply_member_change(replica.log.members, change)
+    if change.action != "add_learner" and not has_live_quorum(replica, after):
+        message = "Too few of the replicas that would be left answer to commit this change."
+        remedy = "Retry; start the other replicas, or remove one that is lost first."
+        return Problem(ErrorKind.NO_QUORUM, message, remedy)
     return None
--- a/apricotrail/control/_election.py
+++ b/apricotrail/control/_election.py
@@ -222,7 +222,7 @@
     state.elected_ms = state.now_ms
     state.rounds_sent.clear()
     state.progress = {
-        peer: Progress(state.log.last_index + 1, state.now_ms)
+        peer: Progress(state.log.last_index + 1, state.now_ms, state.round + 1)
         for peer in state.log.members
         if peer != state.own_id
     }
--- a/apricotrail/control/_proposals.py
+++ b/apricotrail/control/_proposals.py
@@ -9,6 +9,7 @@
 from apricotrail.clocks import monotonic_ms
 from apricotrail.control._acceptance import Promotion, check_acceptance, make_proof
 from apricotrail.control._commands import encode_json
+from apricotrail.control._members import make_replica_id
 from apricotrail.control._requests import Outcome
 from apricotrail.control._service import ControlService
 from apricotrail.errors import ErrorKind, Problem
@@ -59,7 +60,10 @@
         problem = _check_command(message.command)
         if problem is not None:
             return self._refuse(problem)
-        return await self.submit(message.command, link.peer.role == "control")
+        reply = await self.submit(message.command, link.peer.role == "control")
+        if reply.accepted and _is_departure(link, message.command):
+            self._service.note_departure(link)
+        return reply
 
     async def submit(self, command: Command, forwarded: bool = False) -> ProposeReply:
         """Propose a command here if this replica leads, otherwise on the leader.
@@ -155,6 +159,13 @@
     return None
 
 
+def _is_departure(link: Link, command: Command) -> bool:
+    change = command.change_member
+    if change is None or change.action != "remove":
+        return False
+    return make_replica_id(change.name, change.identity) == link.peer.name
+
+
 def _read_refusal_kind(reply: ProposeReply) -> str:
     return str(_read_json(reply.answer).get("kind", ""))
 
--- a/apricotrail/control/_replica.py
+++ b/apricotrail/control/_replica.py
@@ -77,10 +77,13 @@
         Index and term of the last entry that this snapshot covers.
     snapshot_offset_bytes : int
         Offset of the next chunk to send.
+    first_round : int
+        First round that was sent to it.
     """
 
-    def __init__(self, next_index: int, now_ms: float) -> None:
+    def __init__(self, next_index: int, now_ms: float, first_round: int = 0) -> None:
         self.next_index = next_index
+        self.first_round = first_round
         self.match_index = 0
         self.acked_round = 0
         self.ack_wait_start_ms = now_ms
--- a/apricotrail/control/_replication.py
+++ b/apricotrail/control/_replication.py
@@ -4,7 +4,7 @@
 leader had been elected when the round was sent.
 """
 
-from apricotrail.control._members import quorum_value
+from apricotrail.control._members import Members, is_quorum, quorum_value
 from apricotrail.control._replica import (
     Progress,
     ReplicaState,
@@ -19,6 +19,7 @@
 __all__ = [
     "advance_commit",
     "append_command",
+    "has_live_quorum",
     "receive_append",
     "receive_append_reply",
     "start_round",
@@ -114,10 +115,25 @@
         become_follower(state, state.term, "")
 
 
+def has_live_quorum(state: ReplicaState, members: Members) -> bool:
+    """Return whether a majority of the voters in `members` answers this leader now.
+
+    A change of members takes effect before it is committed. One that leaves a group without such a
+    majority may never be committed, and then nothing else can be.
+    """
+    since_ms = state.now_ms - state.timing.election_ms
+    live = {
+        peer
+        for peer, progress in state.progress.items()
+        if state.rounds_sent.get(progress.acked_round, float("-inf")) >= since_ms
+    }
+    return is_quorum(members, {state.own_id, *live})
+
+
 def _update_tracked_replicas(state: ReplicaState) -> None:
     for peer in state.log.members:
         if peer != state.own_id and peer not in state.progress:
-            state.progress[peer] = Progress(state.log.last_index + 1, state.now_ms)
+            state.progress[peer] = Progress(state.log.last_index + 1, state.now_ms, state.round)
     for peer in [peer for peer in state.progress if peer not in state.log.members]:
         del state.progress[peer]
 
--- a/apricotrail/control/_service.py
+++ b/apricotrail/control/_service.py
@@ -6,18 +6,20 @@
 """
 
 import asyncio
-from collections.abc import Callable, Mapping
+from collections.abc import Callable
 from typing import Any, NamedTuple
 
-from returns.result import Result
+from returns.result import Result, Success
 
 from apricotrail.clocks import monotonic_ms, wall_ms
+from apricotrail.control._contacts import MemberContacts
 from apricotrail.control._entries import EntryTable
 from apricotrail.control._files import StorageError
 from apricotrail.control._members import Members
 from apricotrail.control._node import Node
 from apricotrail.control._nodes import NodeSharing
 from apricotrail.control._protocol import MESSAGE_TYPES, ms_until_tick
+from apricotrail.control._repair_limits import OVERSEE_INTERVAL_MS
 from apricotrail.control._requests import Outcome
 from apricotrail.control._upkeep import UpkeepInput, decide_upkeep
 from apricotrail.errors import Problem
@@ -36,10 +38,9 @@
 
 __all__ = ["ControlService", "ServiceParts"]
 
-OVERSEE_INTERVAL_MS = 250
 MAX_COMMIT_TIMES = 1_024
-REPLACE_AFTER_MS = 12_000  # longer than usual outages after which a replica returns with its disk
 MAX_CONFIRMATION_AGE_MS = 1_500  # below the 2 s within which a change must be in force
+MAX_OVERSEE_GAP_MS = 2 * OVERSEE_INTERVAL_MS
 MAX_PEERS = 4_096
 # These date their contact with control by the answers to their heartbeats. Answered at once, rare
 # heartbeats show a more recent contact than frequent ones that wait for the next timer.
@@ -92,8 +93,7 @@
     metrics : ControlMetrics
         Instruments of this replica.
     open_group : bool
-        Whether any linked replica may join, and a member without a link for `REPLACE_AFTER_MS` is
-        replaced.
+        Whether any linked replica may join, and members that stay silent are replaced.
     may_form : bool
         Whether this replica may found a group.
     """
@@ -140,7 +140,9 @@
         self._leader = ""
         self._leading_since_ms: float | None = None
         self._closing: asyncio.Future | None = None
-        self._linked_ms: dict[str, float] = {}
+        self._contacts = MemberContacts(MAX_OVERSEE_GAP_MS)
+        self._silences_ms: dict[str, float] = {}
+        self._departed: set[Link] = set()
         self._followers: dict[Link, tuple[str, ...]] = {}
         self._deferred_requests: dict[Link, ConfigurationRequest] = {}
         self._nodes = NodeSharing(parts.endpoint)
@@ -256,9 +258,12 @@
 
     def gather_upkeep_input(self) -> UpkeepInput:
         """Return what `decide_upkeep` needs to choose the leader's next own command."""
-        links = self.endpoint.links.items()
         now_ms = monotonic_ms()
-        linked = {key: link.peer.address for key, link in links if link.peer.role == "control"}
+        linked = {
+            key: link.peer.address
+            for key, link in self.endpoint.links.items()
+            if link.peer.role == "control" and link not in self._departed
+        }
         peers = self.parts.peers
         if self.parts.open_group:
             peers = {replica_name(key): address for key, address in linked.items()}
@@ -270,25 +275,21 @@
             peers,
             self.entries.heard_within(now_ms, silent_ms),
             since_ms is not None and now_ms - since_ms >= silent_ms,
-            self._find_gone(linked, now_ms) if self.parts.open_group else frozenset(),
+            self._silences_ms if self.parts.open_group else {},
             self.parts.open_group,
         )
 
-    def _find_gone(self, linked: Mapping[str, str], now_ms: float) -> frozenset[str]:
-        """Return the members without a link for `REPLACE_AFTER_MS`.
+    def note_departure(self, link: Link) -> None:
+        """Record that a stopping replica left the group; on this link it does not join again."""
+        self._departed.add(link)
 
-        Only time in which this replica leads counts.
-        """
+    def _record_contacts(self) -> None:
+        """Record the contacts with the other members; a replica that leads later needs them."""
+        heard_ms = {key: link.heard_ms for key, link in self.endpoint.links.items()}
+        now_ms = monotonic_ms()
+        heard_ms[self.node.replica_id] = now_ms
         members = self.node.replica.log.members
-        since_ms = self._leading_since_ms if self._leading_since_ms is not None else now_ms
-        for replica_id in (*linked, self.node.replica_id):
-            self._linked_ms[replica_id] = now_ms
-        self._linked_ms = {key: at_ms for key, at_ms in self._linked_ms.items() if key in members}
-        return frozenset(
-            key
-            for key in members
-            if now_ms - max(since_ms, self._linked_ms.get(key, 0.0)) >= REPLACE_AFTER_MS
-        )
+        self._silences_ms = self._contacts.record(members, heard_ms, now_ms)
 
     # ---- loops ----
 
@@ -332,6 +333,7 @@
     def _oversee(self) -> None:
         self._dial_members()
         self._nodes.share()
+        self._record_contacts()
         if self.node.replica.is_leader and not self._proposing:
             command = decide_upkeep(self.gather_upkeep_input())
             if command is not None:
@@ -339,13 +341,17 @@
                 self.endpoint.spawn(self._propose_own(command))
 
     async def _propose_own(self, command: Command) -> None:
+        result: Result[Outcome, Problem] | None = None
         try:
             async with asyncio.timeout(self.parts.stale_ms / 1000):
-                await self.propose(command)
+                result = await self.propose(command)
         except TimeoutError:
             pass
         finally:
             self._proposing = False
+        # The next change of a repair follows at once.
+        if command.change_member is not None and isinstance(result, Success):
+            self._run_step(self._oversee)
 
     # ---- links ----
 
@@ -416,6 +422,7 @@
         self._nodes.forget(link)
         self._followers.pop(link, None)
         self._deferred_requests.pop(link, None)
+        self._departed.discard(link)
 
 
 def _select_items(change: ConfigurationChange, prefixes: tuple[str, ...]) -> ConfigurationChange:
--- a/apricotrail/control/_upkeep.py
+++ b/apricotrail/control/_upkeep.py
@@ -8,7 +8,7 @@
 
 from apricotrail.clocks import wall_ms
 from apricotrail.control._entries import LinkedEntry
-from apricotrail.control._member_repair import decide_member_change
+from apricotrail.control._member_repair import NO_SILENCES, decide_member_change
 from apricotrail.control._node import Node
 from apricotrail.control._overseer import Observation, decide_view
 from apricotrail.events import Level, declare_event, emit
@@ -45,8 +45,9 @@
         Entries heard within the silence limit.
     may_remove_silent : bool
         Whether this leader has led for the silence limit.
-    gone : frozenset of str
-        Members that have been without a link for so long that they count as lost for good.
+    silences_ms : dict of str to float
+        Time since the last message of each member in milliseconds, by id; empty in a group that is
+        not open.
     open_group : bool
         Whether any replica may join, also one that was removed.
     """
@@ -56,7 +57,7 @@
     peers: Mapping[str, str]
     heard: Sequence[LinkedEntry]
     may_remove_silent: bool
-    gone: frozenset[str] = frozenset()
+    silences_ms: Mapping[str, float] = NO_SILENCES
     open_group: bool = False
 
 
@@ -67,7 +68,7 @@
     linked = inputs.linked
     if not inputs.open_group:
         linked = {key: address for key, address in linked.items() if key not in removed}
-    change = decide_member_change(node.replica, linked, inputs.peers, inputs.gone)
+    change = decide_member_change(node.replica, linked, inputs.peers, inputs.silences_ms)
     if change is not None:
         emit(MEMBER_PROPOSED, name=change.name, action=change.action)
         return Command("", node.replica_id, change_member=change)
--- a/apricotrail/control/tests/simulation.py
+++ b/apricotrail/control/tests/simulation.py
@@ -8,11 +8,19 @@
 from returns.result import Failure, Success
 
 from apricotrail.control._changes import DocumentFunctions
+from apricotrail.control._contacts import MemberContacts
 from apricotrail.control._files import StorageError
-from apricotrail.control._member_repair import decide_member_change
+from apricotrail.control._member_repair import NO_SILENCES, decide_departure, decide_member_change
 from apricotrail.control._members import Member
 from apricotrail.control._node import Node
 from apricotrail.control._protocol import ms_until_tick
+from apricotrail.control._repair_limits import (
+    OVERSEE_INTERVAL_MS,
+    REMOVE_AFTER_MS,
+    REPAIRED_AFTER_MS,
+    REPLACE_AFTER_MS,
+    RepairLimits,
+)
 from apricotrail.control._replica import Timing
 from apricotrail.control._setup import Limits, NodeSetup
 from apricotrail.control.tests.disk import Crash, MemoryDisk
@@ -23,7 +31,9 @@
 TIMING = Timing(round_ms=60, election_ms=200)
 LIMITS = Limits(snapshot_entries=8, retained_entries=3)
 TICK_MS = 30
-REPLACE_MS = 1_500.0
+REPAIR_SCALE = 1 / 2  # of the limits in production, like the time of an election
+REPAIR_LIMITS = RepairLimits(REPLACE_AFTER_MS * REPAIR_SCALE, REMOVE_AFTER_MS * REPAIR_SCALE)
+SYNC_MS = REPAIRED_AFTER_MS * REPAIR_SCALE
 REOPEN_MS = 250.0
 ZONES = ("pipa", "natal", "jeri")
 
@@ -52,6 +62,7 @@
         self.cluster, self.name, self.has_durable_log = cluster, name, has_durable_log
         self.disk = MemoryDisk(cluster.random)
         self.disk.on_sync = self._count_sync
+        self.contacts = MemberContacts(2 * OVERSEE_INTERVAL_MS * REPAIR_SCALE)
         self.offset_ms = cluster.random.uniform(0, 10_000)
         self.step_ms = self.sync_ms = self.busy_until_ms = 0.0
         self.node: Node | None = None
@@ -134,6 +145,7 @@
 
     def _open(self, setup: NodeSetup) -> None:
         node = Node(setup)
+        self.contacts = MemberContacts(2 * OVERSEE_INTERVAL_MS * REPAIR_SCALE)
         apply = node.machine.apply
         node.machine.apply = lambda command: self.cluster.apply_checked(node, command, apply)
         self.node = node
@@ -167,13 +179,13 @@
 class Cluster:
     """All replicas, the network between them and what was observed so far.
 
-    In an open group every linked replica may join, and one without a link for `REPLACE_MS` is
-    removed. `diskless` replicas, which keep their log in memory, are added to the founding ones.
+    In an open group every linked replica may join, and members that stay silent are replaced and
+    removed as `REPAIR_LIMITS` say. `diskless` replicas, which keep their log in memory, are added
+    to the founding ones.
     """
 
     def __init__(self, seed: int, size: int, is_open: bool = False, diskless: int = 0) -> None:
         self.is_open = is_open
-        self._linked_ms: dict[str, dict[str, float]] = {}
         self.random = Random(seed)
         self.now_ms = 0.0
         self.wall_offset_ms = 1_000_000
@@ -204,6 +216,17 @@
         """End a replica permanently."""
         self.replicas.pop(name).crash()
 
+    def stop(self, name: str) -> None:
+        """End a replica permanently by a planned stop: it leaves the group if that is better."""
+        change = decide_departure(self.replicas[name].node.replica)
+        if change is not None:
+            command = Command("", name, 0, change_member=change)
+            left: list = []
+            self.run_until(lambda: self.leader() is not None)
+            self.leader().propose(command, left.append)
+            self.run_until(lambda: left, 1_000)
+        self.remove(name)
+
     # ---- time and network ----
 
     def at(self, delay_ms: float, work) -> None:
@@ -319,35 +342,28 @@
         ), "a confirmation is newer than a change that the replica has not applied"
 
     def propose_member_change(self, node: Node) -> None:
-        if not node.replica.is_leader:
-            return
         running = [it.node for it in self.replicas.values() if it.node is not None]
         linked = {it.replica_id: replica_name(it.replica_id) for it in running}
         peers = {name: name for name in self.replicas}
-        gone: list[str] = []
+        silences_ms = NO_SILENCES
         if self.is_open:
             linked = {key: name for key, name in linked.items() if self._is_linked(node, name)}
             peers = {name: name for name in linked.values()}
-            gone = self._find_gone(node, linked)
-        change = decide_member_change(node.replica, linked, peers, gone)
+            silences_ms = self._record_contacts(node, linked)
+        change = decide_member_change(node.replica, linked, peers, silences_ms, REPAIR_LIMITS)
         if change is not None:
             node.propose(Command("", "leader", 0, change_member=change), lambda result: None)
 
+    def _record_contacts(self, node: Node, linked: dict[str, str]) -> dict[str, float]:
+        replica = self.replicas[replica_name(node.replica_id)]
+        now_ms = replica.clock()
+        heard_ms = dict.fromkeys(linked, now_ms)
+        return replica.contacts.record(node.replica.log.members, heard_ms, now_ms)
+
     def _is_linked(self, node: Node, name: str) -> bool:
         own = replica_name(node.replica_id)
         return own == name or not self.blocked.intersection(((own, name), (name, own)))
 
-    def _find_gone(self, node: Node, linked: dict[str, str]) -> list[str]:
-        """Return the members that this leader has not been linked to for `REPLACE_MS`."""
-        key = f"{node.replica_id} {node.replica.term}"
-        last_linked_ms = self._linked_ms.setdefault(key, {})
-        for member in node.replica.log.members:
-            if member in linked or member not in last_linked_ms:
-                last_linked_ms[member] = self.now_ms
-        return [
-            it for it in node.replica.log.members if self.now_ms - last_linked_ms[it] >= REPLACE_MS
-        ]
-
     def leader(self) -> Replica | None:
         leaders = [it for it in self.replicas.values() if it.node and it.node.replica.is_leader]
         return max(leaders, key=lambda it: it.node.replica.term, default=None)
--- a/apricotrail/control/tests/test_protocol.py
+++ b/apricotrail/control/tests/test_protocol.py
@@ -153,3 +153,23 @@
     problem = check_proposal(replica, Command(change_member=change), int(case == "full"), 1)
     assert (problem.kind if problem else None) == kind
     assert problem is None or problem.remedy
+
+
+# Guards against a removal that takes effect at the leader and can never be committed.
+@params(("b#1", ErrorKind.NO_QUORUM), ("c#1", None))
+def test_a_removal_is_refused_if_those_left_do_not_answer(removed, kind):
+    members = {f"{name}#1": Member(name, True) for name in "abc"}
+    log = ReplicatedLog(lambda command: None, 0, 0, members)
+    replica = ReplicaState("a#1", log, 1, "", TIMING, Random(1), 0.0, lambda: None)
+    for at_ms in range(0, 2_100, 100):
+        tick(replica, float(at_ms))
+    receive(replica, "b#1", VoteReply(replica.term + 1, True, True), 2_000.0)
+    receive(replica, "b#1", VoteReply(replica.term, True, False), 2_000.0)
+    mark_synced(replica)
+    receive(replica, "b#1", AppendReply(replica.term, True, 1, replica.round, 1), 2_010.0)
+    assert replica.commit_index == 1
+    name, _, identity = removed.partition("#")
+    change = ChangeMember(name, "", identity, "remove")
+    problem = check_proposal(replica, Command(change_member=change), 0, 1)
+    assert (problem.kind if problem else None) == kind
+    assert problem is None or problem.remedy
--- a/apricotrail/control/tests/test_schedules.py
+++ b/apricotrail/control/tests/test_schedules.py
@@ -4,13 +4,16 @@
 
 from nose2.tools import params
 
-from apricotrail.control.tests.simulation import TIMING, Cluster
+from apricotrail.control.tests.simulation import SYNC_MS, TIMING, Cluster
 from apricotrail.wire.generated.ttypes import Command, PutDocument
 
 REQUESTS = 8
 SUBMIT_MS = 250
 ACK_MS = 4_000
 FULL_DISK_SEEDS = 6
+REPAIR_SEEDS = 12
+MAX_ABSENCE_MS = 500.0
+LOST_AT_MOST = {3: 1, 4: 1, 5: 2}
 
 
 def lose_messages(cluster: Cluster) -> None:
@@ -256,6 +259,91 @@
             raise AssertionError(f"seed {seed}, {size} replicas: {error}") from error
 
 
+def replace_some(cluster: Cluster, losses: int) -> None:
+    """Machines are lost for good; their successors start at other addresses soon after."""
+    for name in cluster.random.sample(list(cluster.replicas), losses):
+        _replace(cluster, name)
+
+
+def replace_leader(cluster: Cluster, losses: int) -> None:
+    _replace(cluster, cluster.leader().name)
+
+
+def replace_some_by_newcomers_that_are_lost(cluster: Cluster, losses: int) -> None:
+    """The successor is lost for good, too, before or just after it was promoted."""
+    name = cluster.random.choice(list(cluster.replicas))
+    cluster.remove(name)
+    cluster.add(f"{name}+")
+    cluster.run_for(cluster.random.uniform(0, SYNC_MS))
+    _replace(cluster, f"{name}+")
+
+
+def lose_some_disks(cluster: Cluster, losses: int) -> None:
+    for name in cluster.random.sample(list(cluster.replicas), losses):
+        cluster.replicas[name].wipe()
+        cluster.at(cluster.random.uniform(0, MAX_ABSENCE_MS), cluster.replicas[name].start)
+
+
+def replace_beside_a_restart(cluster: Cluster, losses: int) -> None:
+    """One machine is replaced while all others are killed at once and start again."""
+    name = cluster.random.choice(list(cluster.replicas))
+    for replica in cluster.replicas.values():
+        replica.crash()
+    cluster.at(cluster.random.uniform(1, MAX_ABSENCE_MS), cluster.heal)
+    _replace(cluster, name)
+
+
+def replace_as_planned_and_lose_another(cluster: Cluster, losses: int) -> None:
+    """A machine stops once its successor is in; from then on another one may be lost."""
+    name = cluster.random.choice(list(cluster.replicas))
+    cluster.add(f"{name}'")
+    cluster.run_for(SYNC_MS)
+    cluster.stop(name)
+    _replace(cluster, cluster.random.choice(list(cluster.replicas)))
+
+
+def _replace(cluster: Cluster, name: str) -> None:
+    cluster.remove(name)
+    cluster.at(cluster.random.uniform(0, MAX_ABSENCE_MS), lambda: cluster.add(f"{name}'"))
+
+
+REPAIRS = (
+    (replace_some, replace_some, replace_some),
+    (replace_leader, replace_leader, replace_leader),
+    (replace_some, lose_some_disks, replace_some),
+    (lose_some_disks, replace_leader, lose_some_disks),
+    (replace_some_by_newcomers_that_are_lost, replace_some),
+    (replace_beside_a_restart, replace_some),
+    (replace_as_planned_and_lose_another, replace_as_planned_and_lose_another),
+)
+
+
+def check_repairs_in_turn(seed: int, size: int, repairs) -> None:
+    """Lose what may be lost at once, again as soon as it stops counting as lost."""
+    cluster = Cluster(seed, size, is_open=True)
+    cluster.run_until(lambda: cluster.leader() is not None)
+    cluster.run_for(SYNC_MS)
+    for number, repair in enumerate(repairs):
+        cluster.submit(number)
+        repair(cluster, LOST_AT_MOST[size])
+        cluster.run_for(MAX_ABSENCE_MS + SYNC_MS)
+        cluster.run_until(lambda: cluster.leader() is not None, ACK_MS)
+    cluster.submit(len(repairs))
+    cluster.run_until(lambda: len(cluster.answers) == len(repairs) + 1, ACK_MS)
+    cluster.finish(len(repairs) + 1)
+
+
+# Guards against a member that is gone for good and still counts as a voter when the next is lost.
+@params(*((size, repairs) for size in LOST_AT_MOST for repairs in REPAIRS))
+def test_changes_are_accepted_after_repairs_in_turn(size, repairs):
+    for seed in range(REPAIR_SEEDS):
+        try:
+            check_repairs_in_turn(seed, size, repairs)
+        except AssertionError as error:
+            names = [repair.__name__ for repair in repairs]
+            raise AssertionError(f"seed {seed}, {size} replicas, {names}: {error}") from error
+
+
 def run_schedule(seed: int, size: int, faults, cluster: Cluster | None = None) -> None:
     cluster = cluster or Cluster(seed, size)
     try:
--- a/apricotrail/wire/_link.py
+++ b/apricotrail/wire/_link.py
@@ -162,6 +162,11 @@
 
     # ---- use ----
 
+    @property
+    def heard_ms(self) -> float:
+        """Time of the last received bytes, on the endpoint's clock."""
+        return self._heard_ms
+
     def send(self, message: Any, correlation: int = 0) -> bool:
         """Queue a message.
 
