Control: an order on a zone is carried out only while it can be the newest one

Cause: nothing told an old order from a new one. A replica read what had waited in its socket for seconds as if it had just come, tried it for 5 s though callers wait for one, and the leader took whatever a link brought it.

Change (control/_orders.py, with the sum against the time for which callers wait): a replica that was paused refuses orders for a second; none is tried once its caller has left or 400 ms after it was read; each try names the last log entry that its replica had applied, and the leader refuses it if an order on the same zone was logged since, also one without effect, or if that entry is older than its term. Operators' changes in the product's own interface are not proposed once their caller has left.

Ruled out: a lost or reordered evacuation (versions rise as logged). Waiting for the end of the connection, as queues/ does for jobs, isn't enough: a cut can hold it back.

--- a/apricotrail/control/_checks.py
+++ b/apricotrail/control/_checks.py
@@ -6,7 +6,12 @@
 from apricotrail.errors import ErrorKind, Problem
 from apricotrail.wire.generated.ttypes import ChangeMember, Command
 
-__all__ = ["check_proposal", "make_replaced_problem", "make_unknown_outcome_problem"]
+__all__ = [
+    "check_proposal",
+    "make_replaced_problem",
+    "make_stale_order_problem",
+    "make_unknown_outcome_problem",
+]
 
 
 def check_proposal(
@@ -44,6 +49,12 @@
     return Problem(ErrorKind.NO_QUORUM, message, "Send it again under the same request id.")
 
 
+def make_stale_order_problem() -> Problem:
+    """Return the problem of an order that may be older than the last one on the same thing."""
+    message = "A newer order may have been logged since this one came in; it was not carried out."
+    return Problem(ErrorKind.STALE_CONFIGURATION, message, "Send it again if it is still wanted.")
+
+
 def make_unknown_outcome_problem() -> Problem:
     """Return the problem of a command that may have been committed or may still be."""
     message = (
--- a/apricotrail/control/_node.py
+++ b/apricotrail/control/_node.py
@@ -14,11 +14,13 @@
 from apricotrail.control._checks import (
     check_proposal,
     make_replaced_problem,
+    make_stale_order_problem,
     make_unknown_outcome_problem,
 )
 from apricotrail.control._election import begin_transfer
 from apricotrail.control._log import ReplicatedLog
 from apricotrail.control._members import Members, make_replica_id
+from apricotrail.control._orders import OrderLog, find_order_key
 from apricotrail.control._protocol import mark_synced, receive, start_round_if_due, tick
 from apricotrail.control._replica import ReplicaState, confirmation_age_ms
 from apricotrail.control._replication import append_command
@@ -88,6 +90,7 @@
         self.snapshot_index = 0
         self._snapshot_retry_index = 0
         self._pending: dict[int, _Pending] = {}
+        self._orders = OrderLog()
         members: Members = {}
         snapshot = stored.snapshot
         if snapshot is not None:
@@ -135,11 +138,25 @@
         """Run what is due in the protocol; `flush` must follow."""
         tick(self.replica, self.setup.clock())
 
-    def propose(self, command: Command, on_answer: Callable[[Answer], None]) -> None:
+    def propose(
+        self,
+        command: Command,
+        on_answer: Callable[[Answer], None],
+        based_on: int | None = None,
+    ) -> None:
         """Append a command to the log if this replica leads; `flush` must follow.
 
-        `on_answer` is called once: with the outcome when the command is committed, or with a
-        problem. A request that was answered before gets the same outcome again.
+        A request that was answered before gets the same outcome again.
+
+        Parameters
+        ----------
+        command : Command
+            The command.
+        on_answer : callable
+            Called once: with the outcome when the command is committed, or with a problem.
+        based_on : int or None
+            For an order without a version, the index of the last entry that was applied where it
+            came to; it is refused if a later one may be logged. None to log it in any case.
         """
         replica = self.replica
         replica.now_ms = self.setup.clock()
@@ -153,7 +170,13 @@
         if refusal is not None:
             on_answer(Failure(refusal))
             return
+        term, key = (replica.term, replica.term_start_index), find_order_key(command)
+        if key and based_on is not None and self._orders.is_stale(key, based_on, *term):
+            on_answer(Failure(make_stale_order_problem()))
+            return
         index = append_command(replica, encode_message(command))
+        if key:
+            self._orders.add(key, index, *term)
         self._add_pending(index, on_answer)
 
     def begin_transfer(self) -> bool:
--- a/apricotrail/control/_operations.py
+++ b/apricotrail/control/_operations.py
@@ -10,6 +10,7 @@
 
 from apricotrail.clocks import monotonic_ms
 from apricotrail.control._commands import QUEUES_KEY, QUEUES_SOURCE_KEY, encode_json
+from apricotrail.control._orders import SETTLE_MS, PendingOrder
 from apricotrail.control._proposals import ProposalRouter
 from apricotrail.control._service import ControlService
 from apricotrail.errors import ErrorKind, Problem
@@ -36,6 +37,13 @@
     "An operator asked to take a zone out of service or back in. If not accepted, this was refused "
     "or its commit is unconfirmed; the answer to the operator says which.",
 )
+ORDER_REFUSED = declare_event(
+    3104,
+    "order_refused",
+    Level.INFO,
+    "An order to take a zone out of service or back in was read just after a pause of this "
+    "replica, so it may be older than others; it was refused, and its caller asks another replica.",
+)
 QUEUES_READ = declare_event(
     3103,
     "queues_read",
@@ -94,13 +102,35 @@
         emit(QUEUES_PUT, version=version, accepted=reply.accepted, at=reply.version)
         return reply
 
-    async def set_zone(self, zone: str, in_service: bool) -> ProposeReply:
-        """Take a zone out of service, or back in."""
-        change = SetZoneState(zone, in_service)
-        author = self._service.node.replica_id
-        reply = await self._router.submit(Command(uuid4().hex, author, set_zone_state=change))
+    async def set_zone(
+        self, zone: str, in_service: bool, disconnected: asyncio.Future | None = None
+    ) -> Result[ProposeReply, Problem]:
+        """Take a zone out of service, or back in, unless the order may be an old one.
+
+        Parameters
+        ----------
+        zone : str
+            Name of the zone.
+        in_service : bool
+            Whether tasks may start there.
+        disconnected : asyncio.Future or None
+            Done once the caller has left.
+        """
+        if not self._service.pauses.is_settled():
+            emit(ORDER_REFUSED, zone=zone, open=in_service)
+            message = "This replica was paused, so the order may have waited in it for long."
+            remedy = "Send it to another replica if it is still wanted."
+            return Failure(Problem(ErrorKind.NOT_READY, message, remedy))
+        await asyncio.sleep(SETTLE_MS / 1000)
+        command = Command(
+            uuid4().hex,
+            self._service.node.replica_id,
+            set_zone_state=SetZoneState(zone, in_service),
+        )
+        order = PendingOrder(lambda: disconnected is None or not disconnected.done())
+        reply = await self._router.submit(command, order=order)
         emit(ZONE_SET, zone=zone, open=in_service, accepted=reply.accepted, at=reply.version)
-        return reply
+        return Success(reply)
 
     async def read_queues(self) -> Result[StoredQueues, Problem]:
         """Return the newest document once it is certain that no newer one was accepted.
--- a/apricotrail/control/_service.py
+++ b/apricotrail/control/_service.py
@@ -18,6 +18,7 @@
 from apricotrail.control._members import Members
 from apricotrail.control._node import Node
 from apricotrail.control._nodes import NodeSharing
+from apricotrail.control._orders import PauseWatch
 from apricotrail.control._protocol import MESSAGE_TYPES, ms_until_tick
 from apricotrail.control._repair_limits import OVERSEE_INTERVAL_MS
 from apricotrail.control._requests import Outcome
@@ -125,6 +126,8 @@
         versions.
     failed : asyncio.Event
         Set when the disk has failed; this object does nothing from then on.
+    pauses : PauseWatch
+        Whether this process was paused just before.
     """
 
     def __init__(self, parts: ServiceParts) -> None:
@@ -140,6 +143,7 @@
         self._leader = ""
         self._leading_since_ms: float | None = None
         self._closing: asyncio.Future | None = None
+        self.pauses = PauseWatch(monotonic_ms)
         self._contacts = MemberContacts(MAX_OVERSEE_GAP_MS)
         self._silences_ms: dict[str, float] = {}
         self._departed: set[Link] = set()
@@ -218,10 +222,12 @@
         self.flush()
         return True
 
-    async def propose(self, command: Command) -> Result[Outcome, Problem]:
+    async def propose(
+        self, command: Command, based_on: int | None = None
+    ) -> Result[Outcome, Problem]:
         """Append a command to the log of this replica and wait for its outcome.
 
-        A replica that does not lead answers with a problem.
+        A replica that does not lead answers with a problem; `Node.propose` explains `based_on`.
         """
         future: asyncio.Future = asyncio.get_running_loop().create_future()
 
@@ -231,7 +237,7 @@
 
         command.wall_ms = wall_ms()
         started_ms = monotonic_ms()
-        self.node.propose(command, done)
+        self.node.propose(command, done, based_on)
         self.schedule_flush()
         result = await future
         self.parts.metrics.commit_ms.observe(monotonic_ms() - started_ms)
@@ -315,6 +321,7 @@
             emit(CONTROL_LOOP_FAILED, step=step.__name__, error=repr(error))
 
     def _tick(self) -> None:
+        self.pauses.is_settled()
         self.node.tick()
         self.flush()
         self._answer_deferred()
--- a/apricotrail/operators/_changes.py
+++ b/apricotrail/operators/_changes.py
@@ -21,6 +21,7 @@
 MAX_HEADER_CHARACTERS = 128
 DEFAULT_AUTHOR = "unknown"
 POLL_MS = 100
+SETTLE_MS = 20  # after this the end of a connection is read that came with the request
 MS_PER_S = 1_000
 CONFIRMED = "confirmed"
 STALE_LIMIT = "stale_limit"
@@ -97,6 +98,11 @@
         return problem_response(read.failure())
     command = read.unwrap()
     fill(command)
+    if await _has_caller_left(request):
+        # It may have given another order since, which this one would undo.
+        remedy = "Send the change again under the same request id if it is still wanted."
+        message = "The caller left before the change was proposed; nothing was recorded."
+        return problem_response(Problem(ErrorKind.CANCELLED, message, remedy))
     proposed = await parts.propose(command)
     if isinstance(proposed, Failure):
         return problem_response(proposed.failure())
@@ -109,6 +115,13 @@
     return json_response(200, answer)
 
 
+async def _has_caller_left(request: Request) -> bool:
+    if request.disconnected is None:
+        return False
+    await asyncio.sleep(SETTLE_MS / MS_PER_S)
+    return request.disconnected.done()
+
+
 def _refuse(command: Command, reply: ProposeReply) -> Response:
     answer = _read_answer(reply)
     if "kind" not in answer:
--- a/apricotrail/operators/tests/fakes.py
+++ b/apricotrail/operators/tests/fakes.py
@@ -128,7 +128,7 @@
     return router
 
 
-async def call(router, method, path, body=b"", query=None, **headers):
+async def call(router, method, path, body=b"", query=None, disconnected=None, **headers):
     """Send one request with the token and a request id; return status and JSON (or bytes)."""
     fields = {
         "authorization": f"Bearer {TOKEN}",
@@ -137,7 +137,7 @@
     }
     fields |= {name.replace("_", "-"): value for name, value in headers.items()}
     fields = {name: value for name, value in fields.items() if value is not None}
-    request = Request(method, f"/v1/admin{path}", query or {}, fields, body, "peer")
+    request = Request(method, f"/v1/admin{path}", query or {}, fields, body, "peer", disconnected)
     response = router(request)
     if not isinstance(response, tuple):
         response = await response
--- a/apricotrail/operators/tests/test_operators.py
+++ b/apricotrail/operators/tests/test_operators.py
@@ -1,5 +1,6 @@
 """The operators' interface against a control of one process."""
 
+from asyncio import get_running_loop
 from pathlib import Path
 from tempfile import TemporaryDirectory
 from unittest import IsolatedAsyncioTestCase, TestCase
@@ -104,6 +105,15 @@
                 self.assertEqual(states.pop("pipa"), in_service)
                 self.assertEqual(set(states.values()), {True})
 
+    # Guards against a change that is carried out for a caller that has left and may have given the
+    # contrary one since.
+    async def test_change_whose_caller_has_left_is_not_proposed(self):
+        left = get_running_loop().create_future()
+        get_running_loop().call_soon(left.set_result, None)
+        answer = await call(self.router, "POST", "/zones/pipa/out", disconnected=left)
+        self.assertEqual((answer.status, answer.value["error"]["kind"]), (409, "cancelled"))
+        self.assertEqual(self.control.commands, [])
+
     async def test_unconfirmed_change_is_answered_at_the_stale_limit(self):
         table = (
             ({"in_force": False, "how": "unknown_version", "behind": []}, [], 3_000),
--- a/apricotrail/wire/messages.thrift
+++ b/apricotrail/wire/messages.thrift
@@ -578,6 +578,7 @@
 
 struct Propose {
   1: Command command,
+  2: optional i64 based_on,   // log index that the sender had applied when an order came to it
 }
 
 struct ProposeReply {
