--- a/apricotrail/queues/_estimates.py
+++ b/apricotrail/queues/_estimates.py
@@ -12,6 +12,7 @@
 MAX_QUEUES = 1_024
 DEFAULT_RUN_MS = 300.0  # with neither an estimate nor an observed run
 LATE_FACTOR = 3.0  # multiple of the objective up to which a late job is still of use
+MAX_SPAN_MS = 2.0**29  # longest estimate; its multiples fit the messages' 32-bit fields
 OVERHEAD_MS = 25.0  # links, start messages, and the runner's report that a run has ended
 
 
@@ -43,15 +44,15 @@
         """
         known = self._mean_log_run_ms.get(queue)
         if known is None:
-            return estimate_ms or DEFAULT_RUN_MS
+            return min(estimate_ms or DEFAULT_RUN_MS, MAX_SPAN_MS)
         if estimate_ms <= 0:
-            return exp(known)
-        return exp((known + log(estimate_ms)) / 2)
+            return min(exp(known), MAX_SPAN_MS)
+        return min(exp((known + log(estimate_ms)) / 2), MAX_SPAN_MS)
 
     def compute_slack(self, request: JobRequest, queue: Queue) -> Slack:
         """Return how long a job's tasks may wait for their start, counted from its receipt."""
         critical_path_ms = self._estimate_critical_path_ms(request, queue)
-        objective_ms = queue.slack * critical_path_ms + queue.objective_ms
+        objective_ms = min(queue.slack * critical_path_ms + queue.objective_ms, MAX_SPAN_MS)
         used_ms = critical_path_ms + OVERHEAD_MS
         return Slack(objective_ms - used_ms, LATE_FACTOR * objective_ms - used_ms, critical_path_ms)
 
@@ -61,4 +62,4 @@
         for step in request.steps:
             before_ms = max((paths_ms[number] for number in step.depends_on), default=0.0)
             paths_ms.append(before_ms + self.estimate_ms(queue.name, step.estimate_ms))
-        return max(paths_ms)
+        return min(max(paths_ms), MAX_SPAN_MS)
--- a/apricotrail/queues/tests/test_dispatcher.py
+++ b/apricotrail/queues/tests/test_dispatcher.py
@@ -3,8 +3,9 @@
 import unittest
 
 from apricotrail.queues._dispatcher import RETIRED_IDLE_MS, STILL_LISTED_MS, UNLISTED_FOR_MS
-from apricotrail.queues._jobs import JobState
-from apricotrail.queues.tests.harness import DispatchCase, make_request
+from apricotrail.queues._jobs import JobState, Step
+from apricotrail.queues.tests.harness import QUEUE, DispatchCase, make_request
+from apricotrail.wire import encode_message
 from apricotrail.wire.generated.ttypes import (
     ClaimRuns,
     OutcomesTaken,
@@ -65,6 +66,19 @@
         self.assertEqual(len(case.runs()), 1)
 
 
+class TestMessages(unittest.IsolatedAsyncioTestCase):
+    # Guards against estimates and objectives that a start message can't carry: the send would fail
+    # and the job be given up.
+    async def test_starts_of_jobs_with_huge_numbers_can_be_sent(self):
+        queue = QUEUE._replace(slack=1e6, objective_ms=2.0**31, priority=2**31 - 1)
+        steps = tuple(Step(1, 1_600, 64, 2**31 - 1, tuple(range(index))) for index in range(64))
+        case = DispatchCase("pipa-1")
+        case.submit(make_request()._replace(steps=steps), queue)
+        starts = [message for _, message in case.sent if isinstance(message, StartRuns)]
+        self.assertEqual(len(starts), 1)
+        self.assertTrue(encode_message(starts[0]))
+
+
 class TestAttempts(unittest.IsolatedAsyncioTestCase):
     async def test_failed_run_is_tried_elsewhere_up_to_the_queues_attempts(self):
         case = DispatchCase("x", "y", "z")
--- a/apricotrail/runners/_load.py
+++ b/apricotrail/runners/_load.py
@@ -11,6 +11,7 @@
 
 URGENT_MS = 250.0  # the dispatchers' admission separates urgent jobs by the same limit
 MIN_REMAINING_MS = 5.0
+MAX_I32 = 2**31 - 1
 
 
 def describe_unknown_runner(received: int, now_ms: float) -> RunnerLoad:
@@ -59,21 +60,21 @@
         runner.pool,
         runner.zone,
         list(runner.labels),
-        runner.cpu_millis,
-        runner.memory_mb,
-        runner.cpu_millis - committed_cpu_millis,
-        runner.memory_mb - committed_memory_mb,
-        committed_cpu_millis - used_cpu_millis,
+        _bound(runner.cpu_millis),
+        _bound(runner.memory_mb),
+        _bound(runner.cpu_millis - committed_cpu_millis),
+        _bound(runner.memory_mb - committed_memory_mb),
+        _bound(committed_cpu_millis - used_cpu_millis),
         accepting,
         health.allowed_trials(),
         health.slowness(),
         received,
         int(now_ms),
         len(queued),
-        int(forecast.next_start_ms),
-        int(forecast.urgent_start_ms),
-        int(forecast.spacing_ms),
-        int(_predict_idle_ms(running, queued, now_ms)),
+        _bound(forecast.next_start_ms),
+        _bound(forecast.urgent_start_ms),
+        _bound(forecast.spacing_ms),
+        _bound(_predict_idle_ms(running, queued, now_ms)),
         sum(bool(run.start.isolated) for run in runs),
     )
 
@@ -87,6 +88,11 @@
     return cpu_millis, memory_mb
 
 
+def _bound(value: float) -> int:
+    """Return `value` as an integer that the load message can carry."""
+    return int(max(-MAX_I32, min(value, MAX_I32)))
+
+
 def _predict(
     free_cpu_millis: int, running: list[Run], queued: list[Run], now_ms: float
 ) -> Forecast:
--- a/apricotrail/runners/tests/test_gate.py
+++ b/apricotrail/runners/tests/test_gate.py
@@ -4,6 +4,7 @@
 
 from apricotrail.runners._runs import OrderKind, Owner, StartReply
 from apricotrail.runners.tests.harness import ALICE, BOB, BOOT, GateCase, make_report, make_start
+from apricotrail.wire import encode_message
 from apricotrail.wire.generated.ttypes import RunReason, RunState
 
 START, STOP = OrderKind.START, OrderKind.STOP
@@ -473,3 +474,16 @@
             case.start(make_start(f"{job}.0.0.0"))
             case.list(ended=[(f"{job}.0.0.0", 1, "done")])
         self.assertEqual(case.gate.health.allowed_trials(), -1)
+
+
+class TestLoad(unittest.TestCase):
+    # Guards against a load that a message can't carry, since that silences the agent on all links.
+    def test_load_of_a_runner_of_any_size_can_be_sent(self):
+        case = GateCase()
+        for cpu in (0, 2**31 - 1, 2**40):
+            with self.subTest(cpu=cpu):
+                report = make_report(cpu_millis=cpu, memory_mb=cpu, sequence=cpu + 2)
+                self.assertTrue(case.gate.announce(report))
+                for index in range(4):
+                    case.start(make_start(f"{cpu}.0.0.{index}", cpu=2**31 - 1, wait_ms=100))
+                self.assertTrue(encode_message(case.gate.describe_load(0)))
