Agents: what an announcement says counts once the runner has answered so itself

Cause: the agent took the highest born for the runner's boot and the highest seq for its newest state, unasked.

Change: a boot counts once the runner has listed it, an id once the runner has answered to it; announcements of a later boot wait for that. A second lower number in a row, half a second on, shows that the known one is wrong. Addresses in lists are checked before they are dialed, and the incarnations of targets are bounded.

Ruled out: bounds on the numbers alone, as a neighbour's number need only be a little too high.

--- a/apricotrail/entry/_announcements.py
+++ b/apricotrail/entry/_announcements.py
@@ -21,6 +21,7 @@
 MIN_LEASE_MS = 500
 MAX_LEASE_MS = 120_000
 MAX_SLOTS = 10_000
+MAX_INCARNATION = 2**53 - 1
 
 
 class LeasedAnnouncement(NamedTuple):
@@ -48,6 +49,9 @@
         return _malformed("slots is out of range.", f"Give 1 to {MAX_SLOTS}.")
     if not announcement.slots <= (announcement.connections or 0) <= MAX_SLOTS:
         return _malformed("connections is out of range.", "Give at least as many as slots.")
+    if not 0 <= (announcement.incarnation or 0) <= MAX_INCARNATION:
+        remedy = "Give the start of the target in milliseconds since the epoch."
+        return _malformed("incarnation is out of range.", remedy)
     if not MIN_LEASE_MS <= (announcement.lease_ms or 0) <= MAX_LEASE_MS:
         remedy = f"Give {MIN_LEASE_MS} to {MAX_LEASE_MS} ms."
         return _malformed("lease_ms is out of range.", remedy)
--- a/apricotrail/entry/tests/test_announcements.py
+++ b/apricotrail/entry/tests/test_announcements.py
@@ -33,6 +33,10 @@
     {"slots": 9, "connections": 8},
     {"lease_ms": 1},
     {"lease_ms": 10_000_000},
+    {"incarnation": 2**62},
+    {"incarnation": -1},
+    {"address": "127.0.0.1:99999"},
+    {"address": "127.0.0.1:\u0668"},
 )
 def test_malformed_announcement_is_refused_with_a_remedy(changes):
     checked = check_announcement(announce(**changes))
--- a/apricotrail/operators/_members.py
+++ b/apricotrail/operators/_members.py
@@ -88,7 +88,7 @@
 def _read_fields(body: bytes) -> dict[str, str] | None:
     try:
         fields = json.loads(body)
-    except ValueError:
+    except (ValueError, RecursionError):
         return None
     if not isinstance(fields, dict) or fields.keys() != {"name", "address", "identity"}:
         return None
--- a/apricotrail/runners/_application.py
+++ b/apricotrail/runners/_application.py
@@ -152,9 +152,9 @@
 
     def announce(self, report: RunnerReport) -> None:
         """Pass an announcement of the runner to the gate."""
-        was_leaving = self.gate.runner is not None and self.gate.runner.leaving
+        was_leaving = self._is_leaving()
         self.gate.announce(report)
-        if report.leaving != was_leaving:
+        if self._is_leaving() != was_leaving:
             self._send_load_to_owners()
 
     def withdraw(self, runner: str) -> None:
@@ -162,6 +162,9 @@
         self.gate.withdraw(runner)
         self._send_load_to_owners()
 
+    def _is_leaving(self) -> bool:
+        return self.gate.runner is not None and self.gate.runner.leaving
+
     def _is_ready(self) -> bool:
         return self.gate.describe_load(0).accepting
 
--- a/apricotrail/runners/_gate.py
+++ b/apricotrail/runners/_gate.py
@@ -21,6 +21,7 @@
     OWNER_SILENT_MS,
 )
 from apricotrail.metrics import make_metrics
+from apricotrail.runners._announcements import Announcements
 from apricotrail.runners._health import HealthChange, RunnerHealth
 from apricotrail.runners._load import describe_load, describe_unknown_runner, sum_resources
 from apricotrail.runners._losses import RunnerLosses
@@ -106,6 +107,13 @@
     Level.WARNING,
     "Owners of ended runs and control are silent, so leases are not renewed, or this is over.",
 )
+RUNNER_ID_REFUSED = declare_event(
+    11013,
+    "runner_id_refused",
+    Level.WARNING,
+    "The runner answered that it doesn't go by the id under which it was announced; the agent "
+    "waits for its own announcement. Check who else writes to this address.",
+)
 
 
 class GateLimits(NamedTuple):
@@ -215,6 +223,7 @@
         self.fence = fence
         self.notify_closed: Callable[[], object] = lambda: None
         self.quorum_contact_ms: Callable[[], float] = clock
+        self._announcements = Announcements(clock)
         self._unconfirmed = UnconfirmedEnds()
         self._silent_since_ms: dict[Owner, float] = {}
         self._in_doubt = False
@@ -235,14 +244,17 @@
     # ---- messages from the runner ----
 
     def announce(self, report: RunnerReport) -> bool:
-        """Apply an announcement of the runner; return False for one that is old or repeated."""
-        former = self.runner
-        if report.boot < self.boot:
-            return False
-        if report.boot == self.boot and former is not None and report.sequence <= former.sequence:
+        """Apply an announcement of the runner; return False for one that has no effect now.
+
+        It may be old, repeated, of another writer, or of a boot that the runner hasn't listed yet.
+        """
+        if not self._announcements.accept(report, self.runner):
             return False
-        self._enter_boot(report.boot)
-        self.runner = report
+        self._apply_announcement(report)
+        return True
+
+    def _apply_announcement(self, report: RunnerReport) -> None:
+        former, self.runner = self.runner, report
         if former is None or former._replace(sequence=0) != report._replace(sequence=0):
             emit(
                 RUNNER_ANNOUNCED,
@@ -257,7 +269,6 @@
             self._refuse_queued(RunReason.CLOSED)
         self._refuse_oversized()
         self._start_queued()
-        return True
 
     def withdraw(self, runner: str) -> None:
         """Start nothing more at a runner that announced that it leaves permanently."""
@@ -278,6 +289,7 @@
         if listing.boot < self.boot:
             return
         self._enter_boot(listing.boot)
+        self._check_id(listing)
         self.losses.note_answer()
         self.losses.note_boot(listing.boot)
         now_ms = self._heard_ms = self._clock()
@@ -647,10 +659,28 @@
             left_ms = round(self._lease_end_ms - now_ms)
             emit(ENDS_IN_DOUBT, in_doubt=self._in_doubt, lease_left_ms=left_ms)
 
+    def _check_id(self, listing: Listing) -> None:
+        """Note by which id the runner goes, and drop an announcement under another one."""
+        if listing.instance:
+            self._announcements.confirm_id(listing.instance)
+        refused = listing.refused_instance
+        if not refused or refused != self.instance or not self._announcements.refuse_id(refused):
+            return
+        emit(RUNNER_ID_REFUSED, runner=refused, boot=self.boot)
+        self.runner = None
+        self._refuse_queued(RunReason.CLOSED)
+
     def _enter_boot(self, boot: int) -> None:
-        """Note a newer boot of the runner; the runs ordered in a former one are lost."""
+        """Note a newer boot that the runner listed; the runs ordered in a former one are lost."""
         if boot <= self.boot:
             return
+        self._leave_boot(boot)
+        announced = self._announcements.enter_boot(boot)
+        if announced is not None:
+            self._apply_announcement(announced)
+
+    def _leave_boot(self, boot: int) -> None:
+        """End the runs of the former boot, if there was one."""
         self._unconfirmed.release_all()
         former_boot = self.boot
         self.boot = boot
--- a/apricotrail/runners/_runs.py
+++ b/apricotrail/runners/_runs.py
@@ -125,12 +125,18 @@
         Runs that are running.
     ended : tuple of EndedRow
         Runs that ended after the last acknowledged end, oldest first.
+    instance : str
+        Id that the answered call named, empty for none: the runner goes by it.
+    refused_instance : str
+        Id that the runner refused just before, empty for none: it doesn't go by it.
     """
 
     boot: int
     clock_ms: int
     running: tuple[RunningRow, ...]
     ended: tuple[EndedRow, ...]
+    instance: str = ""
+    refused_instance: str = ""
 
 
 class StartReply(StrEnum):
--- /dev/null
+++ b/apricotrail/runners/tests/test_announcements.py
@@ -0,0 +1,110 @@
+"""Announcements of other writers among those of the agent's own runner."""
+
+import unittest
+
+from apricotrail.clocks import VirtualClock
+from apricotrail.runners._announcements import LATE_SPREAD_MS, MAX_WAITING, Announcements
+from apricotrail.runners._runs import Listing
+from apricotrail.runners.tests.harness import BOOT, GateCase, make_report, make_start
+from apricotrail.wire.generated.ttypes import RunState
+
+KEY = ("j.0.0.0", 1)
+HEARTBEAT_MS = 1_500.0
+ODD_BOOTS = (BOOT + 1, 2**53 - 1)
+ODD_SEQUENCES = (3, 1_000, 2**53 - 1)
+
+
+def list_under_id(case: GateCase, instance: str = "", refused: str = "", boot: int = BOOT) -> None:
+    listing = Listing(boot, 0, (), (), instance, refused)
+    case.gate.receive_listing(listing, case.clock())
+
+
+class TestOddBoot(unittest.TestCase):
+    # Guards against runs that are given up, and started elsewhere, while they go on: an entry of
+    # another writer counted as a new boot of the runner.
+    def test_an_entry_with_another_boot_ends_no_run_and_closes_nothing(self):
+        for boot in ODD_BOOTS:
+            with self.subTest(boot=boot):
+                case = GateCase()
+                case.start()
+                self.assertFalse(case.gate.announce(make_report(boot=boot, sequence=1)))
+                case.advance(2_000, running=[KEY])
+                self.assertEqual(case.outcomes(), [])
+                self.assertEqual(case.gate.runner.boot, BOOT)
+                self.assertTrue(case.gate.announce(make_report(sequence=2, cpu_millis=8_000)))
+                case.start(make_start("k.0.0.0"))
+                self.assertEqual(len(case.gate.list_running()), 2)
+
+    def test_a_real_boot_takes_effect_with_the_first_listing_that_shows_it(self):
+        for reports in ([make_report(boot=BOOT + 5)], []):
+            case = GateCase()
+            case.start()
+            case.clock.advance(5)
+            case.gate.announce(make_report(boot=ODD_BOOTS[1], cpu_millis=1))
+            for report in reports:
+                case.gate.announce(report)
+            case.list(boot=BOOT + 5)
+            self.assertEqual(case.outcomes(), [(*KEY, RunState.LOST)])
+            self.assertEqual(case.gate.describe_load(0).accepting, bool(reports))
+            case.gate.announce(make_report(boot=BOOT + 5, sequence=2))
+            self.assertTrue(case.gate.describe_load(0).accepting)
+            self.assertFalse(case.gate.announce(make_report(sequence=99, leaving=True)))
+
+    def test_announcements_that_wait_are_bounded(self):
+        announcements = Announcements(VirtualClock())
+        for boot in range(1, 3 * MAX_WAITING):
+            announcements.accept(make_report(boot=boot), None)
+        self.assertEqual(len(announcements._waiting), MAX_WAITING)
+
+
+class TestOddSequence(unittest.TestCase):
+    # Guards against an agent that takes no further announcement of its runner.
+    def test_the_runners_own_announcements_hold_again_after_two(self):
+        for sequence in ODD_SEQUENCES:
+            with self.subTest(sequence=sequence):
+                case = GateCase()
+                case.gate.announce(make_report(sequence=sequence, leaving=True))
+                for own in (2, 3):
+                    case.advance(HEARTBEAT_MS)
+                    case.gate.announce(make_report(sequence=own))
+                self.assertFalse(case.gate.runner.leaving)
+
+    def test_late_announcements_that_come_together_are_ignored(self):
+        case = GateCase()
+        case.gate.announce(make_report(sequence=9, leaving=True))
+        case.clock.advance(HEARTBEAT_MS)
+        for sequence in (6, 7, 8):
+            case.clock.advance(LATE_SPREAD_MS / 4)
+            self.assertFalse(case.gate.announce(make_report(sequence=sequence)))
+        self.assertTrue(case.gate.runner.leaving)
+
+
+class TestOddId(unittest.TestCase):
+    # Guards against an entry under another id that takes the place of the runner.
+    def test_an_entry_under_another_id_changes_nothing(self):
+        case = GateCase()
+        for confirms in (False, True):
+            if confirms:
+                list_under_id(case, "i-1")
+            odd = make_report(runner="i-other-writer", sequence=50, cpu_millis=1)
+            self.assertFalse(case.gate.announce(odd))
+            self.assertEqual(case.gate.instance, "i-1")
+            self.assertEqual(case.gate.runner.cpu_millis, 16_000)
+
+    def test_an_id_that_the_runner_refuses_gives_way_to_its_own(self):
+        case = GateCase(announced=False)
+        case.list()
+        self.assertTrue(case.gate.announce(make_report(runner="i-other-writer")))
+        list_under_id(case, refused="i-other-writer")
+        self.assertFalse(case.gate.describe_load(0).accepting)
+        self.assertFalse(case.gate.announce(make_report(runner="i-other-writer", sequence=2)))
+        self.assertTrue(case.gate.announce(make_report()))
+        list_under_id(case, "i-1")
+        self.assertTrue(case.gate.describe_load(0).accepting)
+
+    def test_a_new_boot_may_have_another_id(self):
+        case = GateCase()
+        list_under_id(case, "i-1")
+        list_under_id(case, refused="i-1", boot=BOOT + 1)
+        self.assertTrue(case.gate.announce(make_report(runner="i-2", boot=BOOT + 1)))
+        self.assertEqual(case.gate.instance, "i-2")
--- a/apricotrail/runners/tests/test_gate.py
+++ b/apricotrail/runners/tests/test_gate.py
@@ -165,6 +165,7 @@
         case.clock.advance(5)
         case.list([(*KEY, 10)])
         case.gate.announce(make_report(boot=BOOT + 1, sequence=1))
+        case.list(boot=BOOT + 1)
         self.assertEqual(case.outcomes(), [(*KEY, RunState.LOST)])
 
     def test_start_that_may_have_reached_the_new_boot_uses_capacity_until_its_listing(self):
--- a/apricotrail/wire/_endpoint.py
+++ b/apricotrail/wire/_endpoint.py
@@ -6,6 +6,7 @@
 from typing import Any
 
 from apricotrail.clocks import Clock, monotonic_ms
+from apricotrail.events import Level, declare_event, emit
 from apricotrail.settings import Settings, declare_setting
 from apricotrail.wire._keys import KeyRing
 from apricotrail.wire._link import BUFFER_BYTES, HEARTBEAT_MS, SILENT_MS, Link
@@ -33,8 +34,19 @@
     "",
     "Address under which others reach this process, if it isn't the one it listens at.",
 )
+MAX_PORT = 65_535
+MAX_PORT_DIGITS = 5
+MAX_SHOWN_CHARACTERS = 100
 _REDIAL_GROWTH_LIMIT = 10
 
+LINK_ADDRESS_INVALID = declare_event(
+    1007,
+    "link_address_invalid",
+    Level.WARNING,
+    "An address in the settings, or one that another process gave, can't be read and isn't dialed. "
+    "Correct it there.",
+)
+
 _REPLY_TYPES = frozenset(
     {
         ttypes.AttemptStates,
@@ -158,9 +170,15 @@
         self.spawn(self._beat_forever())
 
     def dial(self, address: str) -> None:
-        """Keep a link to `address` open until `undial`."""
-        if address not in self._dialers:
-            self._dialers[address] = self.spawn(self._dial_forever(address))
+        """Keep a link to `address` open until `undial`; one that can't be read is not dialed."""
+        if address in self._dialers:
+            return
+        try:
+            host, port = parse_address(address or "")
+        except ValueError as error:
+            emit(LINK_ADDRESS_INVALID, problem=str(error))
+            return
+        self._dialers[address] = self.spawn(self._dial_forever(address, host, port))
 
     def undial(self, address: str) -> None:
         """Stop dialing `address`; an open link to it is closed."""
@@ -246,9 +264,8 @@
                 link.send_due_heartbeat(interval_ms)
             await asyncio.sleep(self._heartbeat_ms / 1000)
 
-    async def _dial_forever(self, address: str) -> None:
+    async def _dial_forever(self, address: str, host: str, port: int) -> None:
         pause_ms = self._redial_ms
-        host, port = parse_address(address)
         while True:
             if self._dialed_names.get(address) in self.links:
                 await asyncio.sleep(self._redial_ms / 1000)
@@ -292,6 +309,8 @@
     ('127.0.0.1', 80)
     """
     host, separator, port = address.rpartition(":")
-    if not separator or not host or not port.isdigit():
-        raise ValueError(f"{address!r} is no address; write it as host:port")
+    is_number = port.isascii() and port.isdigit() and len(port) <= MAX_PORT_DIGITS
+    if not separator or not host or not is_number or int(port) > MAX_PORT:
+        shown = address[:MAX_SHOWN_CHARACTERS]
+        raise ValueError(f"{shown!r} is no address; write it as host:port, the port below 65536")
     return host.strip("[]"), int(port)
--- a/apricotrail/wire/tests/test_links.py
+++ b/apricotrail/wire/tests/test_links.py
@@ -10,7 +10,14 @@
 from nose2.tools import params
 
 from apricotrail.settings import Settings
-from apricotrail.wire import FrameReader, KeyRing, LinkEndpoint, WireError, encode_frame
+from apricotrail.wire import (
+    FrameReader,
+    KeyRing,
+    LinkEndpoint,
+    WireError,
+    encode_frame,
+    parse_address,
+)
 from apricotrail.wire.generated.ttypes import Claim, ClaimReply, Heartbeat, Identity, SlotWant
 
 FAST = Settings({"link.heartbeat_ms": 20, "link.silent_ms": 150, "link.redial_ms": 5})
@@ -48,6 +55,40 @@
         await self.right.stop()
 
 
+ODD_ADDRESSES = (
+    None,
+    "",
+    "127.0.0.1",
+    ":7070",
+    "127.0.0.1:",
+    "127.0.0.1:-1",
+    "127.0.0.1:65536",
+    "127.0.0.1:99999",
+    "127.0.0.1:1e3",
+    "127.0.0.1:\u0667\u0660",
+    "127.0.0.1:" + "8" * 5_000,
+)
+
+
+class TestAddresses(unittest.IsolatedAsyncioTestCase):
+    # Guards against an odd entry in a list of processes that ends the dialing of its reader.
+    async def test_addresses_that_cannot_be_read_are_not_dialed_and_others_are(self):
+        left, right = make_endpoint("left"), make_endpoint("right")
+        address = await right.listen("127.0.0.1", 0)
+        for odd in (*ODD_ADDRESSES, address):
+            left.dial(odd)
+        self.assertEqual(left.dialed(), [address])
+        await wait_until(lambda: left.links)
+        await left.stop()
+        await right.stop()
+
+    def test_ports_are_numbers_up_to_the_highest(self):
+        self.assertEqual(parse_address("10.0.0.1:65535"), ("10.0.0.1", 65_535))
+        for odd in ODD_ADDRESSES[1:]:
+            with self.subTest(odd=odd[:40]), self.assertRaises(ValueError):
+                parse_address(odd)
+
+
 class TestLinks(unittest.IsolatedAsyncioTestCase):
     async def test_call_gets_its_reply(self):
         async with Pair() as pair:
