Control tells agents and dispatchers which replicas the group has removed

Cause: replicas that are gone for good still count, as in the group itself before.

Change: NodeChanges carries the names of the replicas that a committed change has removed; they don't count until the group takes them back. Releases that don't know the field go on as before.

Evidence: test_replicas_that_the_group_removed_do_not_count_towards_the_majority has no contact without the field.

--- a/apricotrail/control/_service.py
+++ b/apricotrail/control/_service.py
@@ -149,7 +149,7 @@
         self._departed: set[Link] = set()
         self._followers: dict[Link, tuple[str, ...]] = {}
         self._deferred_requests: dict[Link, ConfigurationRequest] = {}
-        self._nodes = NodeSharing(parts.endpoint)
+        self._nodes = NodeSharing(parts.endpoint, self._list_retired)
 
     def connect(self) -> None:
         """Register the message handlers and heartbeat hooks of the links."""
@@ -285,6 +285,11 @@
             self.parts.open_group,
         )
 
+    def _list_retired(self) -> frozenset[str]:
+        """Return the names of the replicas that the group removed and that have not come back."""
+        machine = self.node.machine
+        return frozenset(map(replica_name, machine.removed)) - {*map(replica_name, machine.members)}
+
     def note_departure(self, link: Link) -> None:
         """Record that a stopping replica left the group; on this link it does not join again."""
         self._departed.add(link)
--- a/apricotrail/control/tests/test_nodes.py
+++ b/apricotrail/control/tests/test_nodes.py
@@ -33,7 +33,8 @@
 class NodeCase:
     def __init__(self) -> None:
         self.endpoint = FakeEndpoint()
-        self.sharing = NodeSharing(self.endpoint)
+        self.retired = frozenset()
+        self.sharing = NodeSharing(self.endpoint, lambda: self.retired)
 
     def link(self, name: str, role: str, *asked: str) -> FakeLink:
         link = self.endpoint.links[name] = FakeLink(name, role)
@@ -71,6 +72,22 @@
         self.assertEqual(list_known(entry), {"control-1#a", "front-1", "front-2"})
         self.assertEqual(list_known(later), list_known(entry))
 
+    def test_removed_replicas_are_told_when_they_change_and_to_newcomers(self):
+        case = NodeCase()
+        agent = case.link("side-1", "runner", "control")
+        other = case.link("front-1", "dispatcher", "runner")
+        case.sharing.share()
+        for retired in ({"a"}, {"a"}, {"a", "b"}, set()):
+            case.retired = frozenset(retired)
+            case.sharing.share()
+        told = [message.retired for message in agent.sent if message.retired is not None]
+        self.assertEqual(told, [[], ["a"], ["a", "b"], []])
+        self.assertTrue(all(message.retired is None for message in other.sent))
+        case.retired = frozenset({"c"})
+        case.sharing.share()
+        later = case.link("side-2", "runner", "control")
+        self.assertEqual(later.sent[0].retired, ["c"])
+
     def test_messages_and_their_length_at_a_start_of_many(self):
         case = NodeCase()
         for number in range(160):
--- a/apricotrail/membership/_roster.py
+++ b/apricotrail/membership/_roster.py
@@ -116,6 +116,7 @@
         self._linked_ms: dict[str, float] = {}
         self._replica_seen_ms: dict[str, float] = {}
         self._echoed_ms: dict[str, float] = {}
+        self._retired: frozenset[str] = frozenset()
         self._agents: AgentLinks | None = None
         self._durable_linked_ms = parts.clock()
         self._adjusted_ms = 0.0
@@ -216,9 +217,10 @@
         if heartbeat_sent_ms is not None:
             stable_name = replica_name(name)
             self._note_replica(name, self._parts.clock())
-            self._echoed_ms[stable_name] = max(
-                heartbeat_sent_ms, self._echoed_ms.get(stable_name, 0.0)
-            )
+            if stable_name in self._replica_seen_ms:
+                self._echoed_ms[stable_name] = max(
+                    heartbeat_sent_ms, self._echoed_ms.get(stable_name, 0.0)
+                )
         if (heartbeat.config_version or 0) <= self.configuration.version:
             self._behind_since_ms.pop(name, None)
             return
@@ -259,9 +261,17 @@
         return [*(link.peer for link in self.list_control()), *listed]
 
     def _note_replica(self, replica: str, now_ms: float) -> None:
-        """Count a replica towards the majority if its log is durable."""
-        if has_durable_log(replica):
-            self._replica_seen_ms[replica_name(replica)] = now_ms
+        """Count a replica towards the majority if its log is durable and it wasn't removed."""
+        stable_name = replica_name(replica)
+        if has_durable_log(replica) and stable_name not in self._retired:
+            self._replica_seen_ms[stable_name] = now_ms
+
+    def _retire(self, stable_names: frozenset[str]) -> None:
+        """Count the replicas that the group removed no more; one that comes back counts again."""
+        self._retired = stable_names
+        for stable_name in stable_names:
+            self._replica_seen_ms.pop(stable_name, None)
+            self._echoed_ms.pop(stable_name, None)
 
     def _has_contact(self, now_ms: float) -> bool:
         return now_ms - self.quorum_contact_ms() < MAX_CONTACT_AGE_MS
@@ -349,6 +359,8 @@
         nodes = self._nodes_by_replica.setdefault(link.peer.name, {})
         for name in changes.removed or ():
             nodes.pop(name, None)
+        if changes.retired is not None:
+            self._retire(frozenset(changes.retired))
         self._add_nodes(link, changes.added or ())
 
     def _add_nodes(self, link: Link, added: Iterable[Identity]) -> None:
--- a/apricotrail/membership/tests/test_roster.py
+++ b/apricotrail/membership/tests/test_roster.py
@@ -156,6 +156,41 @@
         self.assertFalse(case.roster.is_unlisted("x"))
 
 
+class TestReplacedReplicas(unittest.TestCase):
+    def replace_three(self, tells: bool) -> RosterCase:
+        """Replace three replicas in turn, within less than `FORGET_AFTER_MS`."""
+        case = RosterCase("a", "b", "c")
+        running, gone = ["a", "b", "c"], []
+        for name in running:
+            case.echo(name, case.clock())
+        for new in ("d", "e", "f"):
+            gone.append(running.pop(0))
+            case.unlink(gone[-1])
+            running.append(new)
+            case.link(new)
+            case.clock.advance(7_000)
+            for name in running:
+                changes = NodeChanges([], [], False, gone if tells else None)
+                case.endpoint.handlers[NodeChanges](case.links[name], changes)
+                case.echo(name, case.clock())
+        return case
+
+    # Guards against processes that miss a majority of replicas, most of which were replaced.
+    def test_replicas_that_the_group_removed_do_not_count_towards_the_majority(self):
+        self.assertTrue(self.replace_three(tells=True).has_quorum_contact())
+        self.assertFalse(self.replace_three(tells=False).has_quorum_contact())
+
+    def test_a_removed_replica_that_votes_again_counts_again(self):
+        case = self.replace_three(tells=True)
+        case.link("a")
+        case.echo("a", case.clock())
+        self.assertNotIn("a", case.roster._replica_seen_ms)
+        changes = NodeChanges([], [], False, ["b", "c"])
+        case.endpoint.handlers[NodeChanges](case.links["d"], changes)
+        case.echo("a", case.clock())
+        self.assertIn("a", case.roster._replica_seen_ms)
+
+
 class TestContact(unittest.TestCase):
     def test_a_majority_of_the_replicas_must_have_echoed(self):
         case = RosterCase("a", "b")
--- a/apricotrail/wire/messages.thrift
+++ b/apricotrail/wire/messages.thrift
@@ -128,6 +128,7 @@
   1: list<Identity> added,    // new ones, and those whose identity changed
   2: list<string> removed,    // names
   3: optional bool first,     // the first answer to a request: nothing was listed before
+  4: optional list<string> retired, // all replicas that the group removed, by name; unset: no change
 }
 
 // base_version 0: items are the whole configuration, otherwise what changed since base_version.
