Agents: an id counts as the runner's only if the boot that the call was for answered to it

The logs show that agents took no announcement of a runner any more once it had crashed and come back under another id.

Change: an answer confirms an id only for the boot that the call was for; and while no announcement of a boot has been taken, any id may be announced, as the next call shows whether the runner goes by it.

--- a/apricotrail/runners/_announcements.py
+++ b/apricotrail/runners/_announcements.py
@@ -56,7 +56,8 @@
         if report.boot < self._boot or report.runner in self._refused_ids:
             return False
         if current is None or current.boot != report.boot:
-            return not self._confirmed_id or report.runner == self._confirmed_id
+            # The next call names this id, and shows whether the runner goes by it.
+            return True
         if report.runner != (self._confirmed_id or current.runner):
             self._note_ignored(report)
             return False
--- a/apricotrail/runners/_driver.py
+++ b/apricotrail/runners/_driver.py
@@ -228,6 +228,9 @@
             self._set_silent(True, self._find_cause(answer, asked_ms, call))
             return False
         self._set_silent(False)
+        if answer.boot != call.boot:
+            # The id that the call named was that of another boot.
+            answer = answer._replace(instance="")
         if answer.boot >= gate.boot:
             if answer.boot != gate.boot:
                 self._runner_clock_ms = None
--- a/apricotrail/runners/tests/test_announcements.py
+++ b/apricotrail/runners/tests/test_announcements.py
@@ -102,6 +102,15 @@
         list_under_id(case, "i-1")
         self.assertTrue(case.gate.describe_load(0).accepting)
 
+    # Guards against an agent that stays deaf once it has taken a wrong id for the runner's.
+    def test_an_id_counts_until_the_runner_refuses_it_while_no_other_is_known(self):
+        case = GateCase()
+        list_under_id(case, "i-other-writer", boot=BOOT + 1)
+        self.assertTrue(case.gate.announce(make_report(boot=BOOT + 1)))
+        list_under_id(case, "i-1", boot=BOOT + 1)
+        self.assertEqual(case.gate.instance, "i-1")
+        self.assertTrue(case.gate.announce(make_report(boot=BOOT + 1, sequence=2)))
+
     def test_a_new_boot_may_have_another_id(self):
         case = GateCase()
         list_under_id(case, "i-1")
--- a/apricotrail/runners/tests/test_driver.py
+++ b/apricotrail/runners/tests/test_driver.py
@@ -18,7 +18,7 @@
     RunnerDriver,
 )
 from apricotrail.runners._gate import GateLimits
-from apricotrail.runners.tests.harness import BOOT, GateCase, make_start
+from apricotrail.runners.tests.harness import BOOT, GateCase, make_report, make_start
 from apricotrail.wire.generated.ttypes import RunState
 
 KEY = ("j.0.0.0", 1)
@@ -176,6 +176,19 @@
         await case.driver.extend_leases()
         self.assertGreaterEqual(case.made("hold")[1].lease_until_ms, 1_400)
 
+    # Guards against an agent that takes the id of a former boot for that of the present one, and is
+    # deaf to its runner from then on: a hold call that was under way was answered by the new boot.
+    async def test_an_answer_of_a_new_boot_confirms_no_id(self):
+        case = DriverCase(holds=[Listing(BOOT + 1, 700, (), (), "i-1")])
+        await case.driver.extend_leases()
+        self.assertEqual(case.gate.boot, BOOT + 1)
+        self.assertTrue(case.gate.announce(make_report(runner="i-2", boot=BOOT + 1)))
+        self.assertEqual(case.gate.instance, "i-2")
+        case.answers["hold"] = [Listing(BOOT + 1, 700, (), (), "i-2")]
+        await case.driver.extend_leases()
+        odd = make_report(runner="i-3", boot=BOOT + 1, sequence=2)
+        self.assertFalse(case.gate.announce(odd))
+
     async def test_fenced_hold_takes_a_higher_token(self):
         case = DriverCase(holds=[True])
         fence = case.gate.fence
