--- a/apricotrail/control/tests/test_orders.py
+++ b/apricotrail/control/tests/test_orders.py
@@ -102,6 +102,25 @@
     async def test_an_order_that_reaches_the_leader_late_is_not_carried_out(self):
         await self.check_late_order(was_withdrawn=True)
 
+    # Guards against a zone that stays dark: an evacuation comes late after its withdrawal.
+    async def test_an_evacuation_that_comes_after_its_withdrawal_is_not_carried_out(self):
+        await self.start_group()
+        link, gate = self.follower.service.leader_link, asyncio.Event()
+        call = link.call
+
+        async def call_late(message, timeout_ms):
+            await gate.wait()
+            return await call(message, timeout_ms)
+
+        link.call = call_late
+        late = asyncio.ensure_future(self.follower.operations.set_zone(ZONE, False))
+        await asyncio.sleep((ORDER_TRY_MS + 2 * SETTLE_MS) / 1000)
+        await self.order(self.other, False)
+        await self.order(self.other, True)
+        gate.set()
+        self.assertFalse((await late).unwrap().accepted)
+        self.assertFalse(self.is_out())
+
     async def test_nor_if_the_later_order_changed_nothing(self):
         await self.check_late_order(was_withdrawn=False)
 
