Failing test: losses right after each order of replacement

Seeded schedules of the replicas on virtual time: a successor starts first or last, its predecessor goes without a signal, by a planned stop, or frozen while it stops; two are replaced at once; then as many others as may be lost are wiped, killed, frozen or replaced, up to 0.75 s later (1.5 s in the scale of production). A change submitted then must be accepted within ackMs.

--- a/apricotrail/control/tests/simulation.py
+++ b/apricotrail/control/tests/simulation.py
@@ -36,6 +36,7 @@
 SYNC_MS = REPAIRED_AFTER_MS * REPAIR_SCALE
 REOPEN_MS = 250.0
 ZONES = ("pipa", "natal", "jeri")
+FOUNDING_NAMES = "abcdefgh"
 
 
 def parse(text: bytes):
@@ -60,6 +61,7 @@
 
     def __init__(self, cluster: "Cluster", name: str, has_durable_log: bool = True) -> None:
         self.cluster, self.name, self.has_durable_log = cluster, name, has_durable_log
+        self.zone = cluster.find_zone(name)
         self.disk = MemoryDisk(cluster.random)
         self.disk.on_sync = self._count_sync
         self.contacts = MemberContacts(2 * OVERSEE_INTERVAL_MS * REPAIR_SCALE)
@@ -181,11 +183,21 @@
 
     In an open group every linked replica may join, and members that stay silent are replaced and
     removed as `REPAIR_LIMITS` say. `diskless` replicas, which keep their log in memory, are added
-    to the founding ones.
+    to the founding ones. These fill the zones one after another, `per_zone` in each; a further
+    replica is in the zone of the founding one whose name its own begins with. At most `losses`
+    replicas are lost at once.
     """
 
-    def __init__(self, seed: int, size: int, is_open: bool = False, diskless: int = 0) -> None:
-        self.is_open = is_open
+    def __init__(
+        self,
+        seed: int,
+        size: int,
+        is_open: bool = False,
+        diskless: int = 0,
+        per_zone: int = 1,
+        losses: int = 1,
+    ) -> None:
+        self.is_open, self.per_zone, self.losses = is_open, per_zone, losses
         self.random = Random(seed)
         self.now_ms = 0.0
         self.wall_offset_ms = 1_000_000
@@ -198,7 +210,7 @@
         self.first_applied_ms: dict[int, float] = {}
         self.leaders: dict[int, str] = {}
         self.answers: dict[str, tuple] = {}
-        self.replicas = {name: Replica(self, name) for name in "abcde"[:size]}
+        self.replicas = {name: Replica(self, name) for name in FOUNDING_NAMES[:size]}
         for replica in self.replicas.values():
             replica.start()
         members = {it.node.replica_id: Member(name, True) for name, it in self.replicas.items()}
@@ -207,6 +219,11 @@
         first = self.replicas["a"]
         first.run(lambda: first.node.form(members))
 
+    def find_zone(self, name: str) -> str:
+        """Return the zone of a replica by the first letter of its name."""
+        position = FOUNDING_NAMES.find(name[0].lower())
+        return f"zone-{position // self.per_zone}" if position >= 0 else name
+
     def add(self, name: str, has_durable_log: bool = True) -> None:
         """Start a new replica, at a new address and with an empty disk."""
         self.replicas[name] = Replica(self, name, has_durable_log)
