Control: an open group has a fixed, odd number of voters, and a newcomer takes the vote of its zone while its predecessor runs

Cause: a newcomer was promoted beside its predecessor, as nobody knows which machine it replaces. If that one then goes without a word (killed, or its departure wasn't logged: no leader, frozen, cut off), the group is even with one voter gone and bears no further loss of three machines until 12 s of silence have passed. Class: who may vote followed from who happened to arrive, not from what must be borne.

Other replicas with a disk are spares, which follow the log. A newcomer whose zone has a voter takes that one's seat: it is promoted, then the other is removed and joins again as a spare, so no moment of the exchange bears less than before. A spare takes the seat of a voter silent for 2 s; an even group gives a silent voter up at once; seats are spread over zones. A leader that would remove itself transfers its leadership first. A replica that stops hands its seat to a spare. Groups whose members are listed in the settings are as before.

Ruled out: keeping four voters and removing the silent one sooner (the next loss may come at once); a swap in one log entry (an old and a new majority of three need not meet); growing with each newcomer (votes of those that went add up).

--- a/apricotrail/control/_application.py
+++ b/apricotrail/control/_application.py
@@ -18,7 +18,6 @@
     open_data_folder,
 )
 from apricotrail.control._formation import form_group
-from apricotrail.control._member_repair import decide_departure
 from apricotrail.control._members import make_memory_identity
 from apricotrail.control._meters import time_syncs, watch_service
 from apricotrail.control._node import Node
@@ -29,6 +28,7 @@
 from apricotrail.control._service import CONTROL_STORAGE_FAILED, ControlService, ServiceParts
 from apricotrail.control._setup import Limits, NodeSetup
 from apricotrail.control._storage import make_random_identity
+from apricotrail.control._voters import GroupPlan, decide_departure
 from apricotrail.document import check_succession, make_items, parse_document
 from apricotrail.errors import ApricotrailError, ErrorKind, Problem
 from apricotrail.events import Level, declare_event, emit
@@ -60,6 +60,21 @@
     [],
     "Link addresses of some replicas; with these, replicas find each other and replace lost ones.",
 )
+TOLERATED_LOSSES = declare_setting(
+    "control.tolerated_losses",
+    1,
+    "Replicas whose loss at the same time a group with control.seeds must bear. Twice as many and "
+    "one more replicas vote; further ones with a disk are spares.",
+    minimum=0,
+    maximum=25,
+)
+ZONES = declare_setting(
+    "control.zones",
+    0,
+    "Number of availability zones with replicas, 0 if unknown. If they are fewer than the replicas "
+    "that vote, two more vote.",
+    minimum=0,
+)
 FOUND = declare_setting(
     "control.found", True, "Whether replicas with empty folders may found a group."
 )
@@ -255,16 +270,20 @@
         """Leave an open group before a stop if the others are better off without this replica."""
         if self._router is None or service.failed.is_set() or not self._open_group:
             return
-        change = decide_departure(service.node.replica)
-        if change is None:
+        changes = decide_departure(service.node.replica)
+        if not changes:
             return
-        command = Command(uuid4().hex, service.node.replica_id, change_member=change)
+        accepted = False
         try:
             async with asyncio.timeout(LEAVE_MS / 1000):
-                reply = await self._router.submit(command)
+                for change in changes:
+                    command = Command(uuid4().hex, service.node.replica_id, change_member=change)
+                    accepted = (await self._router.submit(command)).accepted
+                    if not accepted:
+                        break
         except TimeoutError:
-            return
-        emit(GROUP_LEFT, accepted=reply.accepted)
+            accepted = False
+        emit(GROUP_LEFT, accepted=accepted)
 
     def _open_node(self, after_failure: bool) -> Node:
         settings = self.settings
@@ -308,10 +327,15 @@
             float(settings.get(ENTRY_SILENT_MS)),
             float(settings.get(CONFIG_STALE_MS)),
             self.metrics,
-            self._open_group,
+            self._make_plan(),
             settings.get(FOUND),
         )
 
+    def _make_plan(self) -> GroupPlan | None:
+        if not self._open_group:
+            return None
+        return GroupPlan(self.settings.get(TOLERATED_LOSSES), self.settings.get(ZONES))
+
     def _connect(self, service: ControlService) -> QueueOperations:
         settings = self.settings
         promotion = Promotion(
--- a/apricotrail/control/_members.py
+++ b/apricotrail/control/_members.py
@@ -17,6 +17,7 @@
     "Members",
     "apply_member_change",
     "is_quorum",
+    "make_member_change",
     "make_memory_identity",
     "make_replica_id",
     "quorum_value",
@@ -58,6 +59,12 @@
     return MEMORY_LOG_PREFIX + token_hex(8)
 
 
+def make_member_change(replica_id: str, address: str, action: str) -> ChangeMember:
+    """Return the command that adds, promotes or removes a replica."""
+    name, _, identity = replica_id.partition(REPLICA_ID_SEPARATOR)
+    return ChangeMember(name, address, identity, action)
+
+
 def apply_member_change(members: Members, change: ChangeMember) -> Members:
     """Return the members after `change`.
 
--- a/apricotrail/control/_service.py
+++ b/apricotrail/control/_service.py
@@ -22,7 +22,8 @@
 from apricotrail.control._protocol import MESSAGE_TYPES, ms_until_tick
 from apricotrail.control._repair_limits import OVERSEE_INTERVAL_MS
 from apricotrail.control._requests import Outcome
-from apricotrail.control._upkeep import UpkeepInput, decide_upkeep
+from apricotrail.control._upkeep import UpkeepInput, decide_upkeep, removes_proposer
+from apricotrail.control._voters import GroupPlan, LinkedReplica
 from apricotrail.errors import Problem
 from apricotrail.events import Level, declare_event, emit
 from apricotrail.membership import replica_name
@@ -93,8 +94,9 @@
         Age of the configuration from which a process starts no task.
     metrics : ControlMetrics
         Instruments of this replica.
-    open_group : bool
-        Whether any linked replica may join, and members that stay silent are replaced.
+    plan : GroupPlan or None
+        What an open group must bear, in which any linked replica may join and silent voters are
+        replaced; None for a group whose members are listed.
     may_form : bool
         Whether this replica may found a group.
     """
@@ -105,7 +107,7 @@
     entry_silent_ms: float
     stale_ms: float
     metrics: ControlMetrics
-    open_group: bool = False
+    plan: GroupPlan | None = None
     may_form: bool = True
 
 
@@ -265,24 +267,26 @@
     def gather_upkeep_input(self) -> UpkeepInput:
         """Return what `decide_upkeep` needs to choose the leader's next own command."""
         now_ms = monotonic_ms()
-        linked = {
-            key: link.peer.address
-            for key, link in self.endpoint.links.items()
+        links = self.endpoint.links.items()
+        replicas = {
+            key: link.peer
+            for key, link in links
             if link.peer.role == "control" and link not in self._departed
         }
-        peers = self.parts.peers
-        if self.parts.open_group:
-            peers = {replica_name(key): address for key, address in linked.items()}
+        replicas[self.node.replica_id] = self.endpoint.identity
         since_ms = self._leading_since_ms
         silent_ms = self.parts.entry_silent_ms
         return UpkeepInput(
             self.node,
-            linked,
-            peers,
+            {
+                key: LinkedReplica(peer.address, peer.zone or "", peer.incarnation or 0)
+                for key, peer in replicas.items()
+            },
+            self.parts.peers,
             self.entries.heard_within(now_ms, silent_ms),
             since_ms is not None and now_ms - since_ms >= silent_ms,
-            self._silences_ms if self.parts.open_group else {},
-            self.parts.open_group,
+            self._silences_ms,
+            self.parts.plan,
         )
 
     def _list_retired(self) -> frozenset[str]:
@@ -348,10 +352,17 @@
         self._record_contacts()
         if self.node.replica.is_leader and not self._proposing:
             command = decide_upkeep(self.gather_upkeep_input())
-            if command is not None:
+            if command is not None and removes_proposer(command):
+                # The next leader removes this replica: the group is then never without a leader.
+                self._hand_over()
+            elif command is not None:
                 self._proposing = True
                 self.endpoint.spawn(self._propose_own(command))
 
+    def _hand_over(self) -> None:
+        if self.node.replica.transfer is None and self.node.begin_transfer():
+            self.schedule_flush()
+
     async def _propose_own(self, command: Command) -> None:
         result: Result[Outcome, Problem] | None = None
         try:
@@ -377,7 +388,7 @@
                 self.endpoint.dial(address)
 
     def _learn_nodes(self, link: Link, listed: NodeList) -> None:
-        if not self.parts.open_group or link.peer.role != "control":
+        if self.parts.plan is None or link.peer.role != "control":
             return
         for node in listed.nodes or ():
             if node.role == "control" and len(self.parts.peers) < MAX_PEERS:
--- a/apricotrail/control/tests/test_repair_limits.py
+++ b/apricotrail/control/tests/test_repair_limits.py
@@ -26,6 +26,13 @@
         swapped_ms = max(seen_lost_ms, joined_ms) + LOSSES * 2 * COMMIT_MS
         self.assertLessEqual(swapped_ms, REPAIRED_AFTER_MS)
 
+    # Guards against a predecessor that goes without a word while it still votes.
+    def test_a_successor_that_came_first_votes_before_its_predecessor_may_go(self):
+        joined_ms = REDIAL_MS + Settings({}).get(CONNECT_MS) + OVERSEE_INTERVAL_MS + COMMIT_MS
+        handed_over_ms = OVERSEE_INTERVAL_MS + 2 * COMMIT_MS
+        swapped_ms = joined_ms + LOSSES * 2 * COMMIT_MS + handed_over_ms
+        self.assertLessEqual(swapped_ms, REPAIRED_AFTER_MS)
+
     # Guards against a lost leader whose replacement waits for a new silence after the election.
     def test_a_lost_leader_is_replaced_in_the_same_time(self):
         elected_ms = 2 * Timing().election_ms + COMMIT_MS
