Control logs that a majority is missing, who votes and how long each voter has been silent

Only changes of the leader were logged; the silences that each replica counts were used by the leader alone.

majority_missing (3011, error) is logged once the state of a replica that belongs to a group wasn't confirmed for three election times, again every 5 s, and majority_regained (3012) when it ends. Both name term, known leader, voters with their silences, learners, commit and last index; the first also the applied version. A first start, a restart and a pause of the own process don't count. without_majority_ms counts the time. No decision uses any of this.

--- /dev/null
+++ b/apricotrail/control/_group_watch.py
@@ -0,0 +1,96 @@
+"""Logs for how long a replica has had no majority of its group, and who is silent."""
+
+from collections.abc import Callable, Mapping
+
+from apricotrail.control._majority import (
+    MajorityWatch,
+    Phase,
+    describe_group,
+)
+from apricotrail.control._node import Node
+from apricotrail.control._repair_limits import OVERSEE_INTERVAL_MS
+from apricotrail.events import Level, declare_event, emit
+
+__all__ = ["GroupWatch"]
+
+MISSING_AFTER_ELECTIONS = 3  # election times
+REPEAT_MS = 5_000.0
+MAX_LOOK_GAP_MS = 2 * OVERSEE_INTERVAL_MS
+
+MAJORITY_MISSING = declare_event(
+    3011,
+    "majority_missing",
+    Level.ERROR,
+    "This replica hasn't been able to confirm its state for several election times: no change is "
+    "acknowledged here and reads are refused; repeated while it lasts. silences_ms names the "
+    "voters and for how long this replica hasn't heard each. If no majority of them is heard, "
+    "start the silent ones with their disks, or mend the network to them; if their disks are lost, "
+    "see Lost quorum of control in docs/OPERATIONS.md. If a majority is heard, look at sync_ms and "
+    "loop_lag_ms of the replicas; if only this replica logs it, at its own links.",
+)
+MAJORITY_REGAINED = declare_event(
+    3012,
+    "majority_regained",
+    Level.WARNING,
+    "This replica confirms its state again; lasted_ms tells for how long it couldn't.",
+)
+
+
+class GroupWatch:
+    """Observes the group of a replica and logs what changes.
+
+    Parameters
+    ----------
+    node : Node
+        The replica.
+    count_missing_ms : callable
+        Takes whole milliseconds that were spent without a majority.
+    """
+
+    def __init__(self, node: Node, count_missing_ms: Callable[[int], None]) -> None:
+        self._node = node
+        self._count_missing_ms = count_missing_ms
+        self._counted_ms = 0
+        limit_ms = MISSING_AFTER_ELECTIONS * node.replica.timing.election_ms
+        self._majority = MajorityWatch(limit_ms, REPEAT_MS, MAX_LOOK_GAP_MS)
+
+    def look(self, silences_ms: Mapping[str, float], now_ms: float) -> None:
+        """Log a majority that is missing or back.
+
+        A replica that belongs to no group yet has nothing to log.
+
+        Parameters
+        ----------
+        silences_ms : dict of str to float
+            Time since the last message of each member in milliseconds, by id.
+        now_ms : float
+            Monotonic time in milliseconds.
+        """
+        if not self._node.is_formed:
+            return
+        self._look_for_majority(silences_ms, now_ms)
+
+    def _look_for_majority(self, silences_ms: Mapping[str, float], now_ms: float) -> None:
+        node, watch = self._node, self._majority
+        age_ms = node.confirmation_age_ms()
+        phase = watch.observe(age_ms, now_ms)
+        missing_ms = round(watch.missing_ms)
+        self._count_missing_ms(max(0, missing_ms - self._counted_ms))
+        self._counted_ms = missing_ms
+        if phase is Phase.ENDED:
+            emit(
+                MAJORITY_REGAINED,
+                lasted_ms=missing_ms,
+                age_ms=round(age_ms),
+                **describe_group(node.replica, silences_ms),
+            )
+        elif phase is not None:
+            emit(
+                MAJORITY_MISSING,
+                phase=phase.value,
+                missing_ms=missing_ms,
+                age_ms=round(age_ms),
+                version=node.machine.version,
+                applied_index=node.applied_index,
+                **describe_group(node.replica, silences_ms),
+            )
--- /dev/null
+++ b/apricotrail/control/_majority.py
@@ -0,0 +1,127 @@
+"""Whether a replica lacks a majority of its group, and what it knows of the members.
+
+Observations and the time go in, what to report comes out; `_group_watch` logs it.
+"""
+
+from collections.abc import Mapping, Sequence
+from enum import StrEnum
+from typing import Any
+
+from apricotrail.control._members import Members
+from apricotrail.control._repair_limits import REPLACE_AFTER_MS
+from apricotrail.control._replica import ReplicaState
+
+__all__ = [
+    "MajorityWatch",
+    "Phase",
+    "describe_group",
+    "describe_silences",
+    "find_silent_voters",
+]
+
+MAX_LISTED = 16
+
+
+class Phase(StrEnum):
+    """What is new about a time without a majority."""
+
+    BEGUN = "begun"
+    LASTS = "lasts"
+    ENDED = "ended"
+
+
+class MajorityWatch:
+    """Tells when the state of a replica can't be confirmed for long.
+
+    Parameters
+    ----------
+    limit_ms : float
+        Time without a confirmation above which a majority is missing.
+    repeat_ms : float
+        Time between two reports while it lasts.
+    max_gap_ms : float
+        Time between two calls of `observe` above which this process counts as stalled; the rest of
+        a stall isn't counted.
+
+    Attributes
+    ----------
+    unconfirmed_ms : float
+        Time since the last confirmation, as far as it was observed.
+    missing_ms : float
+        The same while a majority is missing, else 0; when it ends, kept for that one observation.
+    """
+
+    def __init__(self, limit_ms: float, repeat_ms: float, max_gap_ms: float) -> None:
+        self._limit_ms = limit_ms
+        self._repeat_ms = repeat_ms
+        self._max_gap_ms = max_gap_ms
+        self._observed_ms: float | None = None
+        self._reported_ms: float | None = None
+        self.unconfirmed_ms = 0.0
+        self.missing_ms = 0.0
+
+    def observe(self, age_ms: float, now_ms: float) -> Phase | None:
+        """Take in the age of the last confirmation, and return what to report now.
+
+        Parameters
+        ----------
+        age_ms : float
+            Age of the last proof that the state is the newest, in milliseconds.
+        now_ms : float
+            Monotonic time in milliseconds.
+        """
+        gap_ms = 0.0 if self._observed_ms is None else now_ms - self._observed_ms
+        self._observed_ms = now_ms
+        self.unconfirmed_ms = min(age_ms, self.unconfirmed_ms + min(gap_ms, self._max_gap_ms))
+        if self.unconfirmed_ms > self._limit_ms:
+            self.missing_ms = self.unconfirmed_ms
+            return self._decide_report(now_ms)
+        if self._reported_ms is None:
+            self.missing_ms = 0.0
+            return None
+        self._reported_ms = None
+        return Phase.ENDED
+
+    def _decide_report(self, now_ms: float) -> Phase | None:
+        phase = Phase.BEGUN if self._reported_ms is None else Phase.LASTS
+        if self._reported_ms is not None and now_ms - self._reported_ms < self._repeat_ms:
+            return None
+        self._reported_ms = now_ms
+        return phase
+
+
+def find_silent_voters(members: Members, silences_ms: Mapping[str, float]) -> list[str]:
+    """Return the voters not heard for longer than `REPLACE_AFTER_MS`, the longest silent first."""
+    voters = _sort_voters(members, silences_ms)
+    return [key for key in voters if silences_ms.get(key, 0.0) > REPLACE_AFTER_MS]
+
+
+def describe_silences(voters: Sequence[str], silences_ms: Mapping[str, float]) -> dict[str, int]:
+    """Return the silences of the first `MAX_LISTED` voters in whole milliseconds, by id."""
+    return {key: round(silences_ms.get(key, 0.0)) for key in voters[:MAX_LISTED]}
+
+
+def describe_group(replica: ReplicaState, silences_ms: Mapping[str, float]) -> dict[str, Any]:
+    """Return what a replica knows of its group for a log line."""
+    members = replica.log.members
+    voters = _sort_voters(members, silences_ms)
+    return {
+        "replica": replica.own_id,
+        "term": replica.term,
+        "leader": replica.leader,
+        "state": replica.role.value,
+        "is_voter": replica.is_voter,
+        "is_member": replica.own_id in members,
+        "voters": len(voters),
+        "heard": len(voters) - len(find_silent_voters(members, silences_ms)),
+        "silences_ms": describe_silences(voters, silences_ms),
+        "learners": sorted(key for key in members if not members[key].voter)[:MAX_LISTED],
+        "members": len(members),
+        "commit_index": replica.commit_index,
+        "last_index": replica.log.last_index,
+    }
+
+
+def _sort_voters(members: Members, silences_ms: Mapping[str, float]) -> list[str]:
+    voters = sorted(key for key, member in members.items() if member.voter)
+    return sorted(voters, key=lambda key: -silences_ms.get(key, 0.0))
--- a/apricotrail/control/_service.py
+++ b/apricotrail/control/_service.py
@@ -15,6 +15,7 @@
 from apricotrail.control._contacts import MemberContacts
 from apricotrail.control._entries import EntryTable
 from apricotrail.control._files import StorageError
+from apricotrail.control._group_watch import GroupWatch
 from apricotrail.control._members import Members
 from apricotrail.control._node import Node
 from apricotrail.control._nodes import NodeSharing
@@ -146,6 +147,7 @@
         self.pauses = PauseWatch(monotonic_ms)
         self._contacts = MemberContacts(MAX_OVERSEE_GAP_MS)
         self._silences_ms: dict[str, float] = {}
+        self._group_watch = GroupWatch(parts.node, parts.metrics.without_majority_ms.add)
         self._departed: set[Link] = set()
         self._followers: dict[Link, tuple[str, ...]] = {}
         self._deferred_requests: dict[Link, ConfigurationRequest] = {}
@@ -314,9 +316,10 @@
             self.parts.metrics.loop_lag_ms.observe(monotonic_ms() - due_ms)
 
     async def oversee_forever(self) -> None:
-        """Dial the other replicas; on the leader, also propose changes of members and view."""
+        """Dial and watch the other replicas; on the leader, also propose members and a view."""
         while not self.failed.is_set():
             self._run_step(self._oversee)
+            self._run_step(self._watch_group)
             await asyncio.sleep(OVERSEE_INTERVAL_MS / 1000)
 
     def _run_step(self, step: Callable[[], None]) -> None:
@@ -352,6 +355,9 @@
                 self._proposing = True
                 self.endpoint.spawn(self._propose_own(command))
 
+    def _watch_group(self) -> None:
+        self._group_watch.look(self._silences_ms, monotonic_ms())
+
     async def _propose_own(self, command: Command) -> None:
         result: Result[Outcome, Problem] | None = None
         try:
--- a/apricotrail/metrics/_roles.py
+++ b/apricotrail/metrics/_roles.py
@@ -176,6 +176,10 @@
         self.term = self._watch("term", "Present term.")
         self.log_entries = self._watch("log_entries", "Log entries since the last snapshot.")
         self.replicas_behind = self._watch("replicas_behind", "Replicas that lack committed data.")
+        self.without_majority_ms = self._count(
+            "without_majority_ms",
+            "Time for which this replica couldn't confirm its state, spans above the limit only.",
+        )
 
 
 @overload
