Control logs the members in effect on every replica, and silent voters without a successor

That a lost voter still counted, with nobody to take its place, no line said.

members_in_effect (3013) is logged by each replica when it has read its members and once for each change that it holds, with voters and learners by id (16 of each at most) and the index. voter_unreplaced (3014, warning) names the voters that are silent for longer than REPLACE_AFTER_MS while fewer replicas that may take their places are linked, once for each voter, and how many further losses the group bears. No decision uses any of this.

--- a/apricotrail/control/_group_watch.py
+++ b/apricotrail/control/_group_watch.py
@@ -1,12 +1,19 @@
-"""Logs for how long a replica has had no majority of its group, and who is silent."""
+"""Logs who belongs to the group of a replica, and for how long it has had no majority."""
 
-from collections.abc import Callable, Mapping
+from collections.abc import Callable, Iterable, Mapping
 
 from apricotrail.control._majority import (
     MajorityWatch,
     Phase,
+    SuccessionWatch,
+    count_voters,
     describe_group,
+    describe_members,
+    describe_silences,
+    find_silent_voters,
+    find_spares,
 )
+from apricotrail.control._members import Members
 from apricotrail.control._node import Node
 from apricotrail.control._repair_limits import OVERSEE_INTERVAL_MS
 from apricotrail.events import Level, declare_event, emit
@@ -34,6 +41,22 @@
     Level.WARNING,
     "This replica confirms its state again; lasted_ms tells for how long it couldn't.",
 )
+MEMBERS_IN_EFFECT = declare_event(
+    3013,
+    "members_in_effect",
+    Level.INFO,
+    "The members of the control group that count at this replica, at its start and after each "
+    "change; a change counts once it is logged, and is undone if it is replaced before its commit. "
+    "index is that of the change, or of the snapshot that holds it.",
+)
+VOTER_UNREPLACED = declare_event(
+    3014,
+    "voter_unreplaced",
+    Level.WARNING,
+    "Voters have been silent for longer than it takes to replace them, and fewer replicas with a "
+    "disk that could take their places are linked. bears tells how many more voters the group can "
+    "lose; below 0 it has no majority. Start the silent ones again, or new replicas.",
+)
 
 
 class GroupWatch:
@@ -51,11 +74,31 @@
         self._node = node
         self._count_missing_ms = count_missing_ms
         self._counted_ms = 0
+        self._members: Members = {}
+        self._succession = SuccessionWatch()
         limit_ms = MISSING_AFTER_ELECTIONS * node.replica.timing.election_ms
         self._majority = MajorityWatch(limit_ms, REPEAT_MS, MAX_LOOK_GAP_MS)
 
-    def look(self, silences_ms: Mapping[str, float], now_ms: float) -> None:
-        """Log a majority that is missing or back.
+    def note_members(self) -> None:
+        """Log the members if they changed since the last call."""
+        log = self._node.replica.log
+        if log.members is self._members:
+            return
+        former, self._members = self._members, log.members
+        if former != log.members:
+            index = log.member_change_index or log.base_index
+            emit(
+                MEMBERS_IN_EFFECT,
+                index=index,
+                committed=index <= self._node.replica.commit_index,
+                term=self._node.replica.term,
+                **describe_members(log.members),
+            )
+
+    def look(
+        self, silences_ms: Mapping[str, float], reachable: Iterable[str], now_ms: float
+    ) -> None:
+        """Log a majority that is missing or back, and silent voters without successors.
 
         A replica that belongs to no group yet has nothing to log.
 
@@ -63,12 +106,15 @@
         ----------
         silences_ms : dict of str to float
             Time since the last message of each member in milliseconds, by id.
+        reachable : iterable of str
+            Ids of the replicas that may join or belong to the group and answer now.
         now_ms : float
             Monotonic time in milliseconds.
         """
         if not self._node.is_formed:
             return
         self._look_for_majority(silences_ms, now_ms)
+        self._look_for_successors(silences_ms, reachable)
 
     def _look_for_majority(self, silences_ms: Mapping[str, float], now_ms: float) -> None:
         node, watch = self._node, self._majority
@@ -94,3 +140,20 @@
                 applied_index=node.applied_index,
                 **describe_group(node.replica, silences_ms),
             )
+
+    def _look_for_successors(
+        self, silences_ms: Mapping[str, float], reachable: Iterable[str]
+    ) -> None:
+        members = self._node.replica.log.members
+        silent = find_silent_voters(members, silences_ms)
+        spares = find_spares(members, reachable)
+        if not self._succession.observe(silent, spares):
+            return
+        voters = count_voters(members)
+        emit(
+            VOTER_UNREPLACED,
+            silences_ms=describe_silences(silent, silences_ms),
+            voters=voters,
+            spares=len(spares),
+            bears=voters - len(silent) - (voters // 2 + 1),
+        )
--- a/apricotrail/control/_majority.py
+++ b/apricotrail/control/_majority.py
@@ -1,22 +1,27 @@
-"""Whether a replica lacks a majority of its group, and what it knows of the members.
+"""Whether a replica lacks a majority of its group, and whether silent voters have successors.
 
 Observations and the time go in, what to report comes out; `_group_watch` logs it.
 """
 
-from collections.abc import Mapping, Sequence
+from collections.abc import Iterable, Mapping, Sequence
 from enum import StrEnum
 from typing import Any
 
 from apricotrail.control._members import Members
 from apricotrail.control._repair_limits import REPLACE_AFTER_MS
 from apricotrail.control._replica import ReplicaState
+from apricotrail.membership import has_durable_log
 
 __all__ = [
     "MajorityWatch",
     "Phase",
+    "SuccessionWatch",
+    "count_voters",
     "describe_group",
+    "describe_members",
     "describe_silences",
     "find_silent_voters",
+    "find_spares",
 ]
 
 MAX_LISTED = 16
@@ -90,12 +95,60 @@
         return phase
 
 
+class SuccessionWatch:
+    """Tells once of each voter that stays silent while too few replicas could take places."""
+
+    def __init__(self) -> None:
+        self._reported: frozenset[str] = frozenset()
+
+    def observe(self, silent: Iterable[str], spares: Iterable[str]) -> bool:
+        """Return whether a voter is newly without a successor.
+
+        Parameters
+        ----------
+        silent : iterable of str
+            Ids of the voters that are silent for long.
+        spares : iterable of str
+            Ids of the replicas that could become voters.
+        """
+        silent = frozenset(silent)
+        unreplaced = silent if len(silent) > len(frozenset(spares)) else frozenset()
+        is_new = not unreplaced <= self._reported
+        self._reported = unreplaced
+        return is_new
+
+
+def count_voters(members: Members) -> int:
+    """Return the number of voters."""
+    return sum(member.voter for member in members.values())
+
+
 def find_silent_voters(members: Members, silences_ms: Mapping[str, float]) -> list[str]:
     """Return the voters not heard for longer than `REPLACE_AFTER_MS`, the longest silent first."""
     voters = _sort_voters(members, silences_ms)
     return [key for key in voters if silences_ms.get(key, 0.0) > REPLACE_AFTER_MS]
 
 
+def find_spares(members: Members, reachable: Iterable[str]) -> list[str]:
+    """Return the `reachable` replicas with a disk that do not vote."""
+    return [
+        key
+        for key in reachable
+        if has_durable_log(key) and not (key in members and members[key].voter)
+    ]
+
+
+def describe_members(members: Members) -> dict[str, Any]:
+    """Return the voters and learners for a log line, at most `MAX_LISTED` of each by id."""
+    voters = sorted(key for key, member in members.items() if member.voter)
+    learners = sorted(key for key, member in members.items() if not member.voter)
+    return {
+        "voters": voters[:MAX_LISTED],
+        "learners": learners[:MAX_LISTED],
+        "members": len(members),
+    }
+
+
 def describe_silences(voters: Sequence[str], silences_ms: Mapping[str, float]) -> dict[str, int]:
     """Return the silences of the first `MAX_LISTED` voters in whole milliseconds, by id."""
     return {key: round(silences_ms.get(key, 0.0)) for key in voters[:MAX_LISTED]}
@@ -115,7 +168,7 @@
         "voters": len(voters),
         "heard": len(voters) - len(find_silent_voters(members, silences_ms)),
         "silences_ms": describe_silences(voters, silences_ms),
-        "learners": sorted(key for key in members if not members[key].voter)[:MAX_LISTED],
+        "learners": describe_members(members)["learners"],
         "members": len(members),
         "commit_index": replica.commit_index,
         "last_index": replica.log.last_index,
--- a/apricotrail/control/_service.py
+++ b/apricotrail/control/_service.py
@@ -199,6 +199,7 @@
         self.parts.metrics.commits.add(self.node.applied_index - applied)
         self.parts.metrics.snapshots.add(int(self.node.snapshot_index > snapshot))
         self._track_leader()
+        self._group_watch.note_members()
 
     def fail(self, error: StorageError) -> None:
         """Stop, since it is unknown what the disk holds after a failed write or sync."""
@@ -356,7 +357,15 @@
                 self.endpoint.spawn(self._propose_own(command))
 
     def _watch_group(self) -> None:
-        self._group_watch.look(self._silences_ms, monotonic_ms())
+        reachable = [
+            key
+            for key, link in self.endpoint.links.items()
+            if link.peer.role == "control"
+            and link not in self._departed
+            and (self.parts.open_group or replica_name(key) in self.parts.peers)
+        ]
+        reachable.append(self.node.replica_id)
+        self._group_watch.look(self._silences_ms, reachable, monotonic_ms())
 
     async def _propose_own(self, command: Command) -> None:
         result: Result[Outcome, Problem] | None = None
--- a/apricotrail/control/tests/test_majority.py
+++ b/apricotrail/control/tests/test_majority.py
@@ -1,8 +1,9 @@
-"""Reports of a group without a majority."""
+"""Reports of a group without a majority, of its members and of voters without successors."""
 
 import json
 import unittest
 
+from nose2.tools import params
 from structlog.testing import capture_logs
 
 from apricotrail.control._group_watch import MISSING_AFTER_ELECTIONS, GroupWatch
@@ -10,18 +11,31 @@
     MAX_LISTED,
     MajorityWatch,
     Phase,
+    SuccessionWatch,
+    describe_members,
     describe_silences,
+    find_silent_voters,
+    find_spares,
 )
+from apricotrail.control._members import Member
 from apricotrail.control._repair_limits import OVERSEE_INTERVAL_MS, REMOVE_AFTER_MS
+from apricotrail.control._service import ControlService, ServiceParts
 from apricotrail.control.tests.simulation import REPAIR_SCALE, TIMING, Cluster
+from apricotrail.control.tests.test_nodes import FakeEndpoint, FakeLink
 from apricotrail.control.tests.test_process import ControlCase, find_ports, wait_until
 from apricotrail.membership import NEVER_CONFIRMED_AGE_MS, replica_name
+from apricotrail.metrics import make_metrics
 
+A, B, C, D, M = "a#1", "b#1", "c#1", "d#1", "m#memory-1"
 LIMIT_MS = MISSING_AFTER_ELECTIONS * TIMING.election_ms
 REPEAT_MS = 5_000.0
 LONG_MS = 2 * REMOVE_AFTER_MS * REPAIR_SCALE
 
 
+def voters(*ids: str) -> dict[str, Member]:
+    return {key: Member(key, True) for key in ids}
+
+
 def observe_ages(ages_ms, step_ms: float = 250.0) -> list[Phase | None]:
     watch = MajorityWatch(limit_ms=600.0, repeat_ms=1_000.0, max_gap_ms=500.0)
     return [watch.observe(age_ms, step * step_ms) for step, age_ms in enumerate(ages_ms)]
@@ -55,8 +69,34 @@
     assert Phase.BEGUN in observe_ages([NEVER_CONFIRMED_AGE_MS] * 5)
 
 
-def test_a_line_lists_a_bounded_number_of_voters():
+@params(
+    # silent, spares, then silent, spares; whether each is reported
+    ([], [], [C], [], (False, True)),
+    ([C], [], [C], [], (True, False)),
+    ([C], [D], [C], [], (False, True)),
+    ([C], [D], [B, C], [D], (False, True)),
+    ([C], [], [B, C], [], (True, True)),
+    ([B, C], [], [C], [], (True, False)),
+)
+def test_a_silent_voter_is_reported_once_while_it_has_no_successor(
+    silent, spares, next_silent, next_spares, reported
+):
+    watch = SuccessionWatch()
+    assert (watch.observe(silent, spares), watch.observe(next_silent, next_spares)) == reported
+
+
+def test_learners_and_newcomers_with_a_disk_are_spares():
+    members = {**voters(A, B), C: Member("c", False), M: Member("m", False)}
+    assert find_spares(members, [A, B, C, D, M]) == [C, D]
+    assert find_silent_voters(members, {A: 0.0, B: 2_001.0, C: 9_000.0}) == [B]
+
+
+def test_a_line_lists_a_bounded_number_of_members():
     many = [f"{number:03}#1" for number in range(200)]
+    learners = dict.fromkeys(many, Member("x", False))
+    line = describe_members({**voters(A), **learners})
+    assert line["members"] == 201
+    assert (line["voters"], len(line["learners"])) == ([A], MAX_LISTED)
     assert len(describe_silences(many, {})) == MAX_LISTED
 
 
@@ -76,11 +116,14 @@
         watch = self.watches.get(node)
         if watch is None:
             watch = self.watches[node] = GroupWatch(node, self._make_counter(name))
+        watch.note_members()
         now_ms = self.replicas[name].clock()
         if now_ms - self.looked_ms.get(node, -1e9) < OVERSEE_INTERVAL_MS:
             return
         self.looked_ms[node] = now_ms
-        watch.look(self.silences_ms[name], now_ms)
+        running = [it.node.replica_id for it in self.replicas.values() if it.node is not None]
+        reachable = [key for key in running if self._is_linked(node, replica_name(key))]
+        watch.look(self.silences_ms[name], reachable, now_ms)
 
     def _record_contacts(self, node, linked):
         silences_ms = super()._record_contacts(node, linked)
@@ -154,6 +197,62 @@
         self.assertGreater(lines[1]["lasted_ms"], LIMIT_MS)
         self.assertEqual(cluster.missing_ms["a"], lines[1]["lasted_ms"])
 
+    # Guards against members whose change only the leader that proposed it has logged.
+    def test_every_replica_logs_each_change_of_members_once(self):
+        cluster = self.cluster
+        self.lines.clear()
+        cluster.add("d")
+        cluster.run_until(cluster.is_settled)
+        cluster.run_for(LIMIT_MS)
+        new_id = cluster.replicas["d"].node.replica_id
+        lines = self.named("members_in_effect")
+        learns = [it for it in lines if it["learners"] == [new_id]]
+        votes = [it for it in lines if new_id in it["voters"]]
+        self.assertEqual(len({it["index"] for it in votes}), 1)
+        self.assertEqual([len(votes), len(lines)], [4, len(learns) + 4])
+        # The newcomer may receive both changes at once.
+        self.assertIn(len(learns), (3, 4))
+
+    # Guards against a lost voter that nobody replaces and that no line names.
+    def test_a_lost_voter_without_a_successor_is_named_once_by_each_replica(self):
+        cluster = self.cluster
+        lost_id = cluster.replicas["c"].node.replica_id
+        cluster.remove("c")
+        cluster.run_for(LONG_MS)
+        lines = self.named("voter_unreplaced")
+        self.assertEqual(len(lines), 2)
+        for line in lines:
+            self.assertEqual(list(line["silences_ms"]), [lost_id])
+            self.assertEqual((line["voters"], line["spares"], line["bears"]), (3, 0, 0))
+
+
+@params(
+    # open group, settings list the newcomer, it leaves, spares
+    (True, False, False, 1),
+    (True, False, True, 0),
+    (False, False, False, 0),
+    (False, True, False, 1),
+)
+def test_a_newcomer_is_a_spare_if_it_may_join(open_group, is_listed, leaves, spares):
+    cluster = Cluster(seed=1, size=3)
+    cluster.run_until(cluster.is_settled)
+    node = cluster.replicas["a"].node
+    endpoint = FakeEndpoint()
+    peers = {"d": "d"} if is_listed else {}
+    metrics = make_metrics("control")
+    parts = ServiceParts(endpoint, node, peers, 1_500.0, 3_000.0, metrics, open_group)
+    service = ControlService(parts)
+    endpoint.links[D] = FakeLink(D, "control")
+    endpoint.links["entry-1"] = FakeLink("entry-1", "entry")
+    if leaves:
+        service.note_departure(endpoint.links[D])
+    lost = [key for key in node.replica.log.members if key != node.replica_id]
+    service._silences_ms = dict.fromkeys(lost, 9_000.0)
+    with capture_logs() as lines:
+        service._watch_group()
+    (line,) = [it for it in lines if it["event"] == "voter_unreplaced"]
+    assert (line["spares"], line["bears"]) == (spares, -1)
+
 
 class TestProcesses(ControlCase):
     """The same over loopback links: what `ControlService` passes on."""
@@ -184,3 +283,5 @@
         await self.start_control("b", ports[1], peers)
         await wait_until(lambda: find("majority_regained"))
         self.assertGreater(controls[0].metrics.without_majority_ms.value, 0)
+        founded = next(it for it in lines if it["event"] == "members_in_effect")
+        self.assertEqual(set(founded["voters"]), ids)
