queues_put and zone_set log why a call wasn't accepted and how long it took

Callers got the kind in their answer; the log dropped it.

The lines have kind (empty if accepted) and took_ms; accepted and at stay. The event texts say where to look next.

Tests run: control's operations, proposals, orders and majority, and the platform's late evacuations.

--- a/apricotrail/control/_operations.py
+++ b/apricotrail/control/_operations.py
@@ -2,7 +2,7 @@
 
 import asyncio
 from base64 import b64decode
-from typing import NamedTuple
+from typing import Any, NamedTuple
 from uuid import uuid4
 from zlib import compress, decompress
 
@@ -11,7 +11,7 @@
 from apricotrail.clocks import monotonic_ms
 from apricotrail.control._commands import QUEUES_KEY, QUEUES_SOURCE_KEY, encode_json
 from apricotrail.control._orders import SETTLE_MS, PendingOrder
-from apricotrail.control._proposals import ProposalRouter
+from apricotrail.control._proposals import ProposalRouter, read_refusal_kind
 from apricotrail.control._service import ControlService
 from apricotrail.errors import ErrorKind, Problem
 from apricotrail.events import Level, declare_event, emit
@@ -27,15 +27,18 @@
     3101,
     "queues_put",
     Level.INFO,
-    "An operator put a queue document. If not accepted, it was refused or its commit is "
-    "unconfirmed; the answer to the operator says which.",
+    "An operator put a queue document. If not accepted, kind tells why: with unknown_outcome its "
+    "commit is unconfirmed, with others it was refused. After no_quorum or unknown_outcome look "
+    "for majority_missing in the logs of the replicas. took_ms is the time of the whole call.",
 )
 ZONE_SET = declare_event(
     3102,
     "zone_set",
     Level.INFO,
-    "An operator asked to take a zone out of service or back in. If not accepted, this was refused "
-    "or its commit is unconfirmed; the answer to the operator says which.",
+    "An operator asked to take a zone out of service or back in. If not accepted, kind tells why: "
+    "with unknown_outcome its commit is unconfirmed, with others it was refused. After no_quorum "
+    "or unknown_outcome look for majority_missing in the logs of the replicas. took_ms is the time "
+    "of the whole call.",
 )
 ORDER_REFUSED = declare_event(
     3104,
@@ -98,8 +101,9 @@
         document = compress(encode_json(items), ZLIB_LEVEL)
         put = PutQueues(version, document, compress(source, ZLIB_LEVEL))
         command = Command("", self._service.node.replica_id, put_queues=put)
+        started_ms = monotonic_ms()
         reply = await self._router.submit(command)
-        emit(QUEUES_PUT, version=version, accepted=reply.accepted, at=reply.version)
+        emit(QUEUES_PUT, version=version, **_describe_reply(reply, started_ms))
         return reply
 
     async def set_zone(
@@ -121,6 +125,7 @@
             message = "This replica was paused, so the order may have waited in it for long."
             remedy = "Send it to another replica if it is still wanted."
             return Failure(Problem(ErrorKind.NOT_READY, message, remedy))
+        started_ms = monotonic_ms()
         await asyncio.sleep(SETTLE_MS / 1000)
         command = Command(
             uuid4().hex,
@@ -129,7 +134,7 @@
         )
         order = PendingOrder(lambda: disconnected is None or not disconnected.done())
         reply = await self._router.submit(command, order=order)
-        emit(ZONE_SET, zone=zone, open=in_service, accepted=reply.accepted, at=reply.version)
+        emit(ZONE_SET, zone=zone, open=in_service, **_describe_reply(reply, started_ms))
         return Success(reply)
 
     async def read_queues(self) -> Result[StoredQueues, Problem]:
@@ -154,3 +159,13 @@
             return Success(StoredQueues(0, b""))
         source = decompress(b64decode(node.machine.read_item(QUEUES_SOURCE_KEY)))
         return Success(StoredQueues(queues_item["version"], source))
+
+
+def _describe_reply(reply: ProposeReply, started_ms: float) -> dict[str, Any]:
+    """Return the fields of a log line on a command that was begun at a monotonic time."""
+    return {
+        "accepted": reply.accepted,
+        "at": reply.version,
+        "kind": "" if reply.accepted else read_refusal_kind(reply),
+        "took_ms": round(monotonic_ms() - started_ms),
+    }
--- a/apricotrail/control/_proposals.py
+++ b/apricotrail/control/_proposals.py
@@ -18,7 +18,7 @@
 from apricotrail.wire import Link
 from apricotrail.wire.generated.ttypes import Command, Propose, ProposeReply
 
-__all__ = ["PROPOSE_MS", "ProposalRouter"]
+__all__ = ["PROPOSE_MS", "ProposalRouter", "read_refusal_kind"]
 
 PROPOSE_MS = declare_setting(
     "control.propose_ms",
@@ -107,7 +107,7 @@
                 return unknown or self._refuse(_make_left_problem())
             left_ms = started_ms + answer_ms - monotonic_ms()
             reply = await self._try_once(command, forwarded, left_ms, based_on)
-            kind = _read_refusal_kind(reply)
+            kind = read_refusal_kind(reply)
             if kind == ErrorKind.UNKNOWN_OUTCOME.value:
                 unknown = reply
             elif unknown is not None and not reply.accepted and kind in _UNLOGGED_KINDS:
@@ -166,7 +166,7 @@
     def _should_retry(self, command: Command, reply: ProposeReply) -> bool:
         if reply.accepted:
             return False
-        kind = _read_refusal_kind(reply)
+        kind = read_refusal_kind(reply)
         if kind in _RETRIED_KINDS:
             return True
         # A queue document of a version that is stored already changes nothing.
@@ -213,7 +213,8 @@
     return make_replica_id(change.name, change.identity) == link.peer.name
 
 
-def _read_refusal_kind(reply: ProposeReply) -> str:
+def read_refusal_kind(reply: ProposeReply) -> str:
+    """Return the kind of the problem for which a command was not accepted, else an empty text."""
     return str(_read_json(reply.answer).get("kind", ""))
 
 
