majority_missing: no alarm for a lost leader, and voters just lost don't count as heard

With the real processes of the platform (election time 400 ms, two of three replicas killed) the first line, 1.3 s after the loss, counted a killed voter as heard: "heard": 2 of 3 beside a silence of 1254 ms, since heard meant silent for under 2 s.

heard counts the voters heard within two election times, and the line comes after five: 2 s on the platform, 4 s with the defaults.

--- a/apricotrail/control/_group_watch.py
+++ b/apricotrail/control/_group_watch.py
@@ -20,7 +20,7 @@
 
 __all__ = ["GroupWatch"]
 
-MISSING_AFTER_ELECTIONS = 3  # election times
+MISSING_AFTER_ELECTIONS = 5  # a lost leader is replaced sooner
 REPEAT_MS = 5_000.0
 MAX_LOOK_GAP_MS = 2 * OVERSEE_INTERVAL_MS
 
--- a/apricotrail/control/_majority.py
+++ b/apricotrail/control/_majority.py
@@ -25,6 +25,7 @@
 ]
 
 MAX_LISTED = 16
+HEARD_WITHIN_ELECTIONS = 2  # longer than the pause between two heartbeats of a link
 
 
 class Phase(StrEnum):
@@ -155,9 +156,13 @@
 
 
 def describe_group(replica: ReplicaState, silences_ms: Mapping[str, float]) -> dict[str, Any]:
-    """Return what a replica knows of its group for a log line."""
+    """Return what a replica knows of its group for a log line.
+
+    ``heard`` counts the voters heard within `HEARD_WITHIN_ELECTIONS` election times.
+    """
     members = replica.log.members
     voters = _sort_voters(members, silences_ms)
+    limit_ms = HEARD_WITHIN_ELECTIONS * replica.timing.election_ms
     return {
         "replica": replica.own_id,
         "term": replica.term,
@@ -166,7 +171,7 @@
         "is_voter": replica.is_voter,
         "is_member": replica.own_id in members,
         "voters": len(voters),
-        "heard": len(voters) - len(find_silent_voters(members, silences_ms)),
+        "heard": sum(silences_ms.get(key, 0.0) < limit_ms for key in voters),
         "silences_ms": describe_silences(voters, silences_ms),
         "learners": describe_members(members)["learners"],
         "members": len(members),
--- a/apricotrail/control/tests/test_majority.py
+++ b/apricotrail/control/tests/test_majority.py
@@ -143,12 +143,16 @@
         return [line for line in self.lines if line["event"] in events]
 
     # Guards against false alarms: at a first start, and when a leader or another voter is lost.
+    # With seed 195 an election has no winner at first.
     def test_a_group_that_keeps_its_majority_reports_none_missing(self):
-        cluster = self.cluster
-        cluster.remove(cluster.leader().name)
-        cluster.run_for(LONG_MS)
-        self.assertEqual(self.named("majority_missing"), [])
-        self.assertEqual(sum(cluster.missing_ms.values()), 0)
+        for seed in (1, 195):
+            with self.subTest(seed=seed):
+                cluster = WatchedCluster(seed, size=3)
+                cluster.run_until(cluster.is_settled)
+                cluster.remove(cluster.leader().name)
+                cluster.run_for(LONG_MS)
+                self.assertEqual(self.named("majority_missing"), [])
+                self.assertEqual(sum(cluster.missing_ms.values()), 0)
 
     # Guards against a group without a majority whose logs don't tell who voted and who was silent.
     def test_the_last_replica_names_the_voters_and_their_silences(self):
@@ -176,7 +180,7 @@
         spans_ms = [last["silences_ms"][key] for name, key in ids.items() if name != left]
         self.assertGreater(min(spans_ms), cluster.now_ms - lost_ms - REPEAT_MS - LIMIT_MS)
         self.assertEqual(last["silences_ms"][ids[left]], 0)
-        self.assertEqual((last["heard"], last["leader"]), (1, ""))
+        self.assertEqual((first["heard"], last["heard"], last["leader"]), (1, 1, ""))
         self.assertGreater(cluster.missing_ms[left], last["missing_ms"] - 1)
         json.dumps(lines)
 
