Operations page: from an operator's 503 to the voter that is gone

The page has the walk "No desired state is acknowledged" with lines and metrics of a run: three replicas as processes of the platform, two killed 8 s apart, one started again 13 s later.

--- a/apricotrail/control/tests/test_group_watch.py
+++ b/apricotrail/control/tests/test_group_watch.py
@@ -1,5 +1,8 @@
 """What the service of a replica passes on to the watch of its group, and its metrics."""
 
+import re
+from pathlib import Path
+
 from nose2.tools import params
 from structlog.testing import capture_logs
 
@@ -11,6 +14,7 @@
 from apricotrail.metrics import make_metrics
 
 NEWCOMER = "d#1"
+PAGE = Path(__file__).parents[3] / "docs" / "OPERATIONS.md"
 
 
 def make_lonely_service(open_group: bool, peers: dict[str, str]) -> ControlService:
@@ -73,6 +77,7 @@
         alone = controls[0].service.node
         await wait_until(lambda: alone.replica.leader)
         ids = {control.service.node.replica_id for control in controls}
+        await controls[0].operations.put_queues(1, {}, b"{}")
         for _ in range(2):
             await self.running.pop()()
 
@@ -89,3 +94,14 @@
         self.assertGreater(controls[0].metrics.without_majority_ms.value, 0)
         founded = next(it for it in lines if it["event"] == "members_in_effect")
         self.assertEqual(set(founded["voters"]), ids)
+        self.check_fields_of_page(lines)
+
+    def check_fields_of_page(self, lines: list[dict]) -> None:
+        """Check that the walk in docs/OPERATIONS.md names only fields that the lines have."""
+        with capture_logs() as more_lines:
+            make_lonely_service(True, {})._watch_group()
+        logged = {field for line in (*lines, *more_lines) for field in line}
+        _, _, walk = PAGE.read_text().partition("\n## No desired state is acknowledged\n")
+        named = set(re.findall(r'"(\w+)":', walk.partition("\n## ")[0]))
+        self.assertIn("silences_ms", named)
+        self.assertLessEqual(named, logged | {"message", "timestamp"})
