--- a/apricotrail/control/_members.py
+++ b/apricotrail/control/_members.py
@@ -16,6 +16,7 @@
     "Member",
     "Members",
     "apply_member_change",
+    "count_voters",
     "is_quorum",
     "make_member_change",
     "make_memory_identity",
@@ -81,6 +82,11 @@
     return members
 
 
+def count_voters(members: Members) -> int:
+    """Return the number of voters."""
+    return sum(member.voter for member in members.values())
+
+
 def is_quorum(members: Members, replica_ids: Iterable[str]) -> bool:
     """Return whether `replica_ids` contain a majority of the voters."""
     voters = {key for key, member in members.items() if member.voter}
--- a/apricotrail/control/_service.py
+++ b/apricotrail/control/_service.py
@@ -15,6 +15,8 @@
 from apricotrail.control._contacts import MemberContacts
 from apricotrail.control._entries import EntryTable
 from apricotrail.control._files import StorageError
+from apricotrail.control._group_watch import GroupWatch
+from apricotrail.control._majority import find_silent_voters
 from apricotrail.control._members import Members
 from apricotrail.control._node import Node
 from apricotrail.control._nodes import NodeSharing
@@ -148,6 +150,7 @@
         self.pauses = PauseWatch(monotonic_ms)
         self._contacts = MemberContacts(MAX_OVERSEE_GAP_MS)
         self._silences_ms: dict[str, float] = {}
+        self._group_watch = GroupWatch(parts.node, parts.metrics.without_majority_ms.add)
         self._departed: set[Link] = set()
         self._followers: dict[Link, tuple[str, ...]] = {}
         self._deferred_requests: dict[Link, ConfigurationRequest] = {}
@@ -199,6 +202,7 @@
         self.parts.metrics.commits.add(self.node.applied_index - applied)
         self.parts.metrics.snapshots.add(int(self.node.snapshot_index > snapshot))
         self._track_leader()
+        self._group_watch.note_members()
 
     def fail(self, error: StorageError) -> None:
         """Stop, since it is unknown what the disk holds after a failed write or sync."""
@@ -294,6 +298,10 @@
         machine = self.node.machine
         return frozenset(map(replica_name, machine.removed)) - {*map(replica_name, machine.members)}
 
+    def count_silent_voters(self) -> int:
+        """Return the number of voters that this replica hasn't heard for `REPLACE_AFTER_MS`."""
+        return len(find_silent_voters(self.node.replica.log.members, self._silences_ms))
+
     def note_departure(self, link: Link) -> None:
         """Record that a stopping replica left the group; on this link it does not join again."""
         self._departed.add(link)
@@ -318,9 +326,10 @@
             self.parts.metrics.loop_lag_ms.observe(monotonic_ms() - due_ms)
 
     async def oversee_forever(self) -> None:
-        """Dial the other replicas; on the leader, also propose changes of members and view."""
+        """Dial and watch the other replicas; on the leader, also propose members and a view."""
         while not self.failed.is_set():
             self._run_step(self._oversee)
+            self._run_step(self._watch_group)
             await asyncio.sleep(OVERSEE_INTERVAL_MS / 1000)
 
     def _run_step(self, step: Callable[[], None]) -> None:
@@ -363,6 +372,17 @@
         if self.node.replica.transfer is None and self.node.begin_transfer():
             self.schedule_flush()
 
+    def _watch_group(self) -> None:
+        reachable = [
+            key
+            for key, link in self.endpoint.links.items()
+            if link.peer.role == "control"
+            and link not in self._departed
+            and (self.parts.plan is not None or replica_name(key) in self.parts.peers)
+        ]
+        reachable.append(self.node.replica_id)
+        self._group_watch.look(self._silences_ms, reachable, monotonic_ms())
+
     async def _propose_own(self, command: Command) -> None:
         result: Result[Outcome, Problem] | None = None
         try:
--- a/apricotrail/control/_voters.py
+++ b/apricotrail/control/_voters.py
@@ -18,7 +18,11 @@
 from collections.abc import Collection, Mapping
 from typing import NamedTuple
 
-from apricotrail.control._members import Members, apply_member_change, make_member_change
+from apricotrail.control._members import (
+    apply_member_change,
+    count_voters,
+    make_member_change,
+)
 from apricotrail.control._repair_limits import RepairLimits
 from apricotrail.control._replica import ReplicaState
 from apricotrail.control._replication import has_live_quorum
@@ -31,7 +35,6 @@
     "GroupPlan",
     "LinkedReplica",
     "count_seats",
-    "count_voters",
     "decide_departure",
     "decide_voter_change",
     "is_caught_up",
@@ -173,11 +176,6 @@
     return change if is_safe else None
 
 
-def count_voters(members: Members) -> int:
-    """Return the number of voters."""
-    return sum(member.voter for member in members.values())
-
-
 def is_caught_up(replica: ReplicaState, replica_id: str) -> bool:
     """Return whether a member lacks at most `CAUGHT_UP_LAG_ENTRIES` entries of the leader's log."""
     progress = replica.progress.get(replica_id)
