A just-elected leader confirms nothing before it has applied what former leaders acknowledged

What callers saw: a read of the desired state, or a heartbeat to a dispatcher, could state the version before an acknowledged one as the newest, if it was answered between two messages of one pass of the event loop of a leader just elected after the former one was lost before it told anyone its commit index.

Cause: the reply that commits the first entry of the new term raises the commit index at once, and the leader's proof counted from then on; the entries of former terms that are committed by it are applied only in the flush that is scheduled after the message. A change accepted in the leader's own term isn't affected: it is acknowledged only by that flush.

Change: the proof of a leader counts once the first entry of its term is applied.

Evidence: the simulation checks its invariant on confirmations also between a message and the flush that follows it. The three older tests of test_protocol pass the applied index, the new argument, and are as strict as before.

--- a/apricotrail/control/_node.py
+++ b/apricotrail/control/_node.py
@@ -202,7 +202,7 @@
         """Return the age in milliseconds of the last proof that the applied state is the newest."""
         self.replica.now_ms = self.setup.clock()
         self.replica.freshness.advance(self.applied_index)
-        return confirmation_age_ms(self.replica)
+        return confirmation_age_ms(self.replica, self.applied_index)
 
     def fail_pending(self) -> None:
         """Answer all pending commands with a problem: their outcome is unknown."""
--- a/apricotrail/control/_replica.py
+++ b/apricotrail/control/_replica.py
@@ -254,15 +254,24 @@
     return state.is_leader and state.commit_index >= state.term_start_index
 
 
-def confirmation_age_ms(state: ReplicaState) -> float:
+def confirmation_age_ms(state: ReplicaState, applied_index: int) -> float:
     """Return the age in milliseconds of the newest proof that no newer change was accepted.
 
     A leader's proof is the send time of its newest round that a quorum confirmed: no other leader
-    can have been elected before that. A follower's proof is the send time of its own reply that
-    the leader echoed, less the age that the leader reported. Both times are of the own clock, so
-    a delayed message makes a proof look older, never younger.
+    can have been elected before that. It counts once the first entry of the leader's term is
+    applied, since former leaders may have acknowledged the entries before it. A follower's proof is
+    the send time of its own reply that the leader echoed, less the age that the leader reported.
+    Both times are of the own clock, so a delayed message makes a proof look older, never younger.
+
+    Parameters
+    ----------
+    state : ReplicaState
+        Protocol state of this replica.
+    applied_index : int
+        Index of the last entry that this replica has applied.
     """
     age_ms = state.freshness.age_ms()
-    if is_leader_ready(state) and state.quorum_round_sent_ms is not None:
+    is_applied = is_leader_ready(state) and applied_index >= state.term_start_index
+    if is_applied and state.quorum_round_sent_ms is not None:
         age_ms = min(age_ms, state.now_ms - state.quorum_round_sent_ms)
     return age_ms
--- a/apricotrail/control/tests/simulation.py
+++ b/apricotrail/control/tests/simulation.py
@@ -131,6 +131,8 @@
     def receive(self, sender: str, message) -> None:
         def work() -> None:
             self.node.receive(sender, message)
+            # A process answers other messages before the flush that follows.
+            self.cluster.check(self)
             self.node.flush()
 
         self._run_when_idle(self.node, work)
--- a/apricotrail/control/tests/test_protocol.py
+++ b/apricotrail/control/tests/test_protocol.py
@@ -53,7 +53,7 @@
     receive(follower, "b", append(), 1_000.0)
     (sequence,) = follower.replies_sent
     receive(follower, "b", append(echo=sequence, age_ms=40), 1_010.0 + delay_ms)
-    assert confirmation_age_ms(follower) == 50.0 + delay_ms
+    assert confirmation_age_ms(follower, 0) == 50.0 + delay_ms
 
 
 @params((0, 5), (99, 5), (None, NEVER_CONFIRMED_AGE_MS))
@@ -62,7 +62,7 @@
     receive(follower, "b", append(), 1_000.0)
     sequence = next(iter(follower.replies_sent)) if echo is None else echo
     receive(follower, "b", append(echo=sequence, age_ms=age_ms), 1_001.0)
-    assert confirmation_age_ms(follower) >= NEVER_CONFIRMED_AGE_MS
+    assert confirmation_age_ms(follower, 0) >= NEVER_CONFIRMED_AGE_MS
 
 
 def test_a_leader_confirms_only_rounds_that_a_majority_answered():
@@ -70,12 +70,25 @@
     lead(leader, 2_000.0)
     tick(leader, 2_100.0)
     tick(leader, 2_200.0)
-    assert confirmation_age_ms(leader) >= NEVER_CONFIRMED_AGE_MS
+    assert confirmation_age_ms(leader, leader.commit_index) >= NEVER_CONFIRMED_AGE_MS
     receive(leader, "b", AppendReply(leader.term, True, 1, leader.round - 1, 7), 2_250.0)
-    assert confirmation_age_ms(leader) == 150.0
+    assert confirmation_age_ms(leader, leader.commit_index) == 150.0
     assert (leader.commit_index, leader.progress["b"].echo) == (1, 7)
 
 
+# Guards against a read that is answered with an older version as the newest one, by a leader that
+# was elected after the former one had acknowledged a change and was lost.
+def test_a_leader_confirms_nothing_before_it_applied_what_former_leaders_acknowledged():
+    leader = make_replica((1,))
+    lead(leader, 2_000.0)
+    tick(leader, 2_100.0)
+    receive(leader, "b", AppendReply(leader.term, True, 2, leader.round, 7), 2_250.0)
+    assert leader.commit_index == leader.term_start_index == 2
+    assert confirmation_age_ms(leader, 0) >= NEVER_CONFIRMED_AGE_MS
+    assert confirmation_age_ms(leader, 1) >= NEVER_CONFIRMED_AGE_MS
+    assert confirmation_age_ms(leader, 2) == 150.0
+
+
 def test_a_leader_without_a_majority_steps_down():
     leader = make_replica()
     lead(leader, 2_000.0)
