Queues: a 404 for an unknown queue needs a recent confirmation of the queues

Cause: the answer was made from the queues at hand, however old; a version that no reachable replica has applied is unknown to every entry.

A roster now dates its configuration by the ages that control's heartbeats state, on the own clock (`Freshness`). 404, and a queue's count, are answered only if the queues were confirmed less than 1.5 s before; else the entry asks all linked replicas, waits up to 0.3 s, and answers 503 with Retry-After. Jobs of known queues are run as before: while control confirms nothing it acknowledges nothing. Both answers are logged with host, prefix, version and age; `configuration_taken` and the metric config_age_ms of dispatchers and agents carry the age, too.

--- a/apricotrail/membership/_roster.py
+++ b/apricotrail/membership/_roster.py
@@ -3,7 +3,9 @@
 A process has the addresses of a few control replicas, its seeds, in its settings; some of them may
 be stale. It links to all replicas with a durable log that it learns of and keeps those links, so
 that it needs the seeds only once. It follows the configuration at one replica, in its own zone if
-possible; the heartbeats of the other replicas show whether that one has fallen behind.
+possible; the heartbeats of the other replicas show whether that one has fallen behind. Heartbeats
+also date the configuration: each states how old a replica's last proof is that its version is the
+newest.
 
 Replicas that keep their log in memory serve operators, and lead processes to the others. Links to
 them are closed once the others are reached, as links grow with the product of both numbers.
@@ -16,6 +18,7 @@
 from apricotrail.events import Level, declare_event, emit
 from apricotrail.membership._agent_links import AgentLinkParts, AgentLinks
 from apricotrail.membership._configuration import Configuration
+from apricotrail.membership._freshness import NEVER_CONFIRMED_AGE_MS, Freshness
 from apricotrail.membership._replicas import has_durable_log, replica_name
 from apricotrail.wire import Link, LinkEndpoint
 from apricotrail.wire.generated.ttypes import (
@@ -39,6 +42,7 @@
 ADJUST_MS = 1_000.0  # time between two checks of the links if no list changes
 ADJUST_AFTER_CHANGE_MS = 100.0  # several replicas list the same change at nearly the same time
 FORGET_INTERVAL_MS = 5_000.0
+CONFIRM_INTERVAL_MS = 100.0  # shortest time between two requests for a confirmation
 
 CONTROL_LINKED = declare_event(
     2101, "control_linked", Level.INFO, "The link to a control replica was established."
@@ -101,12 +105,16 @@
     ----------
     configuration : Configuration
         Configuration items that are followed.
+    freshness : Freshness
+        Age of the last confirmation that this configuration was the newest.
     """
 
     def __init__(self, parts: RosterParts) -> None:
         self._parts = parts
         self._endpoint = parts.endpoint
         self.configuration = Configuration()
+        self.freshness = Freshness(parts.clock, NEVER_CONFIRMED_AGE_MS)
+        self._confirmation_requested_ms = parts.clock() - CONFIRM_INTERVAL_MS
         self._followed: Link | None = None
         # Times by the own clock. Where replicas are counted for a majority, they go by their stable
         # name, so that a replica whose disk was lost counts once; elsewhere by their full name.
@@ -196,6 +204,15 @@
         echoed = [self._echoed_ms.get(name, 0.0) for name in self._replica_seen_ms]
         return sorted(echoed, reverse=True)[len(echoed) // 2] if echoed else 0.0
 
+    def request_confirmation(self) -> None:
+        """Ask all linked replicas whether the configuration is the newest; they answer at once."""
+        now_ms = self._parts.clock()
+        if now_ms - self._confirmation_requested_ms < CONFIRM_INTERVAL_MS:
+            return
+        self._confirmation_requested_ms = now_ms
+        for link in self.list_control():
+            link.send_heartbeat()
+
     def receive_heartbeat(
         self, link: Link, heartbeat: Heartbeat, heartbeat_sent_ms: float | None = None
     ) -> None:
@@ -209,7 +226,7 @@
         link : Link
             Link to the replica.
         heartbeat : Heartbeat
-            States the configuration version that the replica has.
+            States the configuration version that the replica has, and the age of its confirmation.
         heartbeat_sent_ms : float or None
             Own time at which the heartbeat that it echoes was sent, None without an echo.
         """
@@ -221,6 +238,10 @@
                 self._echoed_ms[stable_name] = max(
                     heartbeat_sent_ms, self._echoed_ms.get(stable_name, 0.0)
                 )
+            age_ms = heartbeat.config_age_ms
+            if age_ms is not None and age_ms < NEVER_CONFIRMED_AGE_MS:
+                # The replica stated the age after the echoed heartbeat was sent.
+                self.freshness.receive(heartbeat.config_version or 0, heartbeat_sent_ms - age_ms)
         if (heartbeat.config_version or 0) <= self.configuration.version:
             self._behind_since_ms.pop(name, None)
             return
@@ -341,7 +362,13 @@
             self._request(link, follow=link is self._followed)
             return
         if self.configuration.version > before:
-            emit(CONFIGURATION_TAKEN, version=change.version, of=link.peer.name)
+            self.freshness.advance(self.configuration.version)
+            emit(
+                CONFIGURATION_TAKEN,
+                version=change.version,
+                of=link.peer.name,
+                age_ms=round(self.freshness.age_ms()),
+            )
             self._parts.on_change()
 
     def _receive_nodes(self, link: Link, listed: NodeList) -> None:
--- a/apricotrail/membership/tests/test_roster.py
+++ b/apricotrail/membership/tests/test_roster.py
@@ -4,25 +4,34 @@
 from typing import NamedTuple
 
 from apricotrail.clocks import VirtualClock
-from apricotrail.membership import Roster, RosterParts
+from apricotrail.membership import NEVER_CONFIRMED_AGE_MS, Roster, RosterParts
 from apricotrail.membership._roster import (
+    CONFIRM_INTERVAL_MS,
     FORGET_AFTER_MS,
     LISTS_COMPLETE_MS,
     MAX_CONTACT_AGE_MS,
     MAX_NODES,
     SEEDS_AGAIN_MS,
 )
-from apricotrail.wire.generated.ttypes import Heartbeat, Identity, NodeChanges, NodeList
+from apricotrail.wire.generated.ttypes import (
+    ConfigurationChange,
+    Heartbeat,
+    Identity,
+    NodeChanges,
+    NodeList,
+)
 
 
 class FakeLink(NamedTuple):
     peer: Identity
+    sent: list
+    heartbeats: list
 
     def send(self, message, *more):
-        pass
+        self.sent.append((self.peer.name, message))
 
     def send_heartbeat(self):
-        pass
+        self.heartbeats.append(self.peer.name)
 
 
 class FakeEndpoint:
@@ -60,11 +69,13 @@
             RosterParts(self.endpoint, seeds, "pipa", ("x/",), self.clock, lambda: None)
         )
         self.links = {}
+        self.sent = []
+        self.heartbeats = []
         for name in replicas:
             self.link(name)
 
     def link(self, name: str) -> None:
-        link = FakeLink(Identity(name, "control", "pipa", 1, name))
+        link = FakeLink(Identity(name, "control", "pipa", 1, name), self.sent, self.heartbeats)
         self.links[name] = self.endpoint.links[name] = link
         self.endpoint.up(link)
 
@@ -95,6 +106,18 @@
             self.links[replica], Heartbeat(config_version=0), heartbeat_sent_ms
         )
 
+    def state(
+        self, replica: str, version: int, age_ms: int | None, sent_ms: float | None = None
+    ) -> None:
+        """Receive a heartbeat that echoes one sent at `sent_ms`, by default just now."""
+        heartbeat = Heartbeat(config_version=version, config_age_ms=age_ms)
+        sent_ms = self.clock() if sent_ms is None else sent_ms
+        self.roster.receive_heartbeat(self.links[replica], heartbeat, sent_ms)
+
+    def receive_change(self, replica: str, version: int) -> None:
+        change = ConfigurationChange(self.roster.configuration.version, version, [])
+        self.endpoint.handlers[ConfigurationChange](self.links[replica], change)
+
 
 class TestListed(unittest.TestCase):
     def make_complete(self, *replicas: str) -> RosterCase:
@@ -260,6 +283,54 @@
         self.assertIn("b", case.endpoint.dialed)
 
 
+class TestAge(unittest.TestCase):
+    """How old the last proof is that the own configuration is the newest."""
+
+    def test_age_counts_from_the_echoed_heartbeat_less_the_age_that_the_replica_states(self):
+        case = RosterCase("a")
+        case.receive_change("a", 3)
+        self.assertEqual(case.roster.freshness.age_ms(), NEVER_CONFIRMED_AGE_MS)
+        case.state("a", 3, 200, sent_ms=49_900.0)
+        self.assertEqual(case.roster.freshness.age_ms(), 300.0)
+        case.clock.advance(1_000)
+        self.assertEqual(case.roster.freshness.age_ms(), 1_300.0)
+
+    # Guards against old news that look fresh as they were delayed on the way.
+    def test_statements_without_proof_of_their_time_change_nothing(self):
+        case = RosterCase("a", "b")
+        case.receive_change("a", 3)
+        for heartbeat, sent_ms in (
+            (Heartbeat(config_version=3, config_age_ms=1), None),
+            (Heartbeat(config_version=3), 50_000.0),
+            (Heartbeat(config_version=3, config_age_ms=NEVER_CONFIRMED_AGE_MS), 50_000.0),
+        ):
+            case.roster.receive_heartbeat(case.links["a"], heartbeat, sent_ms)
+            self.assertEqual(case.roster.freshness.age_ms(), NEVER_CONFIRMED_AGE_MS)
+        case.state("a", 3, 100)
+        case.state("b", 2, 5_000)
+        case.state("a", 3, 100, sent_ms=47_000.0)
+        self.assertEqual(case.roster.freshness.age_ms(), 100.0)
+
+    # Guards against a 404 by an entry to which a replica has stated a version that it lacks.
+    def test_a_version_that_is_not_applied_yet_confirms_nothing(self):
+        case = RosterCase("a")
+        case.receive_change("a", 3)
+        case.state("a", 3, 100)
+        case.clock.advance(2_000)
+        case.state("a", 4, 100)
+        self.assertEqual(case.roster.freshness.age_ms(), 2_100.0)
+        case.receive_change("a", 4)
+        self.assertEqual(case.roster.freshness.age_ms(), 100.0)
+
+    def test_a_confirmation_is_requested_of_all_replicas_and_not_too_often(self):
+        case = RosterCase("a", "b")
+        for pause_ms, requested in ((0, "ab"), (CONFIRM_INTERVAL_MS - 1, ""), (1, "ab")):
+            case.clock.advance(pause_ms)
+            case.heartbeats.clear()
+            case.roster.request_confirmation()
+            self.assertEqual("".join(case.heartbeats), requested)
+
+
 class TestLinksToControl(unittest.TestCase):
     """Links of every process to every replica: replicas that keep no log add cost and no safety."""
 
--- a/apricotrail/queues/_application.py
+++ b/apricotrail/queues/_application.py
@@ -35,6 +35,11 @@
 STOP_WAIT_MS = 400  # a job sent again waits this long for its stopped runs to end
 POLL_MS = 10
 START_WAIT_MS = 600  # a new process has its links and queues within this once its peers run
+# An acknowledged version is in force within 2 s. Queues that were confirmed as the newest less than
+# this before a request hold all versions that were acknowledged 2 s before it was sent.
+MAX_CONFIRMATION_AGE_MS = 1_500
+CONFIRM_WAIT_MS = 300  # several round trips; callers may ask another dispatcher after that
+MAX_LOGGED_CHARACTERS = 100
 
 QUEUES_TAKEN = declare_event(
     10101,
@@ -54,6 +59,20 @@
     Level.INFO,
     "A planned stop began: this dispatcher reports not ready, but serves jobs that still arrive.",
 )
+QUEUE_NOT_FOUND = declare_event(
+    10104,
+    "queue_not_found",
+    Level.INFO,
+    "A request was answered 404: no queue has its host and path, and age_ms ago the queues were "
+    "confirmed as the newest.",
+)
+QUEUES_UNCONFIRMED = declare_event(
+    10105,
+    "queues_unconfirmed",
+    Level.WARNING,
+    "A request was answered 503, as its answer depends on the newest queues and those here were "
+    "last confirmed age_ms ago. Check that a majority of the control replicas runs and is reached.",
+)
 
 
 class QueueDispatcher:
@@ -114,6 +133,7 @@
         metrics = self.dispatcher.metrics
         metrics.links.watch(lambda: len(self.endpoint.links))
         metrics.config_version.watch(lambda: self.table.version)
+        metrics.config_age_ms.watch(self.roster.freshness.age_ms)
         self.application.on_start(self._start)
         add_status_listener(
             self.application, settings.get(STATUS_LISTEN), metrics, self.is_ready, settings
@@ -133,9 +153,39 @@
         """Wait up to `START_WAIT_MS` for the first queue document; return whether there is one."""
         return await self._wait_until(lambda: self.table.version > 0)
 
-    async def _wait_until(self, condition: Callable[[], bool]) -> bool:
+    def is_confirmed(self) -> bool:
+        """Return whether the queues were confirmed as the newest just before.
+
+        Only then may an answer state which queues there are, or what is in one. A job of a known
+        queue is run however old the queues are.
+        """
+        return self.roster.freshness.age_ms() < MAX_CONFIRMATION_AGE_MS
+
+    async def wait_for_confirmation(self) -> bool:
+        """Ask control for a confirmation of the queues and wait up to `CONFIRM_WAIT_MS` for it."""
+
+        def is_confirmed() -> bool:
+            self.roster.request_confirmation()
+            return self.is_confirmed()
+
+        return await self._wait_until(is_confirmed, CONFIRM_WAIT_MS)
+
+    def log_denial(self, host: str, path: str, is_confirmed: bool) -> None:
+        """Log that a request was answered 404, or 503 as the queues aren't confirmed."""
+        prefix = path[: path.find("/", 1) + 1] or path
+        emit(
+            QUEUE_NOT_FOUND if is_confirmed else QUEUES_UNCONFIRMED,
+            host=host[:MAX_LOGGED_CHARACTERS],
+            prefix=prefix[:MAX_LOGGED_CHARACTERS],
+            version=self.table.version,
+            age_ms=round(self.roster.freshness.age_ms()),
+        )
+
+    async def _wait_until(
+        self, condition: Callable[[], bool], limit_ms: float = START_WAIT_MS
+    ) -> bool:
         """Wait for what a process lacks for some hundred ms after a start or a pause."""
-        end_ms = monotonic_ms() + START_WAIT_MS
+        end_ms = monotonic_ms() + limit_ms
         while not condition() and not self.stopping and monotonic_ms() < end_ms:
             await asyncio.sleep(POLL_MS / 1000)
         return condition()
--- a/apricotrail/runners/_application.py
+++ b/apricotrail/runners/_application.py
@@ -144,6 +144,7 @@
         metrics = self.gate.metrics
         metrics.links.watch(lambda: len(self.endpoint.links))
         metrics.config_version.watch(lambda: self.roster.configuration.version)
+        metrics.config_age_ms.watch(self.roster.freshness.age_ms)
         self.application.on_start(self._start)
         add_status_listener(
             self.application, settings.get(STATUS_LISTEN), metrics, self._is_ready, settings
