Roster: a replica that confirms nothing is left for one that does

Cause: a process kept the replica it followed until its link was lost, and took one of its own zone on link-up, whether or not it was a member of the group.

Replicas' confirmations, dated by the own clock, are now compared. If those of the followed replica lag 0.5 s behind another's for 0.5 s, it is left; it is asked once more before. In an election all lag alike, so nobody moves. A replica of the own zone is followed once it has confirmed, and not within 10 s after one was left. While the followed one lags, a higher version is requested of the replica that states it at once, without the 0.25 s of grace. `replica_followed` states reason and age.

--- a/apricotrail/membership/_roster.py
+++ b/apricotrail/membership/_roster.py
@@ -5,7 +5,7 @@
 that it needs the seeds only once. It follows the configuration at one replica, in its own zone if
 possible; the heartbeats of the other replicas show whether that one has fallen behind. Heartbeats
 also date the configuration: each states how old a replica's last proof is that its version is the
-newest.
+newest. A replica whose proofs stay away is left for another (`_replica_choice`).
 
 Replicas that keep their log in memory serve operators, and lead processes to the others. Links to
 them are closed once the others are reached, as links grow with the product of both numbers.
@@ -19,6 +19,7 @@
 from apricotrail.membership._agent_links import AgentLinkParts, AgentLinks
 from apricotrail.membership._configuration import Configuration
 from apricotrail.membership._freshness import NEVER_CONFIRMED_AGE_MS, Freshness
+from apricotrail.membership._replica_choice import Choice, ReplicaChoice
 from apricotrail.membership._replicas import has_durable_log, replica_name
 from apricotrail.wire import Link, LinkEndpoint
 from apricotrail.wire.generated.ttypes import (
@@ -60,7 +61,9 @@
     2104,
     "replica_followed",
     Level.INFO,
-    "This process now requests configuration changes from this replica.",
+    "This process now requests configuration changes from this replica. Reasons: first, preferred "
+    "(it has a disk, or is in the same zone), link_lost, unconfirmed (the former one's "
+    "confirmations lag).",
 )
 
 
@@ -116,6 +119,7 @@
         self.freshness = Freshness(parts.clock, NEVER_CONFIRMED_AGE_MS)
         self._confirmation_requested_ms = parts.clock() - CONFIRM_INTERVAL_MS
         self._followed: Link | None = None
+        self._choice = ReplicaChoice(parts.zone, parts.clock)
         # Times by the own clock. Where replicas are counted for a majority, they go by their stable
         # name, so that a replica whose disk was lost counts once; elsewhere by their full name.
         self._behind_since_ms: dict[str, float] = {}
@@ -155,6 +159,8 @@
     def tick(self) -> None:
         """Adjust the links to the processes that control lists; call this some times a second."""
         now_ms = self._parts.clock()
+        if self._choice.is_pending:
+            self._review_followed()
         pause_ms = ADJUST_AFTER_CHANGE_MS if self._is_adjustment_due else ADJUST_MS
         if now_ms - self._adjusted_ms < pause_ms:
             return
@@ -219,7 +225,7 @@
         """Record a heartbeat of a replica, and request changes that the followed one has not sent.
 
         They are requested from this replica once its heartbeats have stated a version newer than
-        the own one for `BEHIND_GRACE_MS`.
+        the own one for `BEHIND_GRACE_MS`, or at once if the followed one's confirmations lag.
 
         Parameters
         ----------
@@ -241,12 +247,16 @@
             age_ms = heartbeat.config_age_ms
             if age_ms is not None and age_ms < NEVER_CONFIRMED_AGE_MS:
                 # The replica stated the age after the echoed heartbeat was sent.
-                self.freshness.receive(heartbeat.config_version or 0, heartbeat_sent_ms - age_ms)
+                as_of_ms = heartbeat_sent_ms - age_ms
+                self.freshness.receive(heartbeat.config_version or 0, as_of_ms)
+                self._choice.note_confirmation(name, as_of_ms)
+            self._review_followed()
         if (heartbeat.config_version or 0) <= self.configuration.version:
             self._behind_since_ms.pop(name, None)
             return
         now_ms = self._parts.clock()
-        if now_ms - self._behind_since_ms.setdefault(name, now_ms) >= BEHIND_GRACE_MS:
+        is_overdue = now_ms - self._behind_since_ms.setdefault(name, now_ms) >= BEHIND_GRACE_MS
+        if is_overdue or self._choice.is_pending:
             self._behind_since_ms.pop(name, None)
             self._request(link, follow=link is self._followed)
 
@@ -319,12 +329,8 @@
             return
         self._linked_ms[link.peer.name] = self._parts.clock()
         emit(CONTROL_LINKED, replica=link.peer.name, zone=link.peer.zone)
-        followed = self._followed
-        is_nearer = followed is not None and (
-            followed.peer.zone != self._parts.zone and link.peer.zone == self._parts.zone
-        )
-        if followed is None or is_nearer:
-            self._follow(link)
+        if self._followed is None:
+            self._follow(Choice(link.peer.name, "first"))
         roles = self._agents.needed_roles if self._agents is not None else ()
         link.send(NodesRequest(["control", *roles]))
         # Contact with the replica counts from the first heartbeat that it echoes.
@@ -336,17 +342,35 @@
         emit(CONTROL_LINK_LOST, replica=link.peer.name)
         self._nodes_by_replica.pop(link.peer.name, None)
         self._linked_ms.pop(link.peer.name, None)
+        self._choice.forget(link.peer.name)
         if link is not self._followed:
             return
         self._followed = None
-        others = [it for it in self.list_control() if it is not link]
-        if others:
-            own_zone = [it for it in others if it.peer.zone == self._parts.zone]
-            self._follow((own_zone or others)[0])
+        others = [it.peer for it in self.list_control() if it is not link]
+        choice = self._choice.replace_lost(others)
+        if choice is not None:
+            self._follow(choice)
 
-    def _follow(self, link: Link) -> None:
+    def _review_followed(self) -> None:
+        followed = self._followed
+        if followed is None:
+            return
+        choice = self._choice.review(followed.peer, [it.peer for it in self.list_control()])
+        if choice is not None:
+            self._follow(choice)
+        elif self._choice.must_ask_again():
+            followed.send_heartbeat()
+
+    def _follow(self, choice: Choice) -> None:
+        link = self._endpoint.links[choice.replica]
         self._followed = link
-        emit(REPLICA_FOLLOWED, replica=link.peer.name, version=self.configuration.version)
+        emit(
+            REPLICA_FOLLOWED,
+            replica=choice.replica,
+            version=self.configuration.version,
+            reason=choice.reason,
+            age_ms=round(self.freshness.age_ms()),
+        )
         self._request(link, follow=True)
 
     def _request(self, link: Link, follow: bool) -> None:
--- a/apricotrail/membership/tests/test_roster.py
+++ b/apricotrail/membership/tests/test_roster.py
@@ -74,8 +74,8 @@
         for name in replicas:
             self.link(name)
 
-    def link(self, name: str) -> None:
-        link = FakeLink(Identity(name, "control", "pipa", 1, name), self.sent, self.heartbeats)
+    def link(self, name: str, zone: str = "pipa") -> None:
+        link = FakeLink(Identity(name, "control", zone, 1, name), self.sent, self.heartbeats)
         self.links[name] = self.endpoint.links[name] = link
         self.endpoint.up(link)
 
