--- a/apricotrail/control/_members.py
+++ b/apricotrail/control/_members.py
@@ -16,7 +16,9 @@
     "Member",
     "Members",
     "apply_member_change",
+    "count_voters",
     "is_quorum",
+    "make_member_change",
     "make_memory_identity",
     "make_replica_id",
     "quorum_value",
@@ -58,6 +60,12 @@
     return MEMORY_LOG_PREFIX + token_hex(8)
 
 
+def make_member_change(replica_id: str, address: str, action: str) -> ChangeMember:
+    """Return the command that adds, promotes or removes a replica."""
+    name, _, identity = replica_id.partition(REPLICA_ID_SEPARATOR)
+    return ChangeMember(name, address, identity, action)
+
+
 def apply_member_change(members: Members, change: ChangeMember) -> Members:
     """Return the members after `change`.
 
@@ -74,6 +82,11 @@
     return members
 
 
+def count_voters(members: Members) -> int:
+    """Return the number of voters."""
+    return sum(member.voter for member in members.values())
+
+
 def is_quorum(members: Members, replica_ids: Iterable[str]) -> bool:
     """Return whether `replica_ids` contain a majority of the voters."""
     voters = {key for key, member in members.items() if member.voter}
