--- a/apricotrail/control/tests/test_process.py
+++ b/apricotrail/control/tests/test_process.py
@@ -8,11 +8,14 @@
 from hashlib import sha256
 from pathlib import Path
 
+from apricotrail.clocks import monotonic_ms
 from apricotrail.control import Control
 from apricotrail.control.tests.disk import FillableDisk
+from apricotrail.membership import Roster, RosterParts
 from apricotrail.settings import Settings
 from apricotrail.wire import KeyRing, LinkEndpoint
 from apricotrail.wire.generated.ttypes import (
+    Append,
     Command,
     ConfigurationChange,
     ConfigurationRequest,
@@ -211,6 +214,56 @@
         self.assertEqual(node.machine.texts[1], DOCUMENT)
 
 
+class TestLostLeader(ControlCase):
+    async def start_three(self) -> list[Control]:
+        ports = find_ports(3)
+        peers = [f"{name}=127.0.0.1:{port}" for name, port in zip("abc", ports, strict=True)]
+        return [
+            await self.start_control(name, port, peers)
+            for name, port in zip("abc", ports, strict=True)
+        ]
+
+    async def start_roster(self, *addresses: str) -> Roster:
+        """Start a dispatcher's roster that follows one of the replicas."""
+        identity = Identity("front-1", "dispatcher", "barranca", 1, "front-1:1")
+        endpoint = LinkEndpoint(identity, "trial", KeyRing(None), Settings(FAST))
+        parts = RosterParts(
+            endpoint, addresses, "barranca", ("queue/",), monotonic_ms, lambda: None
+        )
+        roster = Roster(parts)
+        endpoint.receive_heartbeat = roster.receive_heartbeat
+        endpoint.start()
+        roster.start()
+        self.running.append(endpoint.stop)
+        return roster
+
+    # Guards against an acknowledged change that stays unknown since its leader was lost before it
+    # told the others the commit index, and against a replica that calls an older one the newest.
+    async def test_a_change_whose_leader_is_killed_at_once_is_read_and_pushed(self):
+        controls = await self.start_three()
+        first = await controls[0].operations.put_queues(1, {"queue/x": {"of": 1}}, b"text")
+        self.assertTrue(first.accepted, first.answer)
+        leader = next(it for it in controls if it.service.node.replica.is_leader)
+        others = [it for it in controls if it is not leader]
+        roster = await self.start_roster(*(it.address for it in controls))
+        await wait_until(lambda: roster.configuration.version >= first.version)
+        machines = [it.service.node.machine for it in others]
+        await wait_until(lambda: all(it.version == first.version for it in machines))
+        keep_commit_index(leader)
+        second = await leader.operations.put_queues(2, {"queue/x": {"of": 2}}, b"text")
+        acknowledged_ms = monotonic_ms()
+        self.assertTrue(second.accepted, second.answer)
+        await kill(leader)
+        self.assertEqual([it.version for it in machines], [first.version] * 2)
+        confirmed_ms = record_confirmations(others, second.version)
+        await wait_until(lambda: all(it.version >= second.version for it in machines))
+        await wait_until(lambda: roster.configuration.version >= second.version)
+        for other in others:
+            self.assertEqual((await other.operations.read_queues()).unwrap().version, 2)
+        self.assertTrue(confirmed_ms)
+        self.assertLess(max(confirmed_ms), acknowledged_ms)
+
+
 class TestReplicasWithoutDisks(ControlCase):
     async def start_seeded(self, port: int, seeds: list[str], folder: str) -> Control:
         address = f"127.0.0.1:{port}"
@@ -255,6 +308,46 @@
         self.assertFalse(node.replica.is_voter)
 
 
+def keep_commit_index(leader: Control) -> None:
+    """Let no other replica learn of what this one commits from now on."""
+    service = leader.service
+    known_index, send = service.node.replica.commit_index, service.send
+
+    def send_if_known(replica_id: str, message) -> None:
+        if not isinstance(message, Append) or message.commit_index <= known_index:
+            send(replica_id, message)
+
+    service.send = send_if_known
+
+
+async def kill(control: Control) -> None:
+    """End the links and timers of a replica, with no transfer of leadership."""
+    control.service.failed.set()
+    control._reopening.cancel()
+    await control.service.endpoint.stop()
+
+
+def record_confirmations(controls: list[Control], version: int) -> list[float]:
+    """Return a list that gets the time as of which a version before `version` was confirmed.
+
+    What a heartbeat would state is recorded after each message, before the flush that follows it.
+    """
+    confirmed_ms: list[float] = []
+
+    def watch(service, schedule_flush) -> None:
+        def record_and_schedule() -> None:
+            heartbeat = service._make_heartbeat(None)
+            if heartbeat.config_version < version:
+                confirmed_ms.append(monotonic_ms() - heartbeat.config_age_ms)
+            schedule_flush()
+
+        service.schedule_flush = record_and_schedule
+
+    for control in controls:
+        watch(control.service, control.service.schedule_flush)
+    return confirmed_ms
+
+
 def find_ports(count: int) -> list[int]:
     sockets = [socket.socket() for _ in range(count)]
     for held in sockets:
