--- a/apricotrail/control/tests/simulation.py
+++ b/apricotrail/control/tests/simulation.py
@@ -66,6 +66,7 @@
         self.offset_ms = cluster.random.uniform(0, 10_000)
         self.step_ms = self.sync_ms = self.busy_until_ms = 0.0
         self.node: Node | None = None
+        self.stated_version = 0
 
     def clock(self) -> float:
         return self.cluster.now_ms + self.step_ms + self.offset_ms
@@ -151,6 +152,7 @@
         apply = node.machine.apply
         node.machine.apply = lambda command: self.cluster.apply_checked(node, command, apply)
         self.node = node
+        self.stated_version = 0
 
     def _run_when_idle(self, node: Node | None, work) -> None:
         if node is None or node is not self.node:
@@ -337,7 +339,10 @@
         if node.replica.is_leader:
             leader = self.leaders.setdefault(node.replica.term, node.replica_id)
             assert leader == node.replica_id, f"two leaders in term {node.replica.term}"
-        next_ms = self.first_applied_ms.get(node.machine.version + 1)
+        version = node.machine.version
+        assert version >= replica.stated_version, "a version went back within one boot"
+        replica.stated_version = version
+        next_ms = self.first_applied_ms.get(version + 1)
         as_of_ms = self.now_ms + replica.step_ms - node.confirmation_age_ms()
         assert (
             next_ms is None or as_of_ms <= next_ms
