--- a/apricotrail/control/tests/test_process.py
+++ b/apricotrail/control/tests/test_process.py
@@ -249,12 +249,13 @@
         await wait_until(lambda: roster.configuration.version >= first.version)
         machines = [it.service.node.machine for it in others]
         await wait_until(lambda: all(it.version == first.version for it in machines))
-        keep_commit_index(leader)
+        keep_commits(leader)
         second = await leader.operations.put_queues(2, {"queue/x": {"of": 2}}, b"text")
         acknowledged_ms = monotonic_ms()
         self.assertTrue(second.accepted, second.answer)
         await kill(leader)
         self.assertEqual([it.version for it in machines], [first.version] * 2)
+        self.assertEqual(roster.configuration.version, first.version)
         confirmed_ms = record_confirmations(others, second.version)
         await wait_until(lambda: all(it.version >= second.version for it in machines))
         await wait_until(lambda: roster.configuration.version >= second.version)
@@ -308,8 +309,8 @@
         self.assertFalse(node.replica.is_voter)
 
 
-def keep_commit_index(leader: Control) -> None:
-    """Let no other replica learn of what this one commits from now on."""
+def keep_commits(leader: Control) -> None:
+    """Let no other replica or process learn of what this one commits from now on."""
     service = leader.service
     known_index, send = service.node.replica.commit_index, service.send
 
@@ -318,6 +319,7 @@
             send(replica_id, message)
 
     service.send = send_if_known
+    service.on_change = lambda: None
 
 
 async def kill(control: Control) -> None:
