--- a/apricotrail/queues/_application.py
+++ b/apricotrail/queues/_application.py
@@ -7,6 +7,7 @@
 
 from apricotrail.application import Application
 from apricotrail.clocks import monotonic_ms, wall_ms
+from apricotrail.errors import ErrorKind, http_status
 from apricotrail.events import Level, declare_event, emit
 from apricotrail.membership import TICK_MS, Roster, RosterParts
 from apricotrail.metrics import add_status_listener
@@ -170,15 +171,16 @@
 
         return await self._wait_until(is_confirmed, CONFIRM_WAIT_MS)
 
-    def log_denial(self, host: str, path: str, is_confirmed: bool) -> None:
+    def log_denial(self, host: str, path: str, status: int) -> None:
         """Log that a request was answered 404, or 503 as the queues aren't confirmed."""
         prefix = path[: path.find("/", 1) + 1] or path
         emit(
-            QUEUE_NOT_FOUND if is_confirmed else QUEUES_UNCONFIRMED,
+            QUEUE_NOT_FOUND if status == http_status(ErrorKind.NOT_FOUND) else QUEUES_UNCONFIRMED,
             host=host[:MAX_LOGGED_CHARACTERS],
             prefix=prefix[:MAX_LOGGED_CHARACTERS],
             version=self.table.version,
             age_ms=round(self.roster.freshness.age_ms()),
+            status=status,
         )
 
     async def _wait_until(
