Control: of the replicas in a zone those that joined last vote, so that a successor gets its seat back

The successor then lost its seat once and for good (which of two replicas voted followed from the start times of their processes, and one that had been removed before was barred), the predecessor voted again, and went without a word; with the next loss nothing was acknowledged any more.

Change: the replicated state has the order in which replicas first joined; of those in a zone the later ones vote, whenever they are well. It is a strict order that restarts and clocks don't change, so no two take each other's seat in turn. A group that is even without a spare gives a voter up (it stayed even where zones hold several voters). A replica that stops no longer promotes a learner of which it can't know whether it is alive; learners with a disk leave before a stop, as other processes count them; a departure that is refused beside another change of members is tried again. A spare must answer rounds to be promoted.

--- a/apricotrail/control/_application.py
+++ b/apricotrail/control/_application.py
@@ -71,8 +71,8 @@
 ZONES = declare_setting(
     "control.zones",
     0,
-    "Number of availability zones with replicas, 0 if unknown. If they are fewer than the replicas "
-    "that vote, two more vote.",
+    "Number of availability zones with replicas. If they are fewer than the replicas that vote, or "
+    "0 for unknown, twice control.tolerated_losses more vote.",
     minimum=0,
 )
 FOUND = declare_setting(
@@ -270,20 +270,18 @@
         """Leave an open group before a stop if the others are better off without this replica."""
         if self._router is None or service.failed.is_set() or not self._open_group:
             return
-        changes = decide_departure(service.node.replica)
-        if not changes:
-            return
-        accepted = False
+        accepted: bool | None = None
         try:
             async with asyncio.timeout(LEAVE_MS / 1000):
-                for change in changes:
+                # Refused while another change of members is under way, which may decide otherwise.
+                while not accepted and (change := decide_departure(service.node.replica)):
                     command = Command(uuid4().hex, service.node.replica_id, change_member=change)
                     accepted = (await self._router.submit(command)).accepted
-                    if not accepted:
-                        break
+                    await asyncio.sleep(TRANSFER_POLL_MS / 1000)
         except TimeoutError:
             accepted = False
-        emit(GROUP_LEFT, accepted=accepted)
+        if accepted is not None:
+            emit(GROUP_LEFT, accepted=accepted)
 
     def _open_node(self, after_failure: bool) -> Node:
         settings = self.settings
--- a/apricotrail/control/_member_repair.py
+++ b/apricotrail/control/_member_repair.py
@@ -10,7 +10,7 @@
 joins again as a learner when it is back.
 """
 
-from collections.abc import Collection, Mapping
+from collections.abc import Collection, Mapping, Sequence
 
 from apricotrail.control._members import Members, make_member_change
 from apricotrail.control._repair_limits import RepairLimits
@@ -65,7 +65,7 @@
     replica: ReplicaState,
     linked: Mapping[str, LinkedReplica],
     silences_ms: Mapping[str, float],
-    removed: Collection[str] = (),
+    joined: Sequence[str] = (),
     plan: GroupPlan = DEFAULT_PLAN,
     limits: RepairLimits = DEFAULT_LIMITS,
 ) -> ChangeMember | None:
@@ -79,7 +79,7 @@
         change = _decide_joining(replica, replica_id, linked)
         if change is not None:
             return change
-    group = OpenGroup(replica, linked, silences_ms, removed, plan, limits)
+    group = OpenGroup(replica, linked, silences_ms, joined, plan, limits)
     return decide_voter_change(group) or _find_silent_learner(group)
 
 
--- a/apricotrail/control/_replication.py
+++ b/apricotrail/control/_replication.py
@@ -20,6 +20,7 @@
     "advance_commit",
     "append_command",
     "has_live_quorum",
+    "is_live",
     "receive_append",
     "receive_append_reply",
     "start_round",
@@ -121,15 +122,16 @@
     A change of members takes effect before it is committed. One that leaves a group without such a
     majority may never be committed, and then nothing else can be.
     """
-    since_ms = state.now_ms - state.timing.election_ms
-    live = {
-        peer
-        for peer, progress in state.progress.items()
-        if state.rounds_sent.get(progress.acked_round, float("-inf")) >= since_ms
-    }
+    live = {peer for peer in state.progress if is_live(state, peer)}
     return is_quorum(members, {state.own_id, *live})
 
 
+def is_live(state: ReplicaState, peer: str) -> bool:
+    """Return whether another replica has answered a round sent within the election time."""
+    sent_ms = state.rounds_sent.get(state.progress[peer].acked_round, float("-inf"))
+    return sent_ms >= state.now_ms - state.timing.election_ms
+
+
 def _update_tracked_replicas(state: ReplicaState) -> None:
     for peer in state.log.members:
         if peer != state.own_id and peer not in state.progress:
--- a/apricotrail/control/_service.py
+++ b/apricotrail/control/_service.py
@@ -282,10 +282,7 @@
         silent_ms = self.parts.entry_silent_ms
         return UpkeepInput(
             self.node,
-            {
-                key: LinkedReplica(peer.address, peer.zone or "", peer.incarnation or 0)
-                for key, peer in replicas.items()
-            },
+            {key: LinkedReplica(peer.address, peer.zone or "") for key, peer in replicas.items()},
             self.parts.peers,
             self.entries.heard_within(now_ms, silent_ms),
             since_ms is not None and now_ms - since_ms >= silent_ms,
--- a/apricotrail/control/_state.py
+++ b/apricotrail/control/_state.py
@@ -45,6 +45,7 @@
 MAX_HISTORY = 1_000
 MAX_DOCUMENT_TEXTS = 16
 MAX_REMOVED_IDS = 256
+MAX_JOINED_IDS = 512
 MAX_TEXT_BYTES = 8 * 1024 * 1024
 EMPTY_OUTCOME = Outcome(True, 0, b"{}")
 
@@ -73,6 +74,9 @@
     removed : list of str
         Ids of the replicas removed last, at most `MAX_REMOVED_IDS`; unless the group is open, the
         leader doesn't take them in again by itself.
+    joined : list of str
+        Ids of the replicas in the order in which they first joined, the members of the formation
+        first; at most `MAX_JOINED_IDS`.
     item_counts : Counter
         Number of present items by kind, the part of the key before the slash.
     log_ms : int
@@ -83,6 +87,7 @@
         self.documents = documents
         self.members: Members = dict(members or {})
         self.removed: list[str] = []
+        self.joined: list[str] = sorted(self.members)
         self.item_counts: Counter[str] = Counter()
         self.configuration = Configuration()
         self.history: deque[DocumentRecord] = deque(maxlen=MAX_HISTORY)
@@ -138,6 +143,7 @@
             "items": {key: value.decode() for key, value in sorted(items.items())},
             "members": {key: list(member) for key, member in sorted(self.members.items())},
             "removed": self.removed,
+            "joined": self.joined,
             "history": [list(record) for record in self.history],
             "texts": [[number, b64encode(text).decode()] for number, text in self.texts.items()],
             "last_changes": {key: list(it) for key, it in sorted(self.last_changes.items())},
@@ -154,6 +160,8 @@
         self.item_counts = Counter(_read_item_kind(key) for key in state["items"])
         self.members = _decode_members(state)
         self.removed = state["removed"]
+        # Releases before the field knew no order.
+        self.joined = state.get("joined", [])
         self.history = deque((DocumentRecord(*row) for row in state["history"]), MAX_HISTORY)
         self.texts = {number: b64decode(text) for number, text in state["texts"]}
         self.log_ms = state["log_ms"]
@@ -186,6 +194,8 @@
         self.members = apply_member_change(before, change)
         removed_ids = [key for key in before if key not in self.members]
         self.removed = [*self.removed, *removed_ids][-MAX_REMOVED_IDS:]
+        newcomers = [key for key in self.members if key not in before and key not in self.joined]
+        self.joined = [*self.joined, *newcomers][-MAX_JOINED_IDS:]
 
     def _put_items(self, items: dict[str, bytes | None]) -> bool:
         find = self.configuration.find
--- a/apricotrail/control/_upkeep.py
+++ b/apricotrail/control/_upkeep.py
@@ -86,10 +86,10 @@
 
 
 def _decide_member_change(inputs: UpkeepInput) -> ChangeMember | None:
-    replica, removed = inputs.node.replica, inputs.node.machine.removed
+    replica, machine = inputs.node.replica, inputs.node.machine
     if inputs.plan is not None:
         return decide_open_member_change(
-            replica, inputs.linked, inputs.silences_ms, removed, inputs.plan
+            replica, inputs.linked, inputs.silences_ms, machine.joined, inputs.plan
         )
-    linked = {key: it for key, it in inputs.linked.items() if key not in removed}
+    linked = {key: it for key, it in inputs.linked.items() if key not in machine.removed}
     return decide_member_change(replica, linked, inputs.peers)
--- a/apricotrail/control/_voters.py
+++ b/apricotrail/control/_voters.py
@@ -4,18 +4,20 @@
 those with a disk that have caught up are spares. Which machine a newcomer replaces isn't known
 until that one is gone, perhaps without a word, so its arrival must not add a vote:
 
-- A newcomer takes the seat of the voter in its zone while that one is still well, which stays as a
-  spare. It is promoted first and the other is removed then, so that at any moment of the exchange
-  the group bears the loss of any replica.
+- A replica takes the seat of a voter of its zone that joined before it, while that one is still
+  well, which stays as a spare. It is promoted first and the other is removed then, so that at any
+  moment of the exchange the group bears the loss of any replica. A successor that was away gets its
+  seat back like that.
 - A spare takes the seat of a voter that was silent for `RepairLimits.replace_after_ms`. The silent
   one is removed first: if the spare is lost, too, the others are a majority without either.
-- In an even group a silent voter is removed without a successor, as the others then bear one loss
-  more; in an odd one only after `RepairLimits.remove_after_ms`.
+- An even group without a spare gives a voter up, a silent one if there is one: the others bear as
+  many losses or one more. In an odd one a silent voter without a successor is removed only after
+  `RepairLimits.remove_after_ms`.
 - Seats are spread over the zones as evenly as the replicas allow.
 """
 
 from collections import Counter
-from collections.abc import Collection, Mapping
+from collections.abc import Mapping, Sequence
 from typing import NamedTuple
 
 from apricotrail.control._members import (
@@ -25,7 +27,7 @@
 )
 from apricotrail.control._repair_limits import RepairLimits
 from apricotrail.control._replica import ReplicaState
-from apricotrail.control._replication import has_live_quorum
+from apricotrail.control._replication import has_live_quorum, is_live
 from apricotrail.membership import has_durable_log
 from apricotrail.wire.generated.ttypes import ChangeMember
 
@@ -54,13 +56,10 @@
         Link address.
     zone : str
         Availability zone.
-    started_ms : int
-        Wall time at which its process started.
     """
 
     address: str
     zone: str = ""
-    started_ms: int = 0
 
 
 class GroupPlan(NamedTuple):
@@ -71,7 +70,7 @@
     tolerated_losses : int
         Replicas that may be lost at the same time.
     zones : int
-        Number of availability zones, 0 if unknown.
+        Number of availability zones with replicas, 0 if unknown.
     """
 
     tolerated_losses: int = 1
@@ -89,8 +88,8 @@
         Replicas that have a link to the leader, and the leader, by id.
     silences_ms : dict of str to float
         Time since the last message of each member in milliseconds, by id.
-    removed : collection of str
-        Ids of replicas that were removed before; such a member is no newcomer.
+    joined : sequence of str
+        Ids of the replicas in the order in which they first joined.
     plan : GroupPlan
         What the group must bear.
     limits : RepairLimits
@@ -100,7 +99,7 @@
     replica: ReplicaState
     linked: Mapping[str, LinkedReplica]
     silences_ms: Mapping[str, float]
-    removed: Collection[str]
+    joined: Sequence[str]
     plan: GroupPlan
     limits: RepairLimits
 
@@ -119,7 +118,7 @@
     """
     losses = plan.tolerated_losses
     seats = max(MIN_VOTERS, 2 * losses + 1)
-    return seats if plan.zones == 0 or plan.zones >= seats else seats + 2 * losses
+    return seats if plan.zones >= seats else seats + 2 * losses
 
 
 def decide_voter_change(group: OpenGroup) -> ChangeMember | None:
@@ -146,24 +145,20 @@
     return _promote_one(group, [key for key in spares if _takes_a_seat(group, key)])
 
 
-def decide_departure(replica: ReplicaState) -> list[ChangeMember]:
-    """Return the changes by which this replica leaves before a planned stop, in order.
+def decide_departure(replica: ReplicaState) -> ChangeMember | None:
+    """Return the change by which this replica leaves before a planned stop, or None if it stays.
 
-    A stop may be for good. The replica leaves an even group, which bears one loss more without it;
-    in an odd one a spare, if there is one, takes its seat first.
+    A stop may be for good. A voter leaves an even group, which bears one loss more without it; in
+    an odd one its place is taken once it is silent. A learner with a disk leaves, too, as other
+    processes count it towards a majority.
     """
     members = replica.log.members
+    if replica.own_id not in members or not has_durable_log(replica.own_id):
+        return None
     voters = count_voters(members)
-    if not replica.is_voter or voters < MIN_VOTERS:
-        return []
-    departure = make_member_change(replica.own_id, members[replica.own_id].address, "remove")
-    if voters % 2 == 0:
-        return [departure]
-    spares = [key for key, it in members.items() if not it.voter and has_durable_log(key)]
-    if not spares:
-        return []
-    spare = min(spares)
-    return [make_member_change(spare, members[spare].address, "promote"), departure]
+    if replica.is_voter and (voters <= MIN_VOTERS or voters % 2):
+        return None
+    return make_member_change(replica.own_id, members[replica.own_id].address, "remove")
 
 
 def propose_if_safe(replica: ReplicaState, replica_id: str, action: str) -> ChangeMember | None:
@@ -192,24 +187,23 @@
         return _promote_one(group, spares)
     if silent:
         return _propose(group, silent[0], "remove")
-    return _remove_one(group, silent) if voters > seats else None
+    return _remove_one(group, silent) if voters > seats or not spares else None
 
 
 def _promote_one(group: OpenGroup, spares: list[str]) -> ChangeMember | None:
-    """Promote the spare whose zone has the fewest voters; among equals, the one started last."""
+    """Promote the spare whose zone has the fewest voters, the last to join among equals."""
     if not spares:
         return None
     seats = _count_by_zone(group)
-    linked = group.linked
-    best = min(spares, key=lambda key: (seats[linked[key].zone], -linked[key].started_ms, key))
+    best = min(spares, key=lambda key: (seats[group.linked[key].zone], -_rank(group, key), key))
     return _propose(group, best, "promote")
 
 
 def _remove_one(group: OpenGroup, silent: list[str]) -> ChangeMember | None:
     """Remove a voter that the group doesn't need.
 
-    It is the one that is silent for longest or else, in the zone with the most voters, the one
-    whose process started first.
+    It is the one that is silent for longest or else, in the zone with the most voters, the one that
+    joined first.
     """
     if silent:
         return _propose(group, silent[0], "remove")
@@ -221,8 +215,7 @@
         voters,
         key=lambda key: (
             -seats[group.linked[key].zone],
-            group.linked[key].started_ms,
-            key == group.replica.own_id,
+            _rank(group, key),
             key,
         ),
     )
@@ -232,14 +225,21 @@
 def _takes_a_seat(group: OpenGroup, spare: str) -> bool:
     """Return whether a spare takes the seat of a voter that is well.
 
-    A newcomer does so in its own zone, once each voter has answered a round sent since it joined.
-    Any spare does so if that spreads the seats more evenly over the zones.
+    It does so where a voter of its zone joined before it, once each voter has answered a round sent
+    since the spare did, and also if that spreads the seats more evenly over the zones.
     """
     zone = group.linked[spare].zone
     seats = _count_by_zone(group)
     if seats[zone] + 2 <= max(seats.values(), default=0):
         return True
-    return bool(seats[zone]) and spare not in group.removed and _is_settled(group, spare)
+    neighbours = [key for key in _list_linked_voters(group) if group.linked[key].zone == zone]
+    is_successor = any(_rank(group, key) < _rank(group, spare) for key in neighbours)
+    return is_successor and _is_settled(group, spare)
+
+
+def _rank(group: OpenGroup, replica_id: str) -> int:
+    """Return the position of a replica in the order of joining, -1 if it isn't known."""
+    return group.joined.index(replica_id) if replica_id in group.joined else -1
 
 
 def _is_settled(group: OpenGroup, spare: str) -> bool:
@@ -269,12 +269,17 @@
         and key in group.linked
         and has_durable_log(key)
         and is_caught_up(group.replica, key)
+        and is_live(group.replica, key)
     ]
 
 
 def _count_by_zone(group: OpenGroup) -> Counter[str]:
     """Return the number of linked voters by zone."""
-    return Counter(group.linked[key].zone for key in _list_voters(group) if key in group.linked)
+    return Counter(group.linked[key].zone for key in _list_linked_voters(group))
+
+
+def _list_linked_voters(group: OpenGroup) -> list[str]:
+    return [key for key in _list_voters(group) if key in group.linked]
 
 
 def _propose(group: OpenGroup, replica_id: str, action: str) -> ChangeMember | None:
