--- a/review/rig/rig.py
+++ b/review/rig/rig.py
@@ -64,8 +64,9 @@
     def write(self, text):
         """Write one line and return its time in ms."""
         now_ms = self.now_ms()
-        self._file.write(f"{now_ms:9.1f} {text}\n")
-        self._file.flush()
+        if not self._file.closed:
+            self._file.write(f"{now_ms:9.1f} {text}\n")
+            self._file.flush()
         return now_ms
 
     def close(self):
