--- a/review/rig/rig.py
+++ b/review/rig/rig.py
@@ -299,10 +299,10 @@
 class Deployment:
     """Machines with the programs, and a runner beside each agent."""
 
-    def __init__(self, record, fronts=3, sides=3, timeout_ms=1_500):
+    def __init__(self, record, fronts=3, sides=3, timeout_ms=1_500, losses=1):
         self.record = record
         self.folder = Path(tempfile.mkdtemp(prefix="rig-"))
-        self.block = _find_free_block(fronts, sides)
+        self.block = _find_free_block(fronts + 1, sides)
         self.processes = {}
         self.fronts = [f"{self.block}.{10 + number}" for number in range(fronts)]
         self.sides = [f"{self.block}.{60 + number}" for number in range(sides)]
@@ -314,6 +314,8 @@
             self.runners.append(Runner(record, f"r{number + 1}", ip, zone, agent, rate))
         self.version = 0
         self.timeout_ms = timeout_ms
+        self.losses = losses
+        self.zones = {}
         self.bootstrap = True
 
     def entry(self, number):
@@ -349,6 +351,19 @@
         self.processes[role, number] = _spawn(role, log, deps, path, variables)
         log.close()
 
+    def add_front(self, zone):
+        """Start an empty machine with control and an entry at a new address; return its number."""
+        number = len(self.fronts)
+        self.fronts.append(f"{self.block}.{10 + number}")
+        self.zones["front", number] = zone
+        self.launch("control", number)
+        self.launch("entry", number)
+        return number
+
+    def wipe(self, number):
+        """Remove what a control replica has on its disk."""
+        shutil.rmtree(self.folder / f"disk-{number}", ignore_errors=True)
+
     def kill(self, role, number):
         """Kill a program."""
         self.processes[role, number].kill()
@@ -451,7 +466,7 @@
         ip = self.sides[number] if role == "agent" else self.fronts[number]
         kind = "side" if role == "agent" else "front"
         seeds = ",".join(f'"{front}:{CONTROL_PORT}"' for front in self.fronts[:3])
-        zone = ZONES[number % len(ZONES)]
+        zone = self.zones.get((kind, number), ZONES[number % len(ZONES)])
         lines = [
             f'node = "{kind}-{zone}-{number + 1}"',
             f'role = "{role}"',
@@ -478,7 +493,7 @@
             lines += [f'front = "{ip}:{FRONT_PORT}"', f'ready = "{ip}:{READY_PORT}"']
         else:
             lines.append(f'control = "{ip}:{CONTROL_PORT}"')
-        lines += ["[faultTolerance]", "machines = 1", "zones = 1", "regions = 0"]
+        lines += ["[faultTolerance]", f"machines = {self.losses}", "zones = 1", "regions = 0"]
         path = self.folder / f"{role}-{number}.toml"
         path.write_text("\n".join(lines) + "\n" + BOUNDS, encoding="utf-8")
         return path
@@ -522,7 +537,7 @@
     return f"{random.getrandbits(64):016x}"
 
 
-def run_case(folder, play, sides=3, limit_s=110.0, timeout_ms=1_500):
+def run_case(folder, play, limit_s=110.0, **options):
     """Play a case and exit: 1 if the rule was broken, 0 if it held, 2 if it couldn't run.
 
     ``play(deployment, record, trouble)`` returns what broke the rule, one text each; it raises
@@ -531,15 +546,15 @@
     record = Record(Path(folder) / "record.txt")
     trouble = os.environ.get("TROUBLE", "1") != "0"
     record.write(f"begin   with the disruption: {trouble}")
-    raise SystemExit(asyncio.run(_run(record, play, sides, limit_s, timeout_ms, trouble)))
+    raise SystemExit(asyncio.run(_run(record, play, limit_s, options, trouble)))
 
 
 class CannotRunError(Exception):
     """The case could not be played, so it says nothing about the rule."""
 
 
-async def _run(record, play, sides, limit_s, timeout_ms, trouble):
-    deployment = Deployment(record, sides=sides, timeout_ms=timeout_ms)
+async def _run(record, play, limit_s, options, trouble):
+    deployment = Deployment(record, **options)
     code = 2
     try:
         async with asyncio.timeout(limit_s):
