--- a/review/rig/rig.py
+++ b/review/rig/rig.py
@@ -296,13 +296,80 @@
         self.changed.set()
 
 
+class LinkProxy:
+    """Forwards the links to one control machine, and cuts those of dispatchers and agents off.
+
+    The first bytes of a link name the role of the process that opened it. While the proxy is cut,
+    nothing passes on these links, in either direction and without a reset.
+    """
+
+    ROLES = (b"dispatcher", b"runner")
+
+    def __init__(self, host, target):
+        self.host, self.target = host, target
+        self.is_cut = False
+        self._server = None
+        self._writers = set()
+
+    async def start(self):
+        """Listen."""
+        self._server = await asyncio.start_server(self._forward, self.host, LINK_PORT)
+
+    def stop(self):
+        """Stop listening and close what is open; new connections are refused from then on."""
+        self._server.close()
+        for writer in list(self._writers):
+            writer.transport.abort()
+
+    async def _forward(self, reader, writer):
+        far_writer = None
+        self._writers.add(writer)
+        try:
+            data = await reader.read(65_536)
+            is_outside = any(role in data for role in self.ROLES)
+            if not data or await self._hold(is_outside):
+                return
+            far_reader, far_writer = await asyncio.open_connection(self.target, LINK_PORT)
+            self._writers.add(far_writer)
+            far_writer.write(data)
+            passing = {
+                asyncio.ensure_future(self._pass(reader, far_writer, is_outside)),
+                asyncio.ensure_future(self._pass(far_reader, writer, is_outside)),
+            }
+            _, rest = await asyncio.wait(passing, return_when=asyncio.FIRST_COMPLETED)
+            for task in rest:
+                task.cancel()
+            await asyncio.gather(*passing, return_exceptions=True)
+        except (OSError, asyncio.CancelledError):
+            pass
+        finally:
+            for it in (writer, far_writer):
+                if it is not None:
+                    self._writers.discard(it)
+                    it.transport.abort()
+
+    async def _pass(self, reader, writer, is_outside):
+        while data := await reader.read(65_536):
+            if await self._hold(is_outside):
+                return
+            writer.write(data)
+            await writer.drain()
+
+    async def _hold(self, is_outside):
+        """Wait while the proxy is cut for this link; return whether it was."""
+        was_cut = is_outside and self.is_cut
+        while is_outside and self.is_cut:
+            await asyncio.sleep(0.05)
+        return was_cut
+
+
 class Deployment:
     """Machines with the programs, and a runner beside each agent."""
 
     def __init__(self, record, fronts=3, sides=3, timeout_ms=1_500, losses=1):
         self.record = record
         self.folder = Path(tempfile.mkdtemp(prefix="rig-"))
-        self.block = _find_free_block(fronts + 1, sides)
+        self.block = _find_free_block(fronts + 4, sides)
         self.processes = {}
         self.fronts = [f"{self.block}.{10 + number}" for number in range(fronts)]
         self.sides = [f"{self.block}.{60 + number}" for number in range(sides)]
@@ -316,6 +383,9 @@
         self.timeout_ms = timeout_ms
         self.losses = losses
         self.zones = {}
+        self.seeds = [0, 1, 2][:fronts]
+        self.proxies = {}
+        self.regions = dict.fromkeys(ZONES, "nordeste")
         self.bootstrap = True
 
     def entry(self, number):
@@ -326,6 +396,23 @@
         """Return the address for operators of a front machine."""
         return f"{self.fronts[number]}:{CONTROL_PORT}"
 
+    def reached_at(self, number):
+        """Return the IP at which others reach the control replica of a front machine."""
+        proxy = self.proxies.get(number)
+        return self.fronts[number] if proxy is None else proxy.host
+
+    async def start_proxy(self, number):
+        """Put a proxy before the links of a control replica that doesn't run yet."""
+        host = f"{self.block}.{110 + number}"
+        self.proxies[number] = LinkProxy(host, self.fronts[number])
+        await self.proxies[number].start()
+
+    def renew_seeds(self, numbers):
+        """Name other core machines as seeds in the settings of all programs."""
+        self.seeds = list(numbers)
+        for role, number in self.processes:
+            self._write_settings(role, number)
+
     async def start(self):
         """Start runners and programs, put a desired state and wait until every entry is ready."""
         for runner in self.runners:
@@ -382,6 +469,8 @@
             process.wait()
         for runner in self.runners:
             await runner.stop()
+        for proxy in self.proxies.values():
+            proxy.stop()
         keep = os.environ.get("KEEP_LOGS")
         if keep:
             shutil.copytree(self.folder, keep, dirs_exist_ok=True)
@@ -436,12 +525,12 @@
         state = {"version": self.version, "routes": routes, "services": [service], "limits": limits}
         return await self.order("PUT", "/apricotrail/config", state, limit_s)
 
-    async def submit(self, number, job, steps, spec, budget_ms, opened=None):
+    async def submit(self, number, job, steps, spec, budget_ms, opened=None, prefix="/lohu930/"):
         """Send a job that needn't be kept to an entry; return status and body, or None."""
         body = {"spec": spec, "steps": steps, "preemptible": True}
-        self.record.write(f"send    POST {job} to entry {number + 1}: {json.dumps(steps)}")
+        self.record.write(f"send    POST {prefix}{job} to entry {number + 1}: {json.dumps(steps)}")
         headers = (("Apricotrail-Deadline-Ms", str(budget_ms)),)
-        path = f"/lohu930/{job}"
+        path = f"{prefix}{job}"
         address = self.entry(number)
         answer = await call(address, "POST", path, body, headers, HOST, budget_ms / 1000, opened)
         shown = "none" if answer is None else f"{answer[0]} {answer[1].decode()[:160]}"
@@ -465,7 +554,7 @@
     def _write_settings(self, role, number):
         ip = self.sides[number] if role == "agent" else self.fronts[number]
         kind = "side" if role == "agent" else "front"
-        seeds = ",".join(f'"{front}:{CONTROL_PORT}"' for front in self.fronts[:3])
+        seeds = ",".join(f'"{self.reached_at(seed)}:{CONTROL_PORT}"' for seed in self.seeds)
         zone = self.zones.get((kind, number), ZONES[number % len(ZONES)])
         lines = [
             f'node = "{kind}-{zone}-{number + 1}"',
@@ -473,7 +562,7 @@
             f'machineClass = "{kind}"',
             f'ip = "{ip}"',
             f'zone = "{zone}"',
-            'region = "nordeste"',
+            f'region = "{self.regions[zone]}"',
             f"portRange = [{LINK_PORT},{LINK_PORT + 15}]",
             f"seeds = [{seeds}]",
             f"bootstrap = {str(self.bootstrap).lower()}",
@@ -488,14 +577,21 @@
             lines.append(f'dataDir = "{self.folder}/disk-{number}"')
         if role == "agent":
             lines.append(f'app = "{self.runners[number].address}"')
-        lines += ["[zones]", *(f'{name} = "nordeste"' for name in ZONES), "[bindAddrs]"]
+        regions = (f'{name} = "{region}"' for name, region in self.regions.items())
+        lines += ["[zones]", *regions, "[bindAddrs]"]
         if role == "entry":
             lines += [f'front = "{ip}:{FRONT_PORT}"', f'ready = "{ip}:{READY_PORT}"']
         else:
             lines.append(f'control = "{ip}:{CONTROL_PORT}"')
         lines += ["[faultTolerance]", f"machines = {self.losses}", "zones = 1", "regions = 0"]
+        if role == "control" and number in self.proxies:
+            link = f"{self.reached_at(number)}:{LINK_PORT}"
+            lines += ["[apricotrail.link]", f'advertise = "{link}"']
+            lines += ["[apricotrail.control]", f'name = "{link}"']
         path = self.folder / f"{role}-{number}.toml"
-        path.write_text("\n".join(lines) + "\n" + BOUNDS, encoding="utf-8")
+        partial = path.with_suffix(".new")
+        partial.write_text("\n".join(lines) + "\n" + BOUNDS, encoding="utf-8")
+        partial.replace(path)
         return path
 
 
@@ -514,6 +610,7 @@
     for _ in range(200):
         block = f"127.{random.randint(2, 250)}.{random.randint(1, 250)}"
         addresses = [f"{block}.{10 + number}" for number in range(fronts)]
+        addresses += [f"{block}.{110 + number}" for number in range(fronts)]
         addresses += [f"{block}.{60 + number}" for number in range(sides)]
         ports = (FRONT_PORT, READY_PORT, CONTROL_PORT, LINK_PORT, LINK_PORT + 1, RUNNER_PORT)
         ports += (9401, 9402, 9403)
@@ -537,28 +634,28 @@
     return f"{random.getrandbits(64):016x}"
 
 
-def run_case(folder, play, limit_s=110.0, **options):
+def run_case(folder, play, limit_s=110.0, is_started=True, **options):
     """Play a case and exit: 1 if the rule was broken, 0 if it held, 2 if it couldn't run.
 
     ``play(deployment, record, trouble)`` returns what broke the rule, one text each; it raises
-    `CannotRunError` if nothing can be said.
+    `CannotRunError` if nothing can be said. The deployment has been started, if `is_started`.
     """
     record = Record(Path(folder) / "record.txt")
     trouble = os.environ.get("TROUBLE", "1") != "0"
     record.write(f"begin   with the disruption: {trouble}")
-    raise SystemExit(asyncio.run(_run(record, play, limit_s, options, trouble)))
+    raise SystemExit(asyncio.run(_run(record, play, limit_s, is_started, options, trouble)))
 
 
 class CannotRunError(Exception):
     """The case could not be played, so it says nothing about the rule."""
 
 
-async def _run(record, play, limit_s, options, trouble):
+async def _run(record, play, limit_s, is_started, options, trouble):
     deployment = Deployment(record, **options)
     code = 2
     try:
         async with asyncio.timeout(limit_s):
-            if not await deployment.start():
+            if is_started and not await deployment.start():
                 raise CannotRunError("the deployment did not become ready")
             broken = await play(deployment, record, trouble)
             for text in broken:
