--- a/review/rig/rig.py
+++ b/review/rig/rig.py
@@ -159,8 +159,10 @@
     async def stop(self):
         """Stop listening and announcing."""
         for task in (self._announcing, self._watching):
-            task.cancel()
-        self._server.close()
+            if task is not None:
+                task.cancel()
+        if self._server is not None:
+            self._server.close()
         for writer in list(self._writers):
             writer.close()
         for _, timer, _, _ in self.running.values():
@@ -371,6 +373,7 @@
         self.folder = Path(tempfile.mkdtemp(prefix="rig-"))
         self.block = _find_free_block(fronts + 4, sides)
         self.processes = {}
+        self.ended_by_script = set()
         self.fronts = [f"{self.block}.{10 + number}" for number in range(fronts)]
         self.sides = [f"{self.block}.{60 + number}" for number in range(sides)]
         self.runners = []
@@ -436,6 +439,7 @@
             name: os.environ[name] for name in ("PATH", "HOME", "LANG") if name in os.environ
         }
         self.processes[role, number] = _spawn(role, log, deps, path, variables)
+        self.ended_by_script.discard((role, number))
         log.close()
 
     def add_front(self, zone):
@@ -453,13 +457,23 @@
 
     def kill(self, role, number):
         """Kill a program."""
+        self.ended_by_script.add((role, number))
         self.processes[role, number].kill()
         self.processes[role, number].wait()
 
     def signal(self, role, number, what):
         """Send a signal to a program."""
+        self.ended_by_script.add((role, number))
         self.processes[role, number].send_signal(what)
 
+    def list_ended(self):
+        """Return the programs that have ended though this script didn't end them."""
+        return [
+            key
+            for key, process in self.processes.items()
+            if process.poll() is not None and key not in self.ended_by_script
+        ]
+
     async def stop(self):
         """End all that was started."""
         for process in self.processes.values():
@@ -651,20 +665,27 @@
 
 
 async def _run(record, play, limit_s, is_started, options, trouble):
-    deployment = Deployment(record, **options)
-    code = 2
+    loop, task = asyncio.get_running_loop(), asyncio.current_task()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, task.cancel)
+    code, deployment = 2, None
     try:
         async with asyncio.timeout(limit_s):
+            deployment = Deployment(record, **options)
             if is_started and not await deployment.start():
                 raise CannotRunError("the deployment did not become ready")
             broken = await play(deployment, record, trouble)
+            if ended := deployment.list_ended():
+                raise CannotRunError(f"programs ended by themselves: {ended}")
             for text in broken:
                 record.write(f"BROKEN  {text}")
             code = 1 if broken else 0
-    except (CannotRunError, TimeoutError) as error:
+    except (Exception, asyncio.CancelledError) as error:
+        # Whatever goes wrong in a stand-in says nothing about the rule.
         record.write(f"can't run: {error!r}")
     finally:
-        await deployment.stop()
+        if deployment is not None:
+            await deployment.stop()
         record.write(f"end     exit code {code}")
         record.close()
     print({0: "held", 1: "broken", 2: "could not run"}[code])
