--- a/apricotrail/cli/_role.py
+++ b/apricotrail/cli/_role.py
@@ -1,13 +1,15 @@
 """Runs one role until it is told to stop.
 
 The first SIGTERM or SIGINT begins the planned stop: the application's stop hooks finish what is
-under way. A second signal, or the stop deadline, ends the wait.
+under way. Further signals change nothing, since rolling restarts may overlap; only the stop
+deadline ends the wait. A signal that comes while the role starts begins the stop after the start.
 """
 
 import asyncio
 import signal
 import sys
-from collections.abc import Callable
+from collections.abc import Callable, Iterator
+from contextlib import contextmanager
 from importlib import import_module
 from pathlib import Path
 
@@ -20,7 +22,7 @@
 from apricotrail.logs import configure_logs
 from apricotrail.settings import Settings, load_settings
 
-__all__ = ["run_agent", "run_control", "run_entry", "run_role", "serve"]
+__all__ = ["catch_stop_signals", "run_agent", "run_control", "run_entry", "run_role", "serve"]
 
 ROLE_STARTED = declare_event(7001, "role_started", Level.INFO, "The role is up.")
 ROLE_STOPPING = declare_event(
@@ -31,7 +33,7 @@
     7004,
     "stop_cut_short",
     Level.ERROR,
-    "A second signal or the stop deadline ended the planned stop; work may be unfinished.",
+    "The stop deadline (process.stop_ms) ended the planned stop; work may be unfinished.",
 )
 ROLE_FAILED = declare_event(
     7005, "role_failed", Level.ERROR, "The role could not start; the problem names the remedy."
@@ -97,22 +99,44 @@
 async def _start_and_serve(
     role: str, make: Callable[[Settings], Application], settings: Settings
 ) -> ExitCode:
+    with catch_stop_signals() as stop_requested:
+        try:
+            application = make(settings)
+            await application.start()
+        except ApricotrailError as error:
+            emit(ROLE_FAILED, role=role, problem=str(error.problem))
+            return ExitCode.REFUSED
+        except OSError as error:
+            remedy = "Check the addresses and folders in the settings."
+            problem = Problem(ErrorKind.SETTINGS, f"{error}.", remedy)
+            emit(ROLE_FAILED, role=role, problem=str(problem))
+            return ExitCode.REFUSED
+        emit(ROLE_STARTED, role=role)
+        return await serve(application, settings.get(STOP_MS), stop_requested)
+
+
+@contextmanager
+def catch_stop_signals() -> Iterator["asyncio.Future[signal.Signals]"]:
+    """Handle SIGTERM and SIGINT in the running loop; the future receives the first of them."""
+    loop = asyncio.get_running_loop()
+    stop_requested: asyncio.Future[signal.Signals] = loop.create_future()
+
+    def request_stop(number: signal.Signals) -> None:
+        if not stop_requested.done():
+            stop_requested.set_result(number)
+
+    for number in _SIGNALS:
+        loop.add_signal_handler(number, request_stop, number)
     try:
-        application = make(settings)
-        await application.start()
-    except ApricotrailError as error:
-        emit(ROLE_FAILED, role=role, problem=str(error.problem))
-        return ExitCode.REFUSED
-    except OSError as error:
-        remedy = "Check the addresses and folders in the settings."
-        problem = Problem(ErrorKind.SETTINGS, f"{error}.", remedy)
-        emit(ROLE_FAILED, role=role, problem=str(problem))
-        return ExitCode.REFUSED
-    emit(ROLE_STARTED, role=role)
-    return await serve(application, settings.get(STOP_MS))
+        yield stop_requested
+    finally:
+        for number in _SIGNALS:
+            loop.remove_signal_handler(number)
 
 
-async def serve(application: Application, stop_ms: float) -> ExitCode:
+async def serve(
+    application: Application, stop_ms: float, stop_requested: "asyncio.Future[signal.Signals]"
+) -> ExitCode:
     """Wait for a signal, then stop `application`.
 
     Parameters
@@ -121,43 +145,21 @@
         A started application.
     stop_ms : float
         Longest time for the planned stop in milliseconds.
+    stop_requested : asyncio.Future
+        As given by `catch_stop_signals`.
 
     Returns
     -------
     ExitCode
-        ``DONE`` after a whole stop, ``REFUSED`` if it was cut short.
+        ``DONE`` after a whole stop, ``REFUSED`` if the deadline cut it short.
     """
-    loop = asyncio.get_running_loop()
-    signals: asyncio.Queue[int] = asyncio.Queue()
-    for number in _SIGNALS:
-        loop.add_signal_handler(number, signals.put_nowait, number)
-    try:
-        number = await signals.get()
-        emit(ROLE_STOPPING, application=application.name, signal=signal.Signals(number).name)
-        return await _stop(application, signals, stop_ms)
-    finally:
-        for number in _SIGNALS:
-            loop.remove_signal_handler(number)
-
-
-async def _stop(
-    application: Application, signals: "asyncio.Queue[int]", stop_ms: float
-) -> ExitCode:
-    stopping = asyncio.ensure_future(application.stop())
-    second_signal = asyncio.ensure_future(signals.get())
+    number = await stop_requested
+    emit(ROLE_STOPPING, application=application.name, signal=number.name)
     try:
-        await asyncio.wait(
-            {stopping, second_signal},
-            timeout=stop_ms / 1000,
-            return_when=asyncio.FIRST_COMPLETED,
-        )
-        if stopping.done():
-            stopping.result()
-            emit(ROLE_STOPPED, application=application.name)
-            return ExitCode.DONE
-        emit(STOP_CUT_SHORT, application=application.name, by_signal=second_signal.done())
+        async with asyncio.timeout(stop_ms / 1000):
+            await application.stop()
+    except TimeoutError:
+        emit(STOP_CUT_SHORT, application=application.name, stop_ms=stop_ms)
         return ExitCode.REFUSED
-    finally:
-        for task in (stopping, second_signal):
-            task.cancel()
-        await asyncio.gather(stopping, second_signal, return_exceptions=True)
+    emit(ROLE_STOPPED, application=application.name)
+    return ExitCode.DONE
