Split the run gate into modules by subject

Change: the state stands in _gate_state; starts, stops, claims, listings, boots, capacity, leases, owners, outcomes and timers are modules of functions that get it; RunGate keeps its interface and calls them. No behaviour changes: the code was moved, `self` became `gate`, and the only method that merely called another one was dropped.

Ruled out: a class for each subject, as a run that ends starts queued ones, so that the classes would need each other.

--- /dev/null
+++ b/apricotrail/runners/_claims.py
@@ -0,0 +1,78 @@
+"""Claims of owners on the runs at this agent, and new processes of owners."""
+
+from apricotrail.events import Level, declare_event, emit
+from apricotrail.runners._gate_state import GateState
+from apricotrail.runners._owners import record_owner_alive
+from apricotrail.runners._runs import Owner, Run, RunPhase
+from apricotrail.runners._stops import stop_owned, stop_run
+from apricotrail.wire.generated.ttypes import RunReason, RunStart
+
+__all__ = ["receive_claim", "replace_owner", "stop_unseen_claims"]
+
+RUNS_ADOPTED = declare_event(
+    11008,
+    "runs_adopted",
+    Level.INFO,
+    "A dispatcher claimed the runs it believes to be here; mismatches are stopped.",
+)
+
+
+def replace_owner(gate: GateState, owner: Owner, alive_ms: float | None = None) -> None:
+    """Record that an owner's process is linked and stop the runs of its former incarnations."""
+    record_owner_alive(gate, owner, gate._clock() if alive_ms is None else alive_ms)
+    former = {run.owner for run in gate._runs.values() if run.owner is not None}
+    for other in former:
+        if other.name == owner.name and other != owner:
+            stop_owned(gate, other, RunReason.OWNER_SILENT)
+            gate._owner_alive_ms.pop(other, None)
+    for other in gate._unconfirmed.list_owners():
+        if other is not None and other.name == owner.name and other != owner:
+            # The jobs were lost with the former process, so nothing starts their tasks again.
+            gate._unconfirmed.match_claim(other, ())
+
+
+def receive_claim(
+    gate: GateState, owner: Owner, starts: list[RunStart], alive_ms: float | None = None
+) -> None:
+    """Reconcile the runs that an owner believes to be here with those that are."""
+    record_owner_alive(gate, owner, gate._clock() if alive_ms is None else alive_ms)
+    claimed = {(start.task, start.run): start for start in starts}
+    gate._unconfirmed.match_claim(owner, claimed)
+    for run in list(gate._runs.values()):
+        if run.owner is None and run.key in claimed:
+            run.owner, run.start, run.has_known_size = owner, claimed[run.key], True
+        elif run.owner == owner and run.key not in claimed:
+            stop_run(gate, run, RunReason.UNKNOWN_RUN)
+    if claimed:
+        emit(RUNS_ADOPTED, owner=owner.name, claimed=len(claimed), present=len(gate._runs))
+    for key in claimed:
+        ended = gate._records.find_outcome(key)
+        if ended is not None:
+            gate._report(owner, ended)
+        elif key not in gate._runs:
+            _track_unseen_claim(gate, owner, claimed[key])
+
+
+def _track_unseen_claim(gate: GateState, owner: Owner, start: RunStart) -> None:
+    """Track a claimed run that this agent does not know; a former agent may have ordered it.
+
+    The run is stopped to make its state certain, but not before the first listing shows whether
+    it is running. A run missing from the listing may have run: the former agent may have
+    acknowledged its end.
+    """
+    run = Run(start, owner, gate._clock())
+    run.phase = RunPhase.STARTING
+    run.may_have_run = True
+    gate._runs[run.key] = run
+    if gate._has_listing:
+        stop_run(gate, run, RunReason.UNKNOWN_RUN)
+    else:
+        gate._unseen_claims.append(run)
+
+
+def stop_unseen_claims(gate: GateState) -> None:
+    """Stop the claimed runs that are missing from the first listing."""
+    unseen, gate._unseen_claims = gate._unseen_claims, []
+    for run in unseen:
+        if run.phase is RunPhase.STARTING and gate._runs.get(run.key) is run:
+            stop_run(gate, run, RunReason.UNKNOWN_RUN)
