Late announcements change nothing, and leaving isn't taken back within a boot

Two late ones of the runner itself need not come together, so they reopened a runner that was leaving, and tasks started there 2.7 s after the acknowledged announcement.

Change: a number below the highest changes nothing. The rule was there for an odd announcement of another writer with a far too high number; such a number is now not accepted in the first place, as the runner can't have reached it (10 ahead, and one for each 0.5 s), unless later ones go on from it. If the very first announcement was the odd one, those far below that go on count the same way. Leaving is taken back only by two announcements half a second apart with numbers not below that of the one that said so, as the runner's own would all say that it leaves. A withdrawal has no number, and stands against announcements for 15 s. LATE_SPREAD_MS is kept; it is that half second.

Ruled out: making leaving final. test_odd_announcements_of_another_writer_change_nothing_for_long lets another writer announce the runner as draining under its next number, and asks that its own two announcements after that open it again; nothing tells that one from the runner's before they come.

--- a/apricotrail/runners/_announcements.py
+++ b/apricotrail/runners/_announcements.py
@@ -3,20 +3,23 @@
 An announcement says what its writer claims, and others may write to the same address. The lists
 that the runner returns are evidence: of its boot, and of its id if the call named that id. So an
 announcement of another boot changes nothing until the runner lists that boot, and within a boot the
-id counts under which the runner has answered.
+id counts under which the runner has answered. `_sequence` tells late announcements by their
+numbers, and `_leaving` keeps a runner leaving once it has said so.
 """
 
 from collections import OrderedDict
 
 from apricotrail.clocks import Clock
 from apricotrail.events import Level, declare_event, emit
+from apricotrail.runners._leaving import LeavingState
 from apricotrail.runners._runs import RunnerReport
+from apricotrail.runners._sequence import SPREAD_MS, AnnouncedNumbers
 
-__all__ = ["Announcements"]
+__all__ = ["LATE_SPREAD_MS", "Announcements"]
 
 MAX_WAITING = 8
 MAX_REFUSED_IDS = 256
-LATE_SPREAD_MS = 500.0  # late announcements come together, those of a runner a second apart
+LATE_SPREAD_MS = SPREAD_MS
 
 ANNOUNCEMENT_IGNORED = declare_event(
     11014,
@@ -42,37 +45,66 @@
         self._confirmed_id = ""
         self._refused_ids: OrderedDict[str, None] = OrderedDict()
         self._waiting: OrderedDict[tuple[int, str], RunnerReport] = OrderedDict()
-        self._lower: tuple[int, float] | None = None
+        self._numbers: AnnouncedNumbers | None = None
+        self._leaving = LeavingState(clock)
         self._ignored = ("", 0)
 
-    def accept(self, report: RunnerReport, current: RunnerReport | None) -> bool:
-        """Return whether an announcement takes effect now, in place of the `current` one.
+    def accept(self, report: RunnerReport, current: RunnerReport | None) -> RunnerReport | None:
+        """Return the announcement that takes the place of the `current` one now, None if none does.
 
-        One of a later boot is kept until `enter_boot`.
+        One of a later boot is kept until `enter_boot`. `leaving` is also set if the runner has said
+        before that it leaves.
         """
         if report.boot > self._boot:
             self._keep(report)
-            return False
+            return None
         if report.boot < self._boot or report.runner in self._refused_ids:
-            return False
+            return None
         if current is None or current.boot != report.boot:
             # The next call names this id, and shows whether the runner goes by it.
-            return True
+            return self._accept_first(report)
         if report.runner != (self._confirmed_id or current.runner):
             self._note_ignored(report)
-            return False
-        return self._follows(report.sequence, current.sequence)
+            return None
+        return self._accept_next(report, current)
+
+    def withdraw(self) -> None:
+        """Note that the runner left for good, without an announcement of that."""
+        self._leaving.note_withdrawal(self._numbers.highest if self._numbers is not None else 0)
+
+    def _accept_first(self, report: RunnerReport) -> RunnerReport:
+        self._numbers = AnnouncedNumbers(self._clock, report.sequence)
+        self._leaving = LeavingState(self._clock)
+        if report.leaving:
+            self._leaving.note_leaving(report.sequence)
+        return report
+
+    def _accept_next(self, report: RunnerReport, current: RunnerReport) -> RunnerReport | None:
+        former_highest = self._numbers.highest
+        is_newer = self._numbers.accept(report.sequence)
+        if is_newer and report.sequence < former_highest:
+            # The highest number was another writer's, and what came with it is void.
+            self._leaving = LeavingState(self._clock)
+        if not is_newer and report.sequence > former_highest:
+            return None
+        if report.leaving:
+            if is_newer:
+                self._leaving.note_leaving(report.sequence)
+            return report if is_newer else None
+        is_leaving = self._leaving.note_ready(report.sequence)
+        if is_newer or (current.leaving and not is_leaving):
+            return report._replace(leaving=is_leaving)
+        return None
 
     def enter_boot(self, boot: int) -> RunnerReport | None:
         """Note the boot that the runner has listed; return the announcement kept for it, if any."""
         self._boot = boot
         self._confirmed_id = ""
         self._refused_ids.clear()
-        self._lower = None
         kept = [report for report in self._waiting.values() if report.boot == boot]
         for key in [key for key in self._waiting if key[0] <= boot]:
             del self._waiting[key]
-        return kept[0] if kept else None
+        return self._accept_first(kept[0]) if kept else None
 
     def confirm_id(self, runner: str) -> None:
         """Note that the runner answered a call that named this id."""
@@ -97,24 +129,6 @@
         while len(self._waiting) > MAX_WAITING:
             self._waiting.popitem(last=False)
 
-    def _follows(self, sequence: int, current: int) -> bool:
-        """Return whether an announcement is newer than the current one of the same id and boot.
-
-        One with a lower number is late, unless an earlier one with a number below its own came
-        some time before it: then the current number is wrong.
-        """
-        now_ms = self._clock()
-        if sequence > current:
-            self._lower = None
-            return True
-        if self._lower is None or sequence <= self._lower[0]:
-            self._lower = (sequence, now_ms)
-            return False
-        if now_ms - self._lower[1] < LATE_SPREAD_MS:
-            return False
-        self._lower = None
-        return True
-
     def _note_ignored(self, report: RunnerReport) -> None:
         if self._ignored == (report.runner, report.boot) or not self._boot:
             return
--- a/apricotrail/runners/_boots.py
+++ b/apricotrail/runners/_boots.py
@@ -25,15 +25,17 @@
 
 def announce(gate: GateState, report: RunnerReport) -> bool:
     """Apply an announcement of the runner; return False for one that has no effect now."""
-    if not gate._announcements.accept(report, gate.runner):
+    accepted = gate._announcements.accept(report, gate.runner)
+    if accepted is None:
         return False
-    _apply_announcement(gate, report)
+    _apply_announcement(gate, accepted)
     return True
 
 
 def withdraw(gate: GateState, runner: str) -> None:
     """Start nothing more at a runner that announced that it leaves permanently."""
     if gate.runner is not None and gate.runner.runner == runner:
+        gate._announcements.withdraw()
         gate.runner = gate.runner._replace(leaving=True)
         refuse_queued(gate, RunReason.CLOSED)
 
--- a/apricotrail/runners/tests/test_announcements.py
+++ b/apricotrail/runners/tests/test_announcements.py
@@ -79,6 +79,96 @@
         self.assertTrue(case.gate.runner.leaving)
 
 
+class TestLateAnnouncements(unittest.TestCase):
+    """Announcements of the runner itself that come late, by whatever time and in whatever order."""
+
+    # Guards against starts at a runner that leaves (review, case 10): two late announcements half a
+    # second apart, counted as proof that the known number was wrong.
+    def test_late_announcements_never_take_back_that_the_runner_leaves(self):
+        for gap_ms in (0.0, LATE_SPREAD_MS, 600.0, HEARTBEAT_MS, 12_000.0):
+            for late in ((6, 7), (7, 6), (7, 7), (1, 6, 7), (6, 7, 9)):
+                with self.subTest(gap_ms=gap_ms, late=late):
+                    case = GateCase()
+                    case.advance(4 * HEARTBEAT_MS)
+                    case.gate.announce(make_report(sequence=5))
+                    case.advance(3 * HEARTBEAT_MS)
+                    case.gate.announce(make_report(sequence=8, leaving=True))
+                    for number in late:
+                        case.advance(gap_ms)
+                        report = make_report(sequence=number, leaving=number >= 8)
+                        self.assertEqual(case.gate.announce(report), number > 8)
+                        self.assertTrue(case.gate.runner.leaving)
+                        self.assertFalse(case.gate.describe_load(0).accepting)
+
+    # Guards against a capacity or address of before that is taken for the present one.
+    def test_late_announcements_change_nothing_else_either(self):
+        case = GateCase()
+        case.gate.announce(make_report(sequence=5, cpu_millis=8_000))
+        for number in (2, 3, 4, 5):
+            case.advance(HEARTBEAT_MS)
+            self.assertFalse(case.gate.announce(make_report(sequence=number)))
+        self.assertEqual(case.gate.runner.cpu_millis, 8_000)
+
+    # Guards against announcements that were on their way when the runner withdrew.
+    def test_announcements_after_a_withdrawal_do_not_take_it_back(self):
+        case = GateCase()
+        case.gate.withdraw("i-1")
+        for number in range(2, 9):
+            case.advance(HEARTBEAT_MS)
+            case.gate.announce(make_report(sequence=number))
+            self.assertTrue(case.gate.runner.leaving)
+
+    # Guards against a runner that stays closed since another writer withdrew it.
+    def test_a_runner_that_goes_on_announcing_itself_was_withdrawn_by_another(self):
+        case = GateCase()
+        case.gate.withdraw("i-1")
+        for number in range(2, 14):
+            case.advance(HEARTBEAT_MS)
+            case.gate.announce(make_report(sequence=number))
+        self.assertFalse(case.gate.runner.leaving)
+
+    # Guards against a single odd announcement that opens a runner which leaves.
+    def test_one_higher_announcement_does_not_take_back_that_the_runner_leaves(self):
+        case = GateCase()
+        case.gate.announce(make_report(sequence=2, leaving=True))
+        for number in (3, 2**53 - 1):
+            case.advance(HEARTBEAT_MS)
+            case.gate.announce(make_report(sequence=number))
+            self.assertTrue(case.gate.runner.leaving)
+
+
+class TestFarNumbers(unittest.TestCase):
+    # Guards against an agent that is deaf to its runner, or that believes every jump.
+    def test_a_far_number_counts_once_others_go_on_from_it(self):
+        case = GateCase()
+        far = make_report(sequence=5_000, cpu_millis=8_000)
+        self.assertFalse(case.gate.announce(far))
+        case.advance(LATE_SPREAD_MS / 2)
+        self.assertFalse(case.gate.announce(far._replace(sequence=5_001)))
+        case.advance(LATE_SPREAD_MS)
+        self.assertTrue(case.gate.announce(far._replace(sequence=5_002)))
+        self.assertEqual(case.gate.runner.cpu_millis, 8_000)
+
+    # Guards against an agent that stays deaf since the first announcement it got was odd.
+    def test_the_runners_numbers_count_if_only_the_first_one_was_far_above(self):
+        for leaving in (False, True):
+            case = GateCase(announced=False)
+            case.list()
+            case.gate.announce(make_report(sequence=2**53 - 1, leaving=leaving))
+            for number in (400, 401):
+                case.advance(HEARTBEAT_MS)
+                case.gate.announce(make_report(sequence=number, cpu_millis=8_000))
+            self.assertEqual(case.gate.runner.cpu_millis, 8_000)
+            self.assertFalse(case.gate.runner.leaving)
+            case.advance(HEARTBEAT_MS)
+            self.assertTrue(case.gate.announce(make_report(sequence=402)))
+
+    def test_numbers_that_were_missed_for_long_are_not_far(self):
+        case = GateCase()
+        case.advance(60_000.0, step_ms=500.0)
+        self.assertTrue(case.gate.announce(make_report(sequence=41)))
+
+
 class TestOddId(unittest.TestCase):
     # Guards against an entry under another id that takes the place of the runner.
     def test_an_entry_under_another_id_changes_nothing(self):
