Durations in messages are bounded, and an earlier process of a dispatcher replaces nothing

Cause: LostRun.running_ms has 32 bits. A run that the agent found at its runner had no time of its order, so the field held the machine's uptime: on a machine up for 24.8 days the message couldn't be encoded, and the listing of the new boot was read only in part. Before that, the task counted as long at work. RunOutcome.run_ms and waited_ms had no bound either.

Change: wire.bound_i32 for what goes into 32-bit fields; the time of a found run counts from when it was found. Control's ages, RunnerLoad and the dispatcher's starts were bounded before.

Checked for late messages beside announcements: numbers of runs (only higher ones start), ends (only higher ones are read), versions of the configuration with the states of zones (older ones are ignored), fencing tokens (kept by the runner; agents only raise theirs), incarnations. Of these, the incarnation of an owner was compared for difference only, so a link of an earlier process, which had been paused, stopped the runs of the later one and made its ends final. It must be higher now. A target's announcement at an entry is valid for its lease of at most 120 s, which bounds a too high incarnation.

--- a/apricotrail/runners/_claims.py
+++ b/apricotrail/runners/_claims.py
@@ -22,15 +22,23 @@
     record_owner_alive(gate, owner, gate._clock() if alive_ms is None else alive_ms)
     former = {run.owner for run in gate._runs.values() if run.owner is not None}
     for other in former:
-        if other.name == owner.name and other != owner:
+        if _is_former(other, owner):
             stop_owned(gate, other, RunReason.OWNER_SILENT)
             gate._owner_alive_ms.pop(other, None)
     for other in gate._unconfirmed.list_owners():
-        if other is not None and other.name == owner.name and other != owner:
+        if other is not None and _is_former(other, owner):
             # The jobs were lost with the former process, so nothing starts their tasks again.
             gate._unconfirmed.match_claim(other, ())
 
 
+def _is_former(other: Owner, owner: Owner) -> bool:
+    """Return whether `owner` is a later process of the dispatcher `other`.
+
+    An earlier one that is linked late, after a pause, replaces nothing: the later one goes on.
+    """
+    return other.name == owner.name and other.incarnation < owner.incarnation
+
+
 def receive_claim(
     gate: GateState, owner: Owner, starts: list[RunStart], alive_ms: float | None = None
 ) -> None:
--- a/apricotrail/runners/_load.py
+++ b/apricotrail/runners/_load.py
@@ -5,13 +5,13 @@
 from apricotrail.runners._forecast import ExpectedEnd, Forecast, QueuedRun, predict_starts
 from apricotrail.runners._health import RunnerHealth
 from apricotrail.runners._runs import Run, RunnerReport, RunPhase
+from apricotrail.wire import bound_i32
 from apricotrail.wire.generated.ttypes import RunnerLoad
 
 __all__ = ["describe_load", "describe_unknown_runner", "sum_resources"]
 
 URGENT_MS = 250.0  # the dispatchers' admission separates urgent jobs by the same limit
 MIN_REMAINING_MS = 5.0
-MAX_I32 = 2**31 - 1
 
 
 def describe_unknown_runner(received: int, now_ms: float) -> RunnerLoad:
@@ -60,21 +60,21 @@
         runner.pool,
         runner.zone,
         list(runner.labels),
-        _bound(runner.cpu_millis),
-        _bound(runner.memory_mb),
-        _bound(runner.cpu_millis - committed_cpu_millis),
-        _bound(runner.memory_mb - committed_memory_mb),
-        _bound(committed_cpu_millis - used_cpu_millis),
+        bound_i32(runner.cpu_millis),
+        bound_i32(runner.memory_mb),
+        bound_i32(runner.cpu_millis - committed_cpu_millis),
+        bound_i32(runner.memory_mb - committed_memory_mb),
+        bound_i32(committed_cpu_millis - used_cpu_millis),
         accepting,
         health.allowed_trials(),
         health.slowness(),
         received,
         int(now_ms),
         len(queued),
-        _bound(forecast.next_start_ms),
-        _bound(forecast.urgent_start_ms),
-        _bound(forecast.spacing_ms),
-        _bound(_predict_idle_ms(running, queued, now_ms)),
+        bound_i32(forecast.next_start_ms),
+        bound_i32(forecast.urgent_start_ms),
+        bound_i32(forecast.spacing_ms),
+        bound_i32(_predict_idle_ms(running, queued, now_ms)),
         sum(bool(run.start.isolated) for run in runs),
     )
 
@@ -88,11 +88,6 @@
     return cpu_millis, memory_mb
 
 
-def _bound(value: float) -> int:
-    """Return `value` as an integer that the load message can carry."""
-    return int(max(-MAX_I32, min(value, MAX_I32)))
-
-
 def _predict(
     free_cpu_millis: int, running: list[Run], queued: list[Run], now_ms: float
 ) -> Forecast:
--- a/apricotrail/runners/_losses.py
+++ b/apricotrail/runners/_losses.py
@@ -10,6 +10,7 @@
 from apricotrail.clocks import Clock
 from apricotrail.events import Level, declare_event, emit
 from apricotrail.runners._runs import Run
+from apricotrail.wire import bound_i32
 from apricotrail.wire.generated.ttypes import LostRun, RunnerLost
 
 __all__ = ["RunnerLosses"]
@@ -96,7 +97,7 @@
         lost = RunnerLost(
             boot,
             [
-                LostRun(*run.key, max(0, round(lost_ms - run.ordered_ms)), len(present) == 1)
+                LostRun(*run.key, _find_running_ms(run, lost_ms), len(present) == 1)
                 for run in present
             ],
             is_down or refused_ms is not None,
@@ -116,7 +117,15 @@
         """Return the recent losses with their age, for a dispatcher that is linked now."""
         now_ms = self._clock()
         return [
-            RunnerLost(lost.boot, lost.runs, lost.is_down, round(now_ms - recorded_ms))
+            RunnerLost(lost.boot, lost.runs, lost.is_down, bound_i32(now_ms - recorded_ms))
             for recorded_ms, lost in self._recent
             if now_ms - recorded_ms < KEPT_MS
         ]
+
+
+def _find_running_ms(run: Run, lost_ms: float) -> int:
+    """Return the time from the order of a run until it was lost.
+
+    A run that the agent found at its runner was ordered by a former agent, before it was found.
+    """
+    return bound_i32(max(0.0, lost_ms - (run.ordered_ms or run.received_ms)))
--- a/apricotrail/runners/_outcomes.py
+++ b/apricotrail/runners/_outcomes.py
@@ -4,6 +4,7 @@
 from apricotrail.runners._gate_state import GateState
 from apricotrail.runners._health import HealthChange
 from apricotrail.runners._runs import Run
+from apricotrail.wire import bound_i32
 from apricotrail.wire.generated.ttypes import RunOutcome, RunReason, RunState
 
 __all__ = ["job_of", "log_health_change", "report_once", "report_refused"]
@@ -28,8 +29,10 @@
 def _make_outcome(gate: GateState, run: Run, state: int, reason: int, run_ms: float) -> RunOutcome:
     highest = gate._records.highest_run(run.start.task)
     ordered_ms = run.ordered_ms or gate._clock()
-    waited_ms = int(ordered_ms - run.received_ms)
-    return RunOutcome(run.start.task, run.start.run, state, reason, int(run_ms), highest, waited_ms)
+    waited_ms = bound_i32(ordered_ms - run.received_ms)
+    return RunOutcome(
+        run.start.task, run.start.run, state, reason, bound_i32(run_ms), highest, waited_ms
+    )
 
 
 def report_once(gate: GateState, run: Run, state: int, reason: int, run_ms: float) -> None:
--- a/apricotrail/runners/tests/test_gate.py
+++ b/apricotrail/runners/tests/test_gate.py
@@ -9,6 +9,7 @@
 
 START, STOP = OrderKind.START, OrderKind.STOP
 KEY = ("j.0.0.0", 1)
+DAY_MS = 86_400_000.0
 
 
 class TestCapacity(unittest.TestCase):
@@ -477,6 +478,61 @@
         self.assertEqual(case.gate.health.allowed_trials(), -1)
 
 
+class TestLateProcesses(unittest.TestCase):
+    # Guards against an earlier process of a dispatcher that wakes: its link stopped the runs, and
+    # made the ends final, of the process that has taken its place.
+    def test_an_earlier_process_that_is_linked_late_replaces_nothing(self):
+        case = GateCase()
+        later = Owner(ALICE.name, ALICE.incarnation + 5)
+        case.gate.replace_owner(later)
+        case.start(make_start("a.0.0.0"), later)
+        case.start(make_start("b.0.0.0"), later)
+        case.list([("b.0.0.0", 1, 5)], ended=[("a.0.0.0", 1, "done")])
+        case.gate.replace_owner(ALICE)
+        self.assertEqual(case.ordered(STOP), [])
+        self.assertTrue(case.gate.has_unconfirmed)
+
+
+class TestUptimes(unittest.TestCase):
+    # Guards against messages that can't be sent, and a listing that is read only in part, once a
+    # machine has run for 24.8 days: the time since its start didn't fit the field.
+    def test_a_loss_can_be_told_whatever_the_uptime(self):
+        for uptime_ms in (1_000.0, 25 * DAY_MS, 10 * 365 * DAY_MS):
+            for is_found in (False, True):
+                with self.subTest(uptime_ms=uptime_ms, is_found=is_found):
+                    self.lose(uptime_ms, is_found)
+
+    def lose(self, uptime_ms: float, is_found: bool) -> None:
+        case = GateCase(announced=False)
+        case.clock.advance(uptime_ms)
+        case.gate.record_owner_alive(ALICE, case.clock())
+        told = []
+        case.gate.losses.announce = told.append
+        if is_found:
+            case.list([(*KEY, 5)])
+            case.gate.receive_claim(ALICE, [make_start()])
+        else:
+            case.list()
+            case.gate.announce(make_report())
+            case.start()
+        case.clock.advance(400)
+        case.list([(*KEY, 9)])
+        case.clock.advance(5)
+        case.list(boot=BOOT + 1)
+        self.assertEqual([run.running_ms for run in told[0].runs], [400])
+        self.assertEqual(case.outcomes(), [(*KEY, RunState.LOST)])
+        for message in (told[0], *case.gate.losses.list_recent(), case.gate.describe_load(0)):
+            self.assertTrue(encode_message(message))
+
+    def test_a_run_may_be_at_work_for_years(self):
+        case = GateCase()
+        case.start(make_start(wait_ms=2**31 - 1))
+        case.clock.advance(365 * DAY_MS)
+        case.list(ended=[(*KEY, "done")])
+        self.assertEqual(case.outcomes(), [(*KEY, RunState.DONE)])
+        self.assertTrue(encode_message(case.reports[0][1]))
+
+
 class TestLoad(unittest.TestCase):
     # Guards against a load that a message can't carry, since that silences the agent on all links.
     def test_load_of_a_runner_of_any_size_can_be_sent(self):
--- a/apricotrail/wire/__init__.py
+++ b/apricotrail/wire/__init__.py
@@ -12,6 +12,7 @@
 from apricotrail.wire._endpoint import LinkEndpoint, parse_address
 from apricotrail.wire._keys import KEY_FILE, KeyRing
 from apricotrail.wire._link import HEARTBEAT_MS, SILENT_MS, WIRE_VERSION, Link
+from apricotrail.wire._numbers import bound_i32
 
 __all__ = [
     "HEARTBEAT_MS",
@@ -25,6 +26,7 @@
     "Link",
     "LinkEndpoint",
     "WireError",
+    "bound_i32",
     "decode_message",
     "encode_frame",
     "encode_message",
