An end in doubt takes one place in a runner's list, not the runner

Cause: an agent renewed no lease and started nothing while the owner of an unconfirmed end and control were silent for 0.75 s. When all machines with a disk lose power at once, nearly all agents hold such an end, and stopped serving the other owners for a second.

It is acknowledged once its owner can't have written the run off: a majority of control has listed this agent without a break (Witnesses; a replica that started after the owner fell silent counts, too), the owner's claim shows it (ClaimRuns.written_off, taken), or its process was replaced. The lease is left to lapse only if the run was written off, 1 s after control is back, after 10 s, or with 200 ends held. An owner writes runs off only by lists of replicas that echoed a heartbeat 2.3 s after the agent's last one, and keeps what it knows over a link that the agent may not have seen.

Ruled out, each with an order of events that breaks it (tests): young replicas alone as proof that control was down; gaps under 0.75 s as contact; 4 s of contact as proof for ends that a new agent finds; a claim of an older owner as proof.

--- a/apricotrail/clocks.py
+++ b/apricotrail/clocks.py
@@ -3,7 +3,7 @@
 from collections.abc import Callable
 from time import CLOCK_BOOTTIME, clock_gettime_ns, time_ns
 
-__all__ = ["Clock", "VirtualClock", "monotonic_ms", "wall_ms"]
+__all__ = ["Clock", "VirtualClock", "monotonic_ms", "uptime_ms", "wall_ms"]
 
 Clock = Callable[[], float]
 """A function without arguments that gives a time in milliseconds."""
@@ -20,6 +20,17 @@
     return clock_gettime_ns(CLOCK_BOOTTIME) / _NS_PER_MS
 
 
+_IMPORTED_MS = monotonic_ms()
+
+
+def uptime_ms() -> int:
+    """Return how long this process has run, in whole milliseconds on its monotonic clock.
+
+    It counts from the import of this module, which comes before any link is opened.
+    """
+    return int(monotonic_ms() - _IMPORTED_MS)
+
+
 def wall_ms() -> int:
     """Return the wall clock in whole milliseconds since the Unix epoch."""
     return time_ns() // _NS_PER_MS
--- a/apricotrail/control/_service.py
+++ b/apricotrail/control/_service.py
@@ -11,7 +11,7 @@
 
 from returns.result import Result, Success
 
-from apricotrail.clocks import monotonic_ms, wall_ms
+from apricotrail.clocks import monotonic_ms, uptime_ms, wall_ms
 from apricotrail.control._contacts import MemberContacts
 from apricotrail.control._entries import EntryTable
 from apricotrail.control._files import StorageError
@@ -444,6 +444,7 @@
         return Heartbeat(
             config_version=self.node.machine.version,
             config_age_ms=min(age_ms, 2**31 - 1),
+            uptime_ms=uptime_ms(),
         )
 
     def _receive_heartbeat(
--- a/apricotrail/membership/_roster.py
+++ b/apricotrail/membership/_roster.py
@@ -21,6 +21,8 @@
 from apricotrail.membership._freshness import NEVER_CONFIRMED_AGE_MS, Freshness
 from apricotrail.membership._replica_choice import Choice, ReplicaChoice
 from apricotrail.membership._replicas import has_durable_log, replica_name
+from apricotrail.membership._run_limits import LISTS_COMPLETE_MS
+from apricotrail.membership._witnesses import Witnesses, find_majority_ms
 from apricotrail.wire import Link, LinkEndpoint
 from apricotrail.wire.generated.ttypes import (
     ConfigurationChange,
@@ -38,7 +40,6 @@
 FORGET_AFTER_MS = 60_000.0  # longer than a restart and the time until a replica notices the restart
 BEHIND_GRACE_MS = 250.0  # a change that was already sent arrives within this time
 MAX_CONTACT_AGE_MS = 1_200.0  # two heartbeat intervals of a replica and a slow answer
-LISTS_COMPLETE_MS = 2_000.0  # by then, the others have dialed a replica that has restarted
 SEEDS_AGAIN_MS = 1_000.0  # without a link to a durable replica, the seeds are dialed again
 ADJUST_MS = 1_000.0  # time between two checks of the links if no list changes
 ADJUST_AFTER_CHANGE_MS = 100.0  # several replicas list the same change at nearly the same time
@@ -128,6 +129,7 @@
         self._linked_ms: dict[str, float] = {}
         self._replica_seen_ms: dict[str, float] = {}
         self._echoed_ms: dict[str, float] = {}
+        self._witnesses = Witnesses(parts.clock)
         self._retired: frozenset[str] = frozenset()
         self._agents: AgentLinks | None = None
         self._durable_linked_ms = parts.clock()
@@ -178,13 +180,20 @@
         """Return the links to control replicas."""
         return [link for link in self._endpoint.links.values() if link.peer.role == "control"]
 
-    def is_unlisted(self, name: str) -> bool:
+    def is_unlisted(self, name: str, as_of_ms: float = 0.0) -> bool:
         """Return whether a majority of the control replicas is known to have no link to a process.
 
         False if any linked replica lists the process, or if this isn't known: it isn't without
         contact with a majority within `MAX_CONTACT_AGE_MS`, a replica linked for less than
         `LISTS_COMPLETE_MS` may not list all others yet, and a list of maximum length may have left
         out any process.
+
+        Parameters
+        ----------
+        name : str
+            Name of the process.
+        as_of_ms : float
+            Own time from which on a replica must have received a heartbeat for its list to count.
         """
         now_ms = self._parts.clock()
         if not self._has_contact(now_ms):
@@ -195,6 +204,7 @@
             replica_name(replica)
             for replica in self._nodes_by_replica
             if now_ms - self._linked_ms.get(replica, now_ms) >= LISTS_COMPLETE_MS
+            and self._echoed_ms.get(replica_name(replica), 0.0) >= as_of_ms
         }
         return 2 * len(complete & self._replica_seen_ms.keys()) > len(self._replica_seen_ms)
 
@@ -207,8 +217,15 @@
         that is cut off soon list only each other. Replicas that keep their log in memory don't
         count. 0.0 stands for no contact yet.
         """
-        echoed = [self._echoed_ms.get(name, 0.0) for name in self._replica_seen_ms]
-        return sorted(echoed, reverse=True)[len(echoed) // 2] if echoed else 0.0
+        return find_majority_ms(self._echoed_ms.get(name, 0.0) for name in self._replica_seen_ms)
+
+    def witness_contact_ms(self, since_ms: float) -> float:
+        """Return until when no process can have seen a majority of the replicas not list this one.
+
+        That holds for write-offs at `since_ms` or later, as `Witnesses` shows; 0.0 if it isn't
+        known. The same replicas are counted as by `quorum_contact_ms`.
+        """
+        return self._witnesses.find_contact_ms(since_ms, self._replica_seen_ms)
 
     def request_confirmation(self) -> None:
         """Ask all linked replicas whether the configuration is the newest; they answer at once."""
@@ -240,6 +257,7 @@
         if heartbeat_sent_ms is not None:
             stable_name = replica_name(name)
             self._note_replica(name, self._parts.clock())
+            self._witnesses.note_echo(name, heartbeat_sent_ms, heartbeat.uptime_ms)
             if stable_name in self._replica_seen_ms:
                 self._echoed_ms[stable_name] = max(
                     heartbeat_sent_ms, self._echoed_ms.get(stable_name, 0.0)
@@ -328,6 +346,7 @@
         if link.peer.role != "control":
             return
         self._linked_ms[link.peer.name] = self._parts.clock()
+        self._witnesses.note_up(link.peer.name)
         emit(CONTROL_LINKED, replica=link.peer.name, zone=link.peer.zone)
         if self._followed is None:
             self._follow(Choice(link.peer.name, "first"))
@@ -342,6 +361,7 @@
         emit(CONTROL_LINK_LOST, replica=link.peer.name)
         self._nodes_by_replica.pop(link.peer.name, None)
         self._linked_ms.pop(link.peer.name, None)
+        self._witnesses.note_down(link.peer.name)
         self._choice.forget(link.peer.name)
         if link is not self._followed:
             return
--- a/apricotrail/membership/_run_limits.py
+++ b/apricotrail/membership/_run_limits.py
@@ -11,8 +11,9 @@
 the job is unfinished                     stop; a dispatcher may notice `MAX_NOTICE_MS` later than a
                                           caller that they lost each other
 the owner of a run, `AGENT_LOST_AFTER_MS` `OWNER_GRACE_MS` after that; and an end that can't be
-after the agent's last heartbeat          confirmed is void `IN_DOUBT_AFTER_MS`, a tick and a lease
-                                          after it
+after the agent's last heartbeat          confirmed is not acknowledged (runners/_doubts), or for an
+                                          older owner is void `IN_DOUBT_AFTER_MS`, a tick and a
+                                          lease after it
 ========================================  ==========================================================
 
 An agent stops the runs of an owner that was silent for `OWNER_SILENT_MS`. That takes a few
@@ -24,11 +25,13 @@
     "CALLER_RETRY_MS",
     "IN_DOUBT_AFTER_MS",
     "LEASE_MS",
+    "LISTS_COMPLETE_MS",
     "MAX_NOTICE_MS",
     "OWNER_GRACE_MS",
     "OWNER_SILENT_MS",
     "START_VALID_MS",
     "TICK_MS",
+    "WRITE_OFF_CONTACT_MS",
     "compute_owner_grace_ms",
 ]
 
@@ -68,8 +71,18 @@
 """How long after it is sent an agent may act on a start; a later one is refused as expired."""
 
 IN_DOUBT_AFTER_MS = 750.0
-"""Silence of an owner and of control after which leases are left to lapse while an end of the
-owner's runs awaits confirmation."""
+"""Silence of an owner and of control after which an end of the owner's runs that awaits
+confirmation is in doubt."""
 
 AGENT_LOST_AFTER_MS = 1_950.0
 """Silence of an agent after which its runs have ended."""
+
+WRITE_OFF_CONTACT_MS = 2_300.0
+"""Time from an agent's last heartbeat to a heartbeat that control must have echoed before the
+agent's runs are written off. An agent can then tell a write-off from an outage of control that
+began with the silence of the owner and was over, with new processes, within this time: 1.6 s
+without power, a start of 0.4 s, and the time between two heartbeats."""
+
+LISTS_COMPLETE_MS = 2_000.0
+"""Age of the link to a control replica from which its list counts as complete: by then, the others
+have dialed a replica that has restarted."""
--- a/apricotrail/membership/tests/test_roster.py
+++ b/apricotrail/membership/tests/test_roster.py
@@ -119,6 +119,24 @@
         self.endpoint.handlers[ConfigurationChange](self.links[replica], change)
 
 
+class TestListedSince(unittest.TestCase):
+    # Guards against a write-off by the list of a replica that has died since: a majority of others
+    # echoed heartbeats.
+    def test_only_lists_of_replicas_that_echoed_late_enough_count(self):
+        case = RosterCase("a", "b", "c")
+        case.clock.advance(LISTS_COMPLETE_MS)
+        for name in "abc":
+            case.receive_list(name, replicas="abc")
+            case.echo(name, case.clock())
+        as_of_ms = case.clock() + 100
+        self.assertTrue(case.roster.is_unlisted("r-1"))
+        self.assertFalse(case.roster.is_unlisted("r-1", as_of_ms))
+        case.clock.advance(100)
+        for count, name in enumerate("abc", start=1):
+            case.echo(name, as_of_ms)
+            self.assertEqual(case.roster.is_unlisted("r-1", as_of_ms), count >= 2)
+
+
 class TestListed(unittest.TestCase):
     def make_complete(self, *replicas: str) -> RosterCase:
         case = RosterCase(*replicas)
--- a/apricotrail/metrics/_roles.py
+++ b/apricotrail/metrics/_roles.py
@@ -158,6 +158,18 @@
         self.open_runs = self._watch("open_runs", "Runs queued or at the runner.")
         self.free_cpu_millis = self._watch("free_cpu_millis", "Free room of the runner.")
         self.lease_left_ms = self._watch("lease_left_ms", "Time until the leases end.")
+        self.unconfirmed_ends = self._watch(
+            "unconfirmed_ends", "Ends of done runs that wait for their owners to confirm them."
+        )
+        self.doubted_owners = self._watch(
+            "doubted_owners", "Silent owners of ends that may have started the tasks again."
+        )
+        self.released_ends = self._label(
+            "released_ends", "Ends acknowledged without their owner's confirmation.", "how"
+        )
+        self.lapsed_for_ends = self._label(
+            "lapsed_for_ends", "Times that leases were left to lapse for ends in doubt.", "reason"
+        )
 
 
 class ControlMetrics(RoleMetrics):
--- a/apricotrail/queues/_application.py
+++ b/apricotrail/queues/_application.py
@@ -109,7 +109,11 @@
         )
         self.dispatcher = Dispatcher(
             DispatcherParts(
-                monotonic_ms, Random(), self._send, lambda agent: self.roster.is_unlisted(agent)
+                monotonic_ms,
+                Random(),
+                self._send,
+                lambda agent: self.roster.is_unlisted(agent),
+                self._is_unlisted_since,
             )
         )
         self.roster = Roster(
@@ -244,6 +248,12 @@
 
     # ---- links ----
 
+    def _is_unlisted_since(self, agent: str, as_of_ms: float) -> bool:
+        if monotonic_ms() >= as_of_ms:
+            # The replicas' own heartbeats are too far apart to wait for.
+            self.roster.request_confirmation()
+        return self.roster.is_unlisted(agent, as_of_ms)
+
     def _send(self, agent: str, message: Any) -> bool:
         link = self.endpoint.links.get(agent)
         return link is not None and link.send(message)
@@ -266,6 +276,8 @@
         if link.peer.role == "control":
             self.roster.receive_heartbeat(link, heartbeat, heartbeat_sent_ms)
         elif link.peer.role == "runner":
+            if heartbeat_sent_ms is not None:
+                self.dispatcher.receive_echo(link.peer.name, heartbeat_sent_ms)
             if heartbeat.runner_load is not None:
                 self.dispatcher.receive_heartbeat(link.peer.name, heartbeat.runner_load)
             # Answering at once shows the agent that the owner of its runs is alive.
--- a/apricotrail/queues/_dispatcher.py
+++ b/apricotrail/queues/_dispatcher.py
@@ -13,7 +13,12 @@
 
 from apricotrail.clocks import Clock
 from apricotrail.events import Level, declare_event, emit
-from apricotrail.membership import AGENT_LOST_AFTER_MS, MAX_NOTICE_MS, START_VALID_MS
+from apricotrail.membership import (
+    AGENT_LOST_AFTER_MS,
+    MAX_NOTICE_MS,
+    START_VALID_MS,
+    WRITE_OFF_CONTACT_MS,
+)
 from apricotrail.metrics import make_metrics
 from apricotrail.queues._admission import (
     URGENT_MS,
@@ -27,6 +32,7 @@
 from apricotrail.queues._estimates import RunEstimates
 from apricotrail.queues._jobs import Job, JobAnswer, JobRequest, JobState, Step, Task, TaskPhase
 from apricotrail.queues._registry import RunnerRegistry, RunnerStatus, sum_free_cpu
+from apricotrail.queues._write_offs import WriteOffs
 from apricotrail.wire.generated.ttypes import (
     ClaimRuns,
     OutcomesTaken,
@@ -147,12 +153,16 @@
     is_unlisted : callable
         ``is_unlisted(agent)`` tells whether control is known to have lost its link to an agent,
         too. Only then may outcomes that did not arrive here be discarded.
+    is_unlisted_since : callable
+        ``is_unlisted_since(agent, as_of_ms)`` tells the same by replicas that have all received a
+        heartbeat sent at `as_of_ms` or later.
     """
 
     clock: Clock
     random: Random
     send: Send
     is_unlisted: Callable[[str], bool] = lambda agent: True
+    is_unlisted_since: Callable[[str, float], bool] = lambda agent, as_of_ms: True
 
 
 class _LostAgent:
@@ -160,11 +170,11 @@
 
     If control still listed the agent `STILL_LISTED_MS` after it was last heard, its runs are never
     declared lost, except those of jobs that are answered: the agent may have finalised their
-    outcomes.
+    outcomes. A link that the agent may not have seen changes nothing about that.
     """
 
     def __init__(self, heard_ms: float) -> None:
-        self.heard_ms = heard_ms
+        self.heard_ms = self.first_heard_ms = heard_ms
         self.unlisted_ms: float | None = None
         self.may_have_finalised = False
 
@@ -173,7 +183,7 @@
         if not is_unlisted:
             self.unlisted_ms = None
             self.may_have_finalised = (
-                self.may_have_finalised or now_ms - self.heard_ms >= STILL_LISTED_MS
+                self.may_have_finalised or now_ms - self.first_heard_ms >= STILL_LISTED_MS
             )
         elif self.unlisted_ms is None:
             self.unlisted_ms = now_ms
@@ -215,6 +225,7 @@
         self._random = parts.random
         self._send = parts.send
         self._is_unlisted = parts.is_unlisted
+        self._is_unlisted_since = parts.is_unlisted_since
         self.registry = RunnerRegistry(parts.clock, parts.random)
         self.estimates = RunEstimates()
         self.crashes = CrashHistory(parts.clock)
@@ -223,6 +234,7 @@
         self._runs: dict[tuple[str, int], tuple[Job, Task]] = {}
         self._answers = AnswerCache()
         self._lost_agents: dict[str, _LostAgent] = {}
+        self._write_offs = WriteOffs(parts.clock)
         self._last_active_ms = parts.clock()
         self._settled_ms = parts.clock() - SETTLE_AGAIN_MS
         self.metrics.open_jobs.watch(lambda: len(self.jobs))
@@ -324,7 +336,6 @@
         Runs of jobs that are answered are stopped: the stop may have been lost with the last link.
         """
         self.check_for_pause()
-        self._lost_agents.pop(agent, None)
         runner = self.registry.add(agent)
         starts, stops = [], []
         for (name, run), (job, task) in self._runs.items():
@@ -335,7 +346,7 @@
                 stops.append(RunKey(name, run))
             else:
                 starts.append(self._make_start(job, task, name, run, 0))
-        self._send(agent, ClaimRuns(starts))
+        self._send(agent, ClaimRuns(starts, *self._write_offs.list_for_claim(agent)))
         if stops:
             self._send(agent, StopRuns(stops))
         emit(AGENT_UP, agent=agent, claimed=len(starts), stopped=len(stops))
@@ -347,9 +358,12 @@
             runner.heartbeat_ms if runner is not None and runner.heartbeat_ms else self._clock()
         )
         self.registry.remove(agent)
+        self._write_offs.note_link_lost(agent)
         runs = sum(task.agent == agent for _, task in self._runs.values())
-        if runs:
-            self._lost_agents.setdefault(agent, _LostAgent(heard_ms))
+        if agent in self._lost_agents:
+            self._lost_agents[agent].heard_ms = heard_ms
+        elif runs:
+            self._lost_agents[agent] = _LostAgent(heard_ms)
         emit(AGENT_LOST, agent=agent, runs=runs, heard_ms_ago=round(self._clock() - heard_ms))
 
     def retire_agents(self, agents: frozenset[str]) -> frozenset[str]:
@@ -376,6 +390,11 @@
             runner.heartbeat_ms = self._clock()
             self.receive_report(agent, load)
 
+    def receive_echo(self, agent: str, sent_ms: float) -> None:
+        """Record that an agent echoed a heartbeat sent at `sent_ms`, and has read all before it."""
+        if self._write_offs.note_echo(agent, sent_ms):
+            self._lost_agents.pop(agent, None)
+
     def receive_report(self, agent: str, load: RunnerLoad) -> None:
         """Store an agent's report of its runner."""
         runner = self.registry.by_agent.get(agent)
@@ -390,7 +409,8 @@
     def receive_outcomes(self, agent: str, message: RunOutcomes) -> None:
         """Process how runs ended, confirm those that are done, and place the tasks that wait.
 
-        Outcomes of unknown runs change nothing, but are confirmed all the same.
+        Outcomes of unknown runs change nothing, but are confirmed all the same, unless the run was
+        written off.
         """
         self.check_for_pause()
         if message.load is not None:
@@ -398,12 +418,14 @@
         if agent in self.registry.by_agent:
             self.registry.by_agent[agent].used_ms = self._clock()
         done = [
-            RunKey(outcome.task, outcome.run)
+            (outcome.task, outcome.run)
             for outcome in message.outcomes or ()
             if outcome.state == RunState.DONE
+            and not self._write_offs.is_written_off(agent, (outcome.task, outcome.run))
         ]
         if done:
-            self._send(agent, OutcomesTaken(done))
+            self._send(agent, OutcomesTaken([RunKey(*key) for key in done]))
+            self._write_offs.note_taken(agent, done)
         jobs_to_place: dict[str, Job] = {}
         for outcome in message.outcomes or ():
             found = self._runs.get((outcome.task, outcome.run))
@@ -458,7 +480,11 @@
         """
         for agent, lost in list(self._lost_agents.items()):
             lost.note_listing(self._is_unlisted(agent), now_ms)
-            has_expired = lost.has_expired(now_ms)
+            if agent in self.registry.by_agent:
+                continue
+            has_expired = lost.has_expired(now_ms) and self._is_unlisted_since(
+                agent, lost.heard_ms + WRITE_OFF_CONTACT_MS
+            )
             if has_expired:
                 del self._lost_agents[agent]
             elif now_ms - lost.heard_ms < AGENT_LOST_AFTER_MS:
@@ -470,6 +496,9 @@
             ]
             if ended:
                 emit(RUNS_WRITTEN_OFF, agent=agent, runs=len(ended))
+            # No task of a job that is answered starts again here.
+            again = [key for key, (job, _) in ended if not job.stopping]
+            self._write_offs.note_written_off(agent, again)
             for (name, run), (job, task) in ended:
                 del self._runs[name, run]
                 outcome = RunOutcome(name, run, RunState.LOST, RunReason.OWNER_SILENT, 0, 0, 0)
--- /dev/null
+++ b/apricotrail/queues/_write_offs.py
@@ -0,0 +1,141 @@
+"""What a dispatcher keeps for its agents: runs that it wrote off, and outcomes that it has taken.
+
+An agent that was out of reach still holds the ends of such runs. It must never acknowledge one
+whose task may have been started again, and may acknowledge one whose outcome was taken. Each claim
+tells it both; an echo of a later heartbeat on the same link shows that it has read the claim.
+docs/design/uncertain-ends.md says why.
+"""
+
+from collections import OrderedDict
+from collections.abc import Iterable
+from math import inf
+from typing import NamedTuple
+
+from apricotrail.clocks import Clock
+from apricotrail.wire.generated.ttypes import RunKey
+
+__all__ = ["KEPT_MS", "MAX_KEYS", "ClaimLists", "WriteOffs"]
+
+KEPT_MS = 60_000.0  # an agent leaves an end in doubt for 10 s
+MAX_KEYS = 4_096  # for each agent; a runner has a few hundred runs
+
+Key = tuple[str, int]
+
+
+class ClaimLists(NamedTuple):
+    """What a claim tells an agent beside the claimed runs.
+
+    Attributes
+    ----------
+    written_off : list of RunKey or None
+        Runs counted as lost; None if there were more than can be kept.
+    taken : list of RunKey
+        Runs whose outcome was taken.
+    """
+
+    written_off: list[RunKey] | None
+    taken: list[RunKey]
+
+
+class _Notes:
+    """The notes for one agent; all times are on the own clock.
+
+    Attributes
+    ----------
+    written_off, taken : dict
+        Runs, with the time of the note and the time at which the agent was told, oldest first.
+    is_truncated : bool
+        Whether written-off runs were dropped that the agent was not told of.
+    told_ms : float
+        When the last claim was sent on the present link, infinite without a link.
+    """
+
+    def __init__(self) -> None:
+        self.written_off: OrderedDict[Key, float] = OrderedDict()
+        self.taken: OrderedDict[Key, tuple[float, float]] = OrderedDict()
+        self.is_truncated = False
+        self.told_ms = inf
+
+
+class WriteOffs:
+    """Runs that were written off or taken, by agent, until the agent is known to have the notes.
+
+    Parameters
+    ----------
+    clock : Clock
+        Monotonic time in milliseconds.
+    """
+
+    def __init__(self, clock: Clock) -> None:
+        self._clock = clock
+        self._notes: dict[str, _Notes] = {}
+
+    def note_written_off(self, agent: str, keys: Iterable[Key]) -> None:
+        """Record runs at an agent that count as lost, so that their tasks may start again."""
+        notes = self._notes.setdefault(agent, _Notes())
+        for key in keys:
+            notes.written_off[key] = self._clock()
+        while len(notes.written_off) > MAX_KEYS:
+            notes.written_off.popitem(last=False)
+            notes.is_truncated = True
+
+    def note_taken(self, agent: str, keys: Iterable[Key]) -> None:
+        """Record runs whose outcome was taken, and that this was just confirmed to their agent."""
+        notes = self._notes.setdefault(agent, _Notes())
+        now_ms = self._clock()
+        for key in keys:
+            notes.taken[key] = (now_ms, now_ms)
+        while len(notes.taken) > MAX_KEYS:
+            notes.taken.popitem(last=False)
+
+    def is_written_off(self, agent: str, key: Key) -> bool:
+        """Return whether the agent may not know yet that a run was written off."""
+        notes = self._notes.get(agent)
+        return notes is not None and key in notes.written_off
+
+    def list_for_claim(self, agent: str) -> ClaimLists:
+        """Return the lists for a claim that is sent now, as the first message on a new link."""
+        self._evict(agent)
+        notes = self._notes.setdefault(agent, _Notes())
+        notes.told_ms = self._clock()
+        notes.taken = OrderedDict(
+            (key, (noted_ms, notes.told_ms)) for key, (noted_ms, _) in notes.taken.items()
+        )
+        written_off = None if notes.is_truncated else [RunKey(*key) for key in notes.written_off]
+        return ClaimLists(written_off, [RunKey(*key) for key in notes.taken])
+
+    def note_link_lost(self, agent: str) -> None:
+        """Record that the link to an agent was lost, with what the agent may not have read."""
+        notes = self._notes.get(agent)
+        if notes is not None:
+            notes.told_ms = inf
+
+    def note_echo(self, agent: str, sent_ms: float) -> bool:
+        """Forget what the agent has read: it echoed an own heartbeat that was sent at `sent_ms`.
+
+        Returns
+        -------
+        bool
+            Whether the agent has read the claim that was sent on this link.
+        """
+        notes = self._notes.get(agent)
+        if notes is None or sent_ms <= notes.told_ms:
+            return False
+        notes.written_off.clear()
+        notes.is_truncated = False
+        while notes.taken and next(iter(notes.taken.values()))[1] < sent_ms:
+            notes.taken.popitem(last=False)
+        return True
+
+    def _evict(self, agent: str) -> None:
+        """Forget what is too old to matter at an agent."""
+        notes = self._notes.get(agent)
+        if notes is None:
+            return
+        oldest_ms = self._clock() - KEPT_MS
+        for key, noted_ms in list(notes.written_off.items()):
+            if noted_ms < oldest_ms:
+                del notes.written_off[key]
+        for key, (noted_ms, _) in list(notes.taken.items()):
+            if noted_ms < oldest_ms:
+                del notes.taken[key]
--- a/apricotrail/runners/_application.py
+++ b/apricotrail/runners/_application.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from collections import defaultdict
+from collections.abc import Iterable
 
 from apricotrail.application import Application
 from apricotrail.clocks import monotonic_ms, wall_ms
@@ -16,7 +17,7 @@
 from apricotrail.metrics import add_status_listener
 from apricotrail.runners._driver import RunnerDriver, RunnerPort
 from apricotrail.runners._gate import GateLimits, RunGate
-from apricotrail.runners._runs import Owner, RunnerReport
+from apricotrail.runners._runs import Owner, RunKey, RunnerReport
 from apricotrail.settings import Settings, declare_setting
 from apricotrail.wire import KeyRing, Link, LinkEndpoint, parse_address
 from apricotrail.wire.generated.ttypes import (
@@ -30,6 +31,7 @@
     StartRuns,
     StopRuns,
 )
+from apricotrail.wire.generated.ttypes import RunKey as RunKeyMessage
 
 __all__ = ["RunnerAgent"]
 
@@ -138,6 +140,7 @@
         self.gate.losses.announce = self._announce_loss
         self.gate.notify_closed = self._send_load_to_owners
         self.gate.quorum_contact_ms = self.roster.quorum_contact_ms
+        self.gate.witness_contact_ms = self.roster.witness_contact_ms
         # The zone may be out of service, so no run starts before the first configuration arrives.
         self.gate.zone_open = False
         self._connect()
@@ -296,15 +299,25 @@
 
     def _receive_stops(self, link: Link, message: StopRuns) -> None:
         owner = Owner(link.peer.name, link.peer.incarnation)
-        self.gate.receive_stop(owner, [(key.task, key.run) for key in message.runs or ()])
+        self.gate.receive_stop(owner, _list_keys(message.runs or ()))
 
     def _receive_confirmation(self, link: Link, message: OutcomesTaken) -> None:
-        self.gate.confirm_outcomes([(key.task, key.run) for key in message.runs or ()])
+        self.gate.confirm_outcomes(_list_keys(message.runs or ()))
         if not self.gate.has_unconfirmed:
             self.driver.notify_confirmed()
 
     def _receive_claim(self, link: Link, message: ClaimRuns) -> None:
         owner = Owner(link.peer.name, link.peer.incarnation)
         self._received_starts[link.peer.name] += len(message.runs or ())
-        self.gate.receive_claim(owner, list(message.runs or ()), link.opened_ms)
+        self.gate.receive_claim(
+            owner,
+            list(message.runs or ()),
+            link.opened_ms,
+            None if message.written_off is None else _list_keys(message.written_off),
+            _list_keys(message.taken or ()),
+        )
         link.send_heartbeat()
+
+
+def _list_keys(keys: Iterable[RunKeyMessage]) -> list[RunKey]:
+    return [(key.task, key.run) for key in keys]
--- a/apricotrail/runners/_capacity.py
+++ b/apricotrail/runners/_capacity.py
@@ -34,7 +34,7 @@
         and not runner.leaving
         and gate.zone_open
         and not gate.stopping
-        and not gate._in_doubt
+        and not gate._is_lapsing
         and not gate.losses.is_down
         and gate._has_listing
         and gate._clock() - gate._listing_asked_ms < gate._limits.listing_stale_ms
--- a/apricotrail/runners/_claims.py
+++ b/apricotrail/runners/_claims.py
@@ -1,9 +1,12 @@
 """Claims of owners on the runs at this agent, and new processes of owners."""
 
+from collections.abc import Collection
+
 from apricotrail.events import Level, declare_event, emit
+from apricotrail.runners._doubts import note_released
 from apricotrail.runners._gate_state import GateState
-from apricotrail.runners._owners import record_owner_alive
-from apricotrail.runners._runs import Owner, Run, RunPhase
+from apricotrail.runners._owners import record_linked, record_owner_alive
+from apricotrail.runners._runs import Owner, Run, RunKey, RunPhase
 from apricotrail.runners._stops import stop_owned, stop_run
 from apricotrail.wire.generated.ttypes import RunReason, RunStart
 
@@ -19,7 +22,7 @@
 
 def replace_owner(gate: GateState, owner: Owner, alive_ms: float | None = None) -> None:
     """Record that an owner's process is linked and stop the runs of its former incarnations."""
-    record_owner_alive(gate, owner, gate._clock() if alive_ms is None else alive_ms)
+    record_linked(gate, owner, gate._clock() if alive_ms is None else alive_ms)
     former = {run.owner for run in gate._runs.values() if run.owner is not None}
     for other in former:
         if _is_former(other, owner):
@@ -27,8 +30,7 @@
             gate._owner_alive_ms.pop(other, None)
     for other in gate._unconfirmed.list_owners():
         if other is not None and _is_former(other, owner):
-            # The jobs were lost with the former process, so nothing starts their tasks again.
-            gate._unconfirmed.match_claim(other, ())
+            _resolve_replaced(gate, other)
 
 
 def _is_former(other: Owner, owner: Owner) -> bool:
@@ -39,13 +41,35 @@
     return other.name == owner.name and other.incarnation < owner.incarnation
 
 
+def _resolve_replaced(gate: GateState, former: Owner) -> None:
+    """Release the ends of a process that was replaced, unless it may have written them off.
+
+    The jobs were lost with it, so nothing starts their tasks again from now on.
+    """
+    if former not in gate._owner_heard_ms:
+        gate._unconfirmed.match_claim(former, ())
+        return
+    gate._owner_alive_ms.pop(former, None)
+    gate._replaced_ms.setdefault(former, gate._clock())
+
+
 def receive_claim(
-    gate: GateState, owner: Owner, starts: list[RunStart], alive_ms: float | None = None
+    gate: GateState,
+    owner: Owner,
+    starts: list[RunStart],
+    alive_ms: float | None = None,
+    written_off: list[RunKey] | None = None,
+    taken: list[RunKey] | None = None,
 ) -> None:
     """Reconcile the runs that an owner believes to be here with those that are."""
-    record_owner_alive(gate, owner, gate._clock() if alive_ms is None else alive_ms)
+    heard_ms = gate._clock() if alive_ms is None else alive_ms
     claimed = {(start.task, start.run): start for start in starts}
-    gate._unconfirmed.match_claim(owner, claimed)
+    _note_write_offs(gate, owner, claimed, written_off)
+    if written_off is not None:
+        gate._owner_heard_ms.setdefault(owner, heard_ms)
+    record_owner_alive(gate, owner, heard_ms)
+    note_released(gate, "taken", gate._unconfirmed.confirm(set(taken or ())))
+    note_released(gate, "claim", gate._unconfirmed.match_claim(owner, claimed))
     for run in list(gate._runs.values()):
         if run.owner is None and run.key in claimed:
             run.owner, run.start, run.has_known_size = owner, claimed[run.key], True
@@ -61,6 +85,20 @@
             _track_unseen_claim(gate, owner, claimed[key])
 
 
+def _note_write_offs(
+    gate: GateState,
+    owner: Owner,
+    claimed: Collection[RunKey],
+    written_off: list[RunKey] | None,
+) -> None:
+    """Record what an owner wrote off: all that it doesn't claim, if its list was too long."""
+    if written_off is not None:
+        gate._unconfirmed.note_written_off(written_off)
+    elif owner in gate._owner_heard_ms:
+        unclaimed = [key for key in gate._unconfirmed.list_keys(owner) if key not in claimed]
+        gate._unconfirmed.note_written_off(unclaimed)
+
+
 def _track_unseen_claim(gate: GateState, owner: Owner, start: RunStart) -> None:
     """Track a claimed run that this agent does not know; a former agent may have ordered it.
 
--- a/apricotrail/runners/_driver.py
+++ b/apricotrail/runners/_driver.py
@@ -23,6 +23,7 @@
 IDLE_WAIT_MS = 250  # with two lost calls in a row, the last listing is not stale yet
 HOLD_RETRY_MS = 20.0
 CONFIRM_WAIT_MS = 25.0  # several round trips between zones; ends must be acknowledged within 100 ms
+HELD_WAIT_MS = 50.0  # while ends can't be acknowledged, which may take seconds
 LEASE_MS = 1_000
 FENCE_STEP = 60_000  # in ms, above the jumps of the wall clock between two agents
 MIN_CLOCK_RATE = 0.97  # the runner's clock may be 2 % slow
@@ -194,7 +195,8 @@
     async def _wait_for_confirmation(self) -> None:
         self._confirmed.clear()
         with suppress(TimeoutError):
-            async with asyncio.timeout(CONFIRM_WAIT_MS / 1000):
+            wait_ms = HELD_WAIT_MS if self._gate.has_held_ends else CONFIRM_WAIT_MS
+            async with asyncio.timeout(wait_ms / 1000):
                 await self._confirmed.wait()
 
     async def extend_leases(self) -> None:
--- a/apricotrail/runners/_gate.py
+++ b/apricotrail/runners/_gate.py
@@ -169,7 +169,12 @@
         receive_stop(self, owner, keys)
 
     def receive_claim(
-        self, owner: Owner, starts: list[RunStart], alive_ms: float | None = None
+        self,
+        owner: Owner,
+        starts: list[RunStart],
+        alive_ms: float | None = None,
+        written_off: list[RunKey] | None = None,
+        taken: list[RunKey] | None = None,
     ) -> None:
         """Reconcile the runs that an owner believes to be here with those that are.
 
@@ -181,8 +186,13 @@
             Its runs.
         alive_ms : float, optional
             Time, on the own clock, at which it was certainly alive; the present by default.
+        written_off : list of tuple, optional
+            Runs here that it counts as lost, so that it may have started their tasks again; None
+            from an owner of an older release, or if they were too many.
+        taken : list of tuple, optional
+            Runs here whose outcomes it has.
         """
-        receive_claim(self, owner, starts, alive_ms)
+        receive_claim(self, owner, starts, alive_ms, written_off, taken)
 
     # ---- timers ----
 
--- a/apricotrail/runners/_gate_state.py
+++ b/apricotrail/runners/_gate_state.py
@@ -42,10 +42,10 @@
     claim_window_ms : float
         Time in which owners may claim runs that a new agent finds at its runner.
     in_doubt_after_ms : float
-        Silence of an owner and of control after which the lease is left to lapse, if an end of the
-        owner's runs awaits confirmation: whether the owner starts its task again is then in doubt.
-        Together with the lease and a tick it is less than the time after which owners start a task
-        again.
+        Silence of an owner and of control after which an end of the owner's runs that awaits
+        confirmation is in doubt. For an owner of an older release the lease is then left to lapse:
+        together with the lease and a tick this is less than the time after which owners start a
+        task again.
     lease_ms : float
         Longest lease, including the drift of the runner's clock.
     listing_stale_ms : float
@@ -106,6 +106,12 @@
     quorum_contact_ms : callable
         Gives the latest time, on the own clock, at which a majority of control was reachable; until
         it is set, the present time.
+    witness_contact_ms : callable
+        ``witness_contact_ms(since_ms)`` gives the time up to which no owner that heard this agent
+        last at `since_ms` can have written off its runs, by what is known of control; until it is
+        set, none.
+    has_held_ends : bool
+        Whether the runner lists ends that can't be acknowledged, as their owners are silent.
     """
 
     def __init__(
@@ -131,10 +137,17 @@
         self.fence = fence
         self.notify_closed: Callable[[], object] = lambda: None
         self.quorum_contact_ms: Callable[[], float] = clock
+        self.witness_contact_ms: Callable[[float], float] = lambda since_ms: 0.0
         self._announcements = Announcements(clock)
         self._unconfirmed = UnconfirmedEnds()
         self._silent_since_ms: dict[Owner, float] = {}
-        self._in_doubt = False
+        self.has_held_ends = False
+        self._is_lapsing = False
+        # By owner whose claims name what it wrote off: when it last heard this agent for certain.
+        self._owner_heard_ms: dict[Owner, float] = {}
+        self._replaced_ms: dict[Owner, float] = {}
+        self._doubted_since_ms: dict[Owner | None, float] = {}
+        self._contact_since_ms: float | None = None
         self._runs: dict[RunKey, Run] = {}
         self._records = RunRecords()
         self._owner_alive_ms: dict[Owner, float] = {}
@@ -146,6 +159,8 @@
         self._has_listing = False
         self._unseen_claims: list[Run] = []
         self.metrics.open_runs.watch(lambda: len(self._runs))
+        self.metrics.unconfirmed_ends.watch(lambda: len(self._unconfirmed))
+        self.metrics.doubted_owners.watch(lambda: len(self._doubted_since_ms))
         self.metrics.lease_left_ms.watch(lambda: max(0.0, self._lease_end_ms - clock()))
 
     @property
--- a/apricotrail/runners/_leases.py
+++ b/apricotrail/runners/_leases.py
@@ -39,7 +39,7 @@
     """Return whether leases may be renewed."""
     now_ms = gate._clock()
     is_silent = now_ms - gate._heard_ms >= gate._limits.renew_silent_ms
-    if gate._in_doubt or is_silent or gate.losses.is_down:
+    if gate._is_lapsing or is_silent or gate.losses.is_down:
         return False
     if now_ms >= find_lease_limit_ms(gate):
         return False
--- a/apricotrail/runners/_listings.py
+++ b/apricotrail/runners/_listings.py
@@ -43,7 +43,9 @@
     if run is None:
         # A former agent ordered this run. Its owner asks for the outcome with its next claim.
         state = _STATE_BY_END.get(row.end_state, RunState.LOST)
-        if state == RunState.DONE:
+        # A run that this agent has reported as lost had no lease any more, so its end is void.
+        is_found = gate._records.find_outcome((row.task, row.run)) is None
+        if state == RunState.DONE and is_found:
             gate._unconfirmed.add(row.number, None, (row.task, row.run))
         gate._records.add_outcome(
             RunOutcome(row.task, row.run, state, RunReason.NONE, 0, row.run, 0)
--- a/apricotrail/runners/_owners.py
+++ b/apricotrail/runners/_owners.py
@@ -5,16 +5,42 @@
 from apricotrail.runners._gate_state import GateState
 from apricotrail.runners._runs import Owner, Run
 
-__all__ = ["find_silence_ms", "find_wanted_ms", "has_live_owner", "record_owner_alive"]
+__all__ = [
+    "find_silence_ms",
+    "find_wanted_ms",
+    "forget_owners",
+    "has_live_owner",
+    "record_linked",
+    "record_owner_alive",
+]
+
+MAX_SILENT_OWNERS = 1_024  # more than there are dispatchers
 
 
 def record_owner_alive(gate: GateState, owner: Owner, alive_ms: float) -> None:
-    """Record that an owner was alive at `alive_ms` of the own clock."""
+    """Record that an owner was alive, and heard this agent, at `alive_ms` of the own clock."""
+    record_linked(gate, owner, alive_ms)
+    if owner in gate._owner_heard_ms:
+        gate._owner_heard_ms[owner] = max(gate._owner_heard_ms[owner], alive_ms)
+
+
+def record_linked(gate: GateState, owner: Owner, alive_ms: float) -> None:
+    """Record that an owner's link came up, on which it may not have heard anything yet."""
     known_ms = gate._owner_alive_ms.get(owner, 0.0)
     gate._owner_alive_ms[owner] = max(known_ms, alive_ms)
     gate._silent_since_ms.pop(owner, None)
 
 
+def forget_owners(gate: GateState) -> None:
+    """Forget the owners that have been silent for longest, if there are too many."""
+    while len(gate._silent_since_ms) > MAX_SILENT_OWNERS:
+        del gate._silent_since_ms[next(iter(gate._silent_since_ms))]
+    if len(gate._owner_heard_ms) <= MAX_SILENT_OWNERS:
+        return
+    in_use = gate._unconfirmed.list_owners() | gate._owner_alive_ms.keys()
+    gate._owner_heard_ms = {it: at_ms for it, at_ms in gate._owner_heard_ms.items() if it in in_use}
+
+
 def has_live_owner(gate: GateState, run: Run) -> bool:
     """Return whether the owner of a run showed a sign of life less than `owner_silent_ms` ago."""
     alive_ms = _find_alive_ms(gate, run.owner)
--- a/apricotrail/runners/_timers.py
+++ b/apricotrail/runners/_timers.py
@@ -5,28 +5,22 @@
 from apricotrail.events import Level, declare_event, emit
 from apricotrail.runners._boots import record_loss
 from apricotrail.runners._capacity import finish_run, start_queued
+from apricotrail.runners._doubts import review_ends
 from apricotrail.runners._gate_state import GateState
 from apricotrail.runners._outcomes import job_of, log_health_change, report_once
+from apricotrail.runners._owners import forget_owners
 from apricotrail.runners._runs import Run, RunPhase
 from apricotrail.runners._stops import stop_owned, stop_run
 from apricotrail.wire.generated.ttypes import RunReason, RunState
 
 __all__ = ["tick"]
 
-MAX_SILENT_OWNERS = 1_024  # more than there are dispatchers
-
 LEASES_LAPSED = declare_event(
     11009,
     "leases_lapsed",
     Level.WARNING,
     "The runner was unreachable for a whole lease; its runs are lost. Check the runner.",
 )
-ENDS_IN_DOUBT = declare_event(
-    11010,
-    "ends_in_doubt",
-    Level.WARNING,
-    "Owners of ended runs and control are silent, so leases are not renewed, or this is over.",
-)
 
 
 def tick(gate: GateState) -> None:
@@ -37,10 +31,9 @@
         if now_ms - alive_ms >= limits.owner_silent_ms:
             del gate._owner_alive_ms[owner]
             gate._silent_since_ms[owner] = alive_ms
-            while len(gate._silent_since_ms) > MAX_SILENT_OWNERS:
-                del gate._silent_since_ms[next(iter(gate._silent_since_ms))]
+            forget_owners(gate)
             stop_owned(gate, owner, RunReason.OWNER_SILENT)
-    _release_unconfirmed(gate, now_ms)
+    review_ends(gate, now_ms)
     for run in list(gate._runs.values()):
         if run.phase is RunPhase.QUEUED and now_ms >= run.queued_until_ms:
             finish_run(gate, run, RunState.NOT_RUN, RunReason.FULL)
@@ -83,32 +76,3 @@
         run.phase = RunPhase.LAPSED
         run.wanted_ms = -inf
         report_once(gate, run, RunState.LOST, RunReason.NONE, 0.0)
-
-
-def _release_unconfirmed(gate: GateState, now_ms: float) -> None:
-    """Release ends of silent owners that can't start their tasks again.
-
-    The runner may be told to forget a released end.
-    While that is in doubt, leases are not renewed; after they lapse, all ends are released.
-    """
-    silent_since_ms = {
-        owner: gate._silent_since_ms.get(owner, gate._created_ms)
-        for owner in gate._unconfirmed.list_owners()
-        if owner is not None and owner not in gate._owner_alive_ms
-    }
-    if now_ms - gate._created_ms >= gate._limits.claim_window_ms:
-        silent_since_ms[None] = gate._created_ms
-    quorum_contact_ms = gate.quorum_contact_ms()
-    gate._unconfirmed.release_silent(silent_since_ms, quorum_contact_ms)
-    was_in_doubt = gate._in_doubt
-    gate._in_doubt = any(
-        now_ms - max(quorum_contact_ms, silent_since_ms[owner]) >= gate._limits.in_doubt_after_ms
-        for owner in gate._unconfirmed.list_owners()
-        if owner in silent_since_ms
-    )
-    if gate._in_doubt and now_ms >= gate._lease_end_ms:
-        gate._unconfirmed.release_all()
-        gate._in_doubt = False
-    if gate._in_doubt != was_in_doubt:
-        left_ms = round(gate._lease_end_ms - now_ms)
-        emit(ENDS_IN_DOUBT, in_doubt=gate._in_doubt, lease_left_ms=left_ms)
--- a/apricotrail/tests/leased_runner.py
+++ b/apricotrail/tests/leased_runner.py
@@ -56,6 +56,8 @@
         Share of the calls that are carried out at once and stay unanswered.
     running : dict
         Runs that are at work, with the time at which they are done, in ms.
+    note_final : callable
+        ``note_final(row)`` is called with each end that is acknowledged before its lease is over.
     """
 
     def __init__(
@@ -69,6 +71,8 @@
         self.lost_share = 0.0
         self.boot = 1
         self.running: dict[RunKey, float] = {}
+        self.note_final: Callable[[EndedRow], None] = lambda row: None
+        self._void_ends: set[int] = set()
         self.instance = "i-1"
         self._booted_ms = 0.0
         self._back_s = 0.0
@@ -96,6 +100,8 @@
                 self._end(key, "done")
             elif lease_end_ms <= now_ms:
                 self._end(key, "lapsed")
+        if lease_end_ms <= now_ms:
+            self._void_ends.update(row.number for row in self._ended)
 
     def crash(self, down_s: float, instance: str) -> None:
         """Lose all runs and all state, and come back after `down_s` as `instance`."""
@@ -103,6 +109,7 @@
         self.running.clear()
         self._started_ms.clear()
         self._ended.clear()
+        self._void_ends.clear()
         self._highest_runs.clear()
         self._token = self._ends = 0
         self._lease_end_ms = 0.0
@@ -203,7 +210,10 @@
                 return None
             if not self._accept(call):
                 return True
-            self._ended = [row for row in self._ended if row.number > last_end]
+            for row in [row for row in self._ended if row.number <= last_end]:
+                self._ended.remove(row)
+                if row.number not in self._void_ends:
+                    self.note_final(row)
             return self._list()
 
         answer = await self._carry_out(call, hold, None)
--- a/apricotrail/wire/messages.thrift
+++ b/apricotrail/wire/messages.thrift
@@ -98,6 +98,7 @@
   7: optional bool stopping,
   8: optional i64 confirmed_version,  // every node behind the sender has at least this version
   9: optional RunnerLoad runner_load,  // from the agent beside a runner
+  10: optional i64 uptime_ms, // from control: since its process started, on its steady clock
 }
 
 // ---- configuration --------------------------------------------------------------------------
@@ -320,8 +321,12 @@
 
 // Sent on each new link: the runs that the owner believes to be at this agent. All others of the
 // same owner are stopped; those that the agent never saw are answered NOT_RUN.
+// The other lists are sent, also empty, until the agent is known to have them. Without written_off the
+// owner is of an older release, or may have written off any run that it doesn't claim.
 struct ClaimRuns {
   1: list<RunStart> runs,
+  2: optional list<RunKey> written_off, // counted as lost: their tasks may have been started again
+  3: optional list<RunKey> taken,       // done, and taken in by the owner
 }
 
 struct RunOutcome {
