--- a/apricotrail/control/tests/test_process.py
+++ b/apricotrail/control/tests/test_process.py
@@ -53,6 +53,7 @@
         identity = Identity(name, "entry", "barranca", incarnation, f"{name}:1")
         self.endpoint = LinkEndpoint(identity, "trial", KeyRing(None), Settings(FAST))
         self.version, self.ready_epoch, self.config_ages_ms = 0, 0, {}
+        self.uptimes_ms = []
         self.confirms = True
         self.endpoint.make_heartbeat = lambda link: Heartbeat(
             config_version=self.version,
@@ -65,6 +66,7 @@
 
     def _record_age(self, link, heartbeat, heartbeat_sent_ms):
         self.config_ages_ms[link.peer.name] = heartbeat.config_age_ms
+        self.uptimes_ms.append(heartbeat.uptime_ms)
 
     def _record_version(self, link, change):
         self.version = max(self.version, change.version)
@@ -159,6 +161,8 @@
         while await entry.fetch_view() != ["entry-1", "entry-2"]:
             await asyncio.sleep(0.02)
         await wait_until(lambda: max(entry.config_ages_ms.values()) < 1_000)
+        self.assertEqual(entry.uptimes_ms, sorted(entry.uptimes_ms))
+        self.assertGreater(entry.uptimes_ms[-1], entry.uptimes_ms[0])
         await other.endpoint.stop()
         while await entry.fetch_view() != ["entry-1"]:
             await asyncio.sleep(0.02)
--- a/apricotrail/runners/_doubts.py
+++ b/apricotrail/runners/_doubts.py
@@ -49,6 +49,8 @@
 
     The runner may be told to forget a released end. After the leases have lapsed, all are released.
     """
+    if not len(gate._unconfirmed):
+        gate._replaced_ms.clear()
     silent_since_ms = _find_silent(gate, now_ms)
     old = {it: at_ms for it, at_ms in silent_since_ms.items() if not _tells_write_offs(gate, it)}
     contact_ms = gate.quorum_contact_ms()
--- a/apricotrail/tests/test_run_limits.py
+++ b/apricotrail/tests/test_run_limits.py
@@ -7,19 +7,27 @@
     CALLER_RETRY_MS,
     IN_DOUBT_AFTER_MS,
     LEASE_MS,
+    LISTS_COMPLETE_MS,
     MAX_NOTICE_MS,
     OWNER_GRACE_MS,
     OWNER_SILENT_MS,
     START_VALID_MS,
     TICK_MS,
+    WRITE_OFF_CONTACT_MS,
 )
-from apricotrail.queues._dispatcher import MAX_PAUSE_MS
+from apricotrail.queues._dispatcher import MAX_PAUSE_MS, STILL_LISTED_MS, UNLISTED_FOR_MS
 from apricotrail.runners._driver import LEASE_MS as ORDERED_LEASE_MS
 from apricotrail.runners._driver import MIN_CLOCK_RATE, STOP_RETRY_MS, STOP_TIMEOUT_MS
 from apricotrail.runners._gate import MIN_START_LEASE_MS
+from apricotrail.runners._unconfirmed import CONTACT_AFTER_SILENCE_MS
 
 SLOWEST_CLOCK = 0.98
 MAX_STOP_MS = 50.0  # `stopTimeoutMs` of the users' runners
+LINK_SILENT_MS = 1_500.0  # the longest of any role
+HEARTBEAT_MS = 200.0  # of agents
+POWERLESS_MS = 1_600.0
+PROCESS_START_MS = 400.0
+SHARE_MS = 250.0  # between two looks of a control replica at its links, with margin
 
 
 class TestRunLimits(unittest.TestCase):
@@ -32,6 +40,19 @@
         self.assertLessEqual(OWNER_GRACE_MS, AGENT_LOST_AFTER_MS)
         self.assertLessEqual(IN_DOUBT_AFTER_MS + TICK_MS + LEASE_MS, AGENT_LOST_AFTER_MS)
 
+    # Guards against an end that is acknowledged while its owner may still write its run off.
+    def test_an_owner_that_saw_the_agent_listed_has_decided_when_its_ends_are_final(self):
+        self.assertLess(STILL_LISTED_MS + LINK_SILENT_MS, CONTACT_AFTER_SILENCE_MS)
+        self.assertLess(LINK_SILENT_MS, AGENT_LOST_AFTER_MS)
+        self.assertLess(SHARE_MS, UNLISTED_FOR_MS)
+        self.assertLessEqual(AGENT_LOST_AFTER_MS, WRITE_OFF_CONTACT_MS)
+
+    # Guards against leases that lapse at all agents after a short loss of power of all of control.
+    def test_a_short_loss_of_power_can_be_told_from_a_write_off(self):
+        away_ms = HEARTBEAT_MS + POWERLESS_MS + PROCESS_START_MS
+        self.assertLess(away_ms, WRITE_OFF_CONTACT_MS)
+        self.assertLess(PROCESS_START_MS, LISTS_COMPLETE_MS)
+
     # Guards against stops that come too late to be answered before the leases lapse.
     def test_a_stop_can_be_repeated_before_the_leases_lapse(self):
         repeated_ms = 3 * (STOP_TIMEOUT_MS + STOP_RETRY_MS) + MAX_STOP_MS
