--- a/apricotrail/queues/_write_offs.py
+++ b/apricotrail/queues/_write_offs.py
@@ -72,6 +72,7 @@
 
     def note_written_off(self, agent: str, keys: Iterable[Key]) -> None:
         """Record runs at an agent that count as lost, so that their tasks may start again."""
+        self._forget_gone()
         notes = self._notes.setdefault(agent, _Notes())
         for key in keys:
             notes.written_off[key] = self._clock()
@@ -109,6 +110,7 @@
         notes = self._notes.get(agent)
         if notes is not None:
             notes.told_ms = inf
+            self._forget_gone()
 
     def note_echo(self, agent: str, sent_ms: float) -> bool:
         """Forget what the agent has read: it echoed an own heartbeat that was sent at `sent_ms`.
@@ -127,6 +129,15 @@
             notes.taken.popitem(last=False)
         return True
 
+    def _forget_gone(self) -> None:
+        """Forget the agents without a link of which nothing is noted any more."""
+        for agent, notes in list(self._notes.items()):
+            if notes.told_ms != inf:
+                continue
+            self._evict(agent)
+            if not notes.written_off and not notes.taken:
+                del self._notes[agent]
+
     def _evict(self, agent: str) -> None:
         """Forget what is too old to matter at an agent."""
         notes = self._notes.get(agent)
--- a/apricotrail/queues/tests/test_write_offs.py
+++ b/apricotrail/queues/tests/test_write_offs.py
@@ -146,6 +146,17 @@
         case.clock.advance(KEPT_MS + 1)
         self.assertEqual(notes.list_for_claim("a"), ([], []))
 
+    # Guards against notes that pile up, as agents come and go under new names.
+    def test_agents_that_are_gone_are_forgotten(self):
+        case = DispatchCase("a")
+        notes = WriteOffs(case.clock)
+        for number in range(50):
+            notes.list_for_claim(f"a{number}")
+            notes.note_written_off(f"a{number}", [("t", 1)])
+            notes.note_link_lost(f"a{number}")
+            case.clock.advance(KEPT_MS / 10)
+        self.assertLessEqual(len(notes._notes), 12)
+
     # Guards against a list that lacks runs and counts as whole.
     def test_a_list_that_was_cut_short_is_not_sent(self):
         case = DispatchCase("a")
