A task whose end may be final doesn't start again after its agent has restarted

Its new process doesn't know the run, which its owner claims, and reports it as lost; the owner started the task again.

Change: the owner knows that it must not write off the agent's runs, as control listed the agent 2.4 s after it was last heard. It keeps that for the runs it claims then: one that is reported as lost all the same ends its job as unfinished (may_be_final).

Ruled out: such runs as done, as the new agent can't tell; an agent that keeps what it made final on a disk, as it has none.

--- a/apricotrail/queues/_dispatcher.py
+++ b/apricotrail/queues/_dispatcher.py
@@ -235,6 +235,8 @@
         self._answers = AnswerCache()
         self._lost_agents: dict[str, _LostAgent] = {}
         self._write_offs = WriteOffs(parts.clock)
+        # Open runs whose ends as done may have become final while their agents were out of reach.
+        self._maybe_final: set[tuple[str, int]] = set()
         self._last_active_ms = parts.clock()
         self._settled_ms = parts.clock() - SETTLE_AGAIN_MS
         self.metrics.open_jobs.watch(lambda: len(self.jobs))
@@ -337,6 +339,7 @@
         """
         self.check_for_pause()
         runner = self.registry.add(agent)
+        lost = self._lost_agents.get(agent)
         starts, stops = [], []
         for (name, run), (job, task) in self._runs.items():
             if task.agent != agent:
@@ -346,6 +349,8 @@
                 stops.append(RunKey(name, run))
             else:
                 starts.append(self._make_start(job, task, name, run, 0))
+                if lost is not None and lost.may_have_finalised:
+                    self._maybe_final.add((name, run))
         self._send(agent, ClaimRuns(starts, *self._write_offs.list_for_claim(agent)))
         if stops:
             self._send(agent, StopRuns(stops))
@@ -433,10 +438,23 @@
                 continue
             del self._runs[outcome.task, outcome.run]
             self._end_run(*found, outcome)
+            self._check_for_final(found[0], outcome)
             jobs_to_place[found[0].job_id] = found[0]
         for job in jobs_to_place.values():
             self._place(job)
 
+    def _check_for_final(self, job: Job, outcome: RunOutcome) -> None:
+        """Give up a job whose task may be done for good although its run counts as lost.
+
+        A new process of an agent doesn't know the ends that the former one made final.
+        """
+        key = (outcome.task, outcome.run)
+        if key not in self._maybe_final:
+            return
+        self._maybe_final.discard(key)
+        if outcome.state == RunState.LOST:
+            self._give_up(job, "may_be_final")
+
     # ---- time ----
 
     def tick(self) -> None:
@@ -501,6 +519,7 @@
             self._write_offs.note_written_off(agent, again)
             for (name, run), (job, task) in ended:
                 del self._runs[name, run]
+                self._maybe_final.discard((name, run))
                 outcome = RunOutcome(name, run, RunState.LOST, RunReason.OWNER_SILENT, 0, 0, 0)
                 self._end_run(job, task, outcome)
 
--- a/apricotrail/queues/tests/test_write_offs.py
+++ b/apricotrail/queues/tests/test_write_offs.py
@@ -5,7 +5,7 @@
 from apricotrail.queues._dispatcher import STILL_LISTED_MS
 from apricotrail.queues._write_offs import KEPT_MS, MAX_KEYS, WriteOffs
 from apricotrail.queues.tests.harness import DispatchCase, make_request
-from apricotrail.wire.generated.ttypes import ClaimRuns, OutcomesTaken
+from apricotrail.wire.generated.ttypes import ClaimRuns, OutcomesTaken, RunReason, RunState
 
 
 class WriteOffCase(DispatchCase):
@@ -124,6 +124,23 @@
         case.advance(6_000)
         self.assertEqual(len(case.runs()), 1)
 
+    # Guards against a task that starts again after its end was final: a new process of the agent
+    # doesn't know that end, and reports the run that is claimed as lost.
+    async def test_a_run_that_may_be_final_is_not_started_again(self):
+        for away_ms, starts in ((STILL_LISTED_MS - 200, 2), (STILL_LISTED_MS + 200, 1)):
+            for state in (RunState.LOST, RunState.FAILED, RunState.DONE):
+                with self.subTest(away_ms=away_ms, state=state):
+                    case = WriteOffCase()
+                    case.lose(away_ms)
+                    case.relink()
+                    case.echo()
+                    case.report(case.agent)
+                    case.end(case.first, state, RunReason.UNKNOWN_RUN)
+                    is_again = state == RunState.FAILED or (state == RunState.LOST and starts == 2)
+                    self.assertEqual(len(case.runs()), 1 + is_again)
+                    if state == RunState.LOST and starts == 1:
+                        self.assertEqual(case.answer.result().reason, "may_be_final")
+
     # Guards against ends that a new agent finds and can't resolve, as it doesn't know their owners.
     async def test_claims_name_outcomes_whose_confirmation_may_be_lost(self):
         case = WriteOffCase()
--- a/apricotrail/tests/test_uncertain_ends.py
+++ b/apricotrail/tests/test_uncertain_ends.py
@@ -198,6 +198,19 @@
                 system = play_system(lambda it, steps=steps: play_steps(it, steps))
                 self.assertEqual(system.violations, [])
 
+    # Guards against a new agent that takes a run whose end is final for one that was lost.
+    def test_an_agent_that_restarts_after_it_made_ends_final(self):
+        for before_s, down_s in product((3.8, 4.6, 6.0), (0.0, 0.5)):
+            with self.subTest(before_s=before_s, down_s=down_s):
+                steps: list[Step] = [
+                    (before_s, cut(("d0", "a0")).lose),
+                    (down_s, AGENT_FAULT.lose),
+                    (0.8, AGENT_FAULT.return_),
+                    (4.0, cut(("d0", "a0")).return_),
+                ]
+                system = play_system(lambda it, steps=steps: play_steps(it, steps))
+                self.assertEqual(system.violations, [])
+
     # Guards against a new agent that takes 4 s of contact with control for proof: the owner wrote
     # the runs off before, and other owners' claims kept the lease alive.
     def test_ends_that_a_new_agent_finds(self):
