Outcomes that were taken are named for 15 s, also to a new process of their agent

Cause: a dispatcher forgot what it had taken once the agent echoed a later heartbeat. The agent may have been restarted before it acknowledged the end, above all if the end waited behind one in doubt. Its new process then found ends that nobody named, and let the leases lapse after 10 s.

Change: they are named for 15 s.

--- a/apricotrail/queues/_write_offs.py
+++ b/apricotrail/queues/_write_offs.py
@@ -2,7 +2,9 @@
 
 An agent that was out of reach still holds the ends of such runs. It must never acknowledge one
 whose task may have been started again, and may acknowledge one whose outcome was taken. Each claim
-tells it both; an echo of a later heartbeat on the same link shows that it has read the claim.
+tells it both; an echo of a later heartbeat on the same link shows that it has read the claim. What
+was taken is told for longer: a new process of the agent finds ends that the former one had not
+acknowledged yet, although it knew that.
 docs/design/uncertain-ends.md says why.
 """
 
@@ -14,9 +16,10 @@
 from apricotrail.clocks import Clock
 from apricotrail.wire.generated.ttypes import RunKey
 
-__all__ = ["KEPT_MS", "MAX_KEYS", "ClaimLists", "WriteOffs"]
+__all__ = ["KEPT_MS", "MAX_KEYS", "TAKEN_MS", "ClaimLists", "WriteOffs"]
 
 KEPT_MS = 60_000.0  # an agent leaves an end in doubt for 10 s
+TAKEN_MS = 15_000.0  # an end may wait for 10 s behind one in doubt, and an agent may restart then
 MAX_KEYS = 4_096  # for each agent; a runner has a few hundred runs
 
 Key = tuple[str, int]
@@ -43,7 +46,7 @@
     Attributes
     ----------
     written_off, taken : dict
-        Runs, with the time of the note and the time at which the agent was told, oldest first.
+        Runs, with the time of the note, oldest first.
     is_truncated : bool
         Whether written-off runs were dropped that the agent was not told of.
     told_ms : float
@@ -52,7 +55,7 @@
 
     def __init__(self) -> None:
         self.written_off: OrderedDict[Key, float] = OrderedDict()
-        self.taken: OrderedDict[Key, tuple[float, float]] = OrderedDict()
+        self.taken: OrderedDict[Key, float] = OrderedDict()
         self.is_truncated = False
         self.told_ms = inf
 
@@ -76,6 +79,7 @@
         notes = self._notes.setdefault(agent, _Notes())
         for key in keys:
             notes.written_off[key] = self._clock()
+            notes.written_off.move_to_end(key)
         while len(notes.written_off) > MAX_KEYS:
             notes.written_off.popitem(last=False)
             notes.is_truncated = True
@@ -85,9 +89,9 @@
         notes = self._notes.setdefault(agent, _Notes())
         now_ms = self._clock()
         for key in keys:
-            notes.taken[key] = (now_ms, now_ms)
-        while len(notes.taken) > MAX_KEYS:
-            notes.taken.popitem(last=False)
+            notes.taken[key] = now_ms
+            notes.taken.move_to_end(key)
+        _drop_old(notes.taken, now_ms - TAKEN_MS)
 
     def is_written_off(self, agent: str, key: Key) -> bool:
         """Return whether the agent may not know yet that a run was written off."""
@@ -99,9 +103,6 @@
         self._evict(agent)
         notes = self._notes.setdefault(agent, _Notes())
         notes.told_ms = self._clock()
-        notes.taken = OrderedDict(
-            (key, (noted_ms, notes.told_ms)) for key, (noted_ms, _) in notes.taken.items()
-        )
         written_off = None if notes.is_truncated else [RunKey(*key) for key in notes.written_off]
         return ClaimLists(written_off, [RunKey(*key) for key in notes.taken])
 
@@ -125,8 +126,6 @@
             return False
         notes.written_off.clear()
         notes.is_truncated = False
-        while notes.taken and next(iter(notes.taken.values()))[1] < sent_ms:
-            notes.taken.popitem(last=False)
         return True
 
     def _forget_gone(self) -> None:
@@ -143,10 +142,11 @@
         notes = self._notes.get(agent)
         if notes is None:
             return
-        oldest_ms = self._clock() - KEPT_MS
-        for key, noted_ms in list(notes.written_off.items()):
-            if noted_ms < oldest_ms:
-                del notes.written_off[key]
-        for key, (noted_ms, _) in list(notes.taken.items()):
-            if noted_ms < oldest_ms:
-                del notes.taken[key]
+        _drop_old(notes.written_off, self._clock() - KEPT_MS)
+        _drop_old(notes.taken, self._clock() - TAKEN_MS)
+
+
+def _drop_old(noted_ms: OrderedDict[Key, float], oldest_ms: float) -> None:
+    """Drop what was noted before `oldest_ms`, and the oldest of more than `MAX_KEYS`."""
+    while noted_ms and (len(noted_ms) > MAX_KEYS or next(iter(noted_ms.values())) < oldest_ms):
+        noted_ms.popitem(last=False)
--- a/apricotrail/queues/tests/test_write_offs.py
+++ b/apricotrail/queues/tests/test_write_offs.py
@@ -3,7 +3,7 @@
 import unittest
 
 from apricotrail.queues._dispatcher import STILL_LISTED_MS
-from apricotrail.queues._write_offs import KEPT_MS, MAX_KEYS, WriteOffs
+from apricotrail.queues._write_offs import KEPT_MS, MAX_KEYS, TAKEN_MS, WriteOffs
 from apricotrail.queues.tests.harness import DispatchCase, make_request
 from apricotrail.wire.generated.ttypes import ClaimRuns, OutcomesTaken, RunReason, RunState
 
@@ -146,9 +146,11 @@
         case = WriteOffCase()
         case.end(case.first)
         case.lose()
-        self.assertEqual(list_keys(case.relink().taken), [case.first[1:]])
-        case.echo()
-        case.lose()
+        for _ in range(2):
+            self.assertEqual(list_keys(case.relink().taken), [case.first[1:]])
+            case.echo()
+            case.lose()
+        case.clock.advance(TAKEN_MS)
         self.assertEqual(list_keys(case.relink().taken), [])
 
 
