--- a/apricotrail/wire/_codec.py
+++ b/apricotrail/wire/_codec.py
@@ -71,6 +71,9 @@
     "RunnerLost",
 )
 _TYPE_BY_KIND = {number: getattr(ttypes, name) for number, name in enumerate(_KIND_NAMES, start=1)}
+# One protocol object serves all messages, as it keeps no state between them; a new one for each
+# takes longer than the C module takes to encode or decode the message.
+_PROTOCOL = TCompactProtocolAccelerated(TMemoryBuffer(), fallback=False)
 _KIND_BY_TYPE = {type_: number for number, type_ in _TYPE_BY_KIND.items()}
 
 
@@ -109,9 +112,8 @@
 
 def encode_message(message: Any) -> bytes:
     """Return the compact encoding of a structure."""
-    buffer = TMemoryBuffer()
-    message.write(TCompactProtocolAccelerated(buffer, fallback=False))
-    return buffer.getvalue()
+    type_ = type(message)
+    return _PROTOCOL._fast_encode(message, [type_, type_.thrift_spec])
 
 
 def decode_message(type_: type, payload: bytes) -> Any:
@@ -123,10 +125,13 @@
         If the bytes are no such structure.
     """
     message = type_()
+    _PROTOCOL.trans = TMemoryBuffer(payload)
     try:
-        message.read(TCompactProtocolAccelerated(TMemoryBuffer(payload), fallback=False))
+        message.read(_PROTOCOL)
     except Exception as error:
         raise _wire_error(f"{type_.__name__} can't be decoded: {error!r}.") from error
+    finally:
+        _PROTOCOL.trans = None  # else the last payload, perhaps a large one, would stay in memory
     return message
 
 
