--- a/apricotrail/http/_server.py
+++ b/apricotrail/http/_server.py
@@ -10,6 +10,7 @@
 from apricotrail.http._limits import ServerLimits
 from apricotrail.http._listener import Listener
 from apricotrail.http._messages import Request, Response
+from apricotrail.pauses import find_pause_s
 
 __all__ = ["HttpServer"]
 
@@ -147,7 +148,7 @@
         )
         pause_ms = min(MAX_SWEEP_MS, max(MIN_SWEEP_MS, shortest_ms / SWEEPS_PER_TIMEOUT))
         loop = asyncio.get_running_loop()
-        self._sweeper = loop.call_later(pause_ms / 1000, self._sweep)
+        self._sweeper = loop.call_later(find_pause_s(pause_ms, loop.time()), self._sweep)
 
     def _sweep(self) -> None:
         self._schedule_sweep()
--- a/apricotrail/logs.py
+++ b/apricotrail/logs.py
@@ -16,6 +16,7 @@
 import structlog
 
 from apricotrail.clocks import Clock, monotonic_ms
+from apricotrail.pauses import pause
 from apricotrail.settings import Settings, declare_setting
 
 __all__ = ["LogWriter", "configure_logs", "make_rate_limit"]
@@ -142,7 +143,7 @@
         """Write waiting lines every `FLUSH_MS`; without lines, sleep."""
         while True:
             await self._has_lines.wait()
-            await asyncio.sleep(FLUSH_MS / 1000)
+            await pause(FLUSH_MS)
             self.drain()
             if not self._pending:
                 self._has_lines.clear()
--- a/apricotrail/metrics/_lag.py
+++ b/apricotrail/metrics/_lag.py
@@ -4,6 +4,7 @@
 
 from apricotrail.clocks import Clock, monotonic_ms
 from apricotrail.metrics._instruments import Histogram
+from apricotrail.pauses import find_pause_s
 
 __all__ = ["watch_loop_lag"]
 
@@ -22,7 +23,9 @@
     clock : Clock
         Monotonic time in milliseconds.
     """
+    loop = asyncio.get_running_loop()
     while True:
-        due_ms = clock() + SAMPLE_MS
-        await asyncio.sleep(SAMPLE_MS / 1000)
+        pause_s = find_pause_s(SAMPLE_MS, loop.time())
+        due_ms = clock() + 1000 * pause_s
+        await asyncio.sleep(pause_s)
         lag_ms.observe(max(0.0, clock() - due_ms))
--- a/apricotrail/queues/_application.py
+++ b/apricotrail/queues/_application.py
@@ -11,6 +11,7 @@
 from apricotrail.events import Level, declare_event, emit
 from apricotrail.membership import TICK_MS, Roster, RosterParts
 from apricotrail.metrics import add_status_listener
+from apricotrail.pauses import pause
 from apricotrail.queues._dispatcher import Dispatcher, DispatcherParts
 from apricotrail.queues._document import POOL_PREFIX, QUEUE_PREFIX, QueueTable, read_queue_table
 from apricotrail.queues._jobs import JobAnswer, JobRequest
@@ -33,6 +34,7 @@
     "",
     "Address for /healthz, /readyz and /metrics; empty for none.",
 )
+IDLE_TICK_MS = 100  # without open jobs; less than the pause of a process that is noticed
 STOP_WAIT_MS = 400  # a job sent again waits this long for its stopped runs to end
 POLL_MS = 10
 START_WAIT_MS = 600  # a new process has its links and queues within this once its peers run
@@ -233,7 +235,7 @@
                 self.roster.tick()
             except Exception as error:
                 emit(DISPATCHER_TICK_FAILED, error=repr(error))
-            await asyncio.sleep(TICK_MS / 1000)
+            await pause(TICK_MS if self.dispatcher.jobs else IDLE_TICK_MS)
 
     def _has_runners(self) -> bool:
         return any(runner.load is not None for runner in self.dispatcher.registry.by_agent.values())
--- a/apricotrail/runners/_application.py
+++ b/apricotrail/runners/_application.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from collections import defaultdict
+from contextlib import suppress
 
 from apricotrail.application import Application
 from apricotrail.clocks import monotonic_ms, wall_ms
@@ -14,6 +15,7 @@
     compute_owner_grace_ms,
 )
 from apricotrail.metrics import add_status_listener
+from apricotrail.pauses import find_pause_s, pause
 from apricotrail.runners._driver import RunnerDriver, RunnerPort
 from apricotrail.runners._gate import GateLimits, RunGate
 from apricotrail.runners._runs import Owner, RunnerReport
@@ -24,6 +26,7 @@
     Heartbeat,
     Identity,
     OutcomesTaken,
+    RunnerLoad,
     RunnerLost,
     RunOutcome,
     RunOutcomes,
@@ -62,6 +65,7 @@
 # gate's limit for its silence.
 CONTROL_HEARTBEAT_MS = 500.0
 STOP_POLL_MS = 20
+IDLE_TICK_MS = 200  # time between two periodic checks while there are no runs and no ends
 
 AGENT_STOPPING = declare_event(
     11201,
@@ -121,6 +125,8 @@
         self._outcomes: dict[Owner, list[RunOutcome]] = defaultdict(list)
         self._received_starts: dict[str, int] = defaultdict(int)
         self._is_flush_scheduled = False
+        self._work_came = asyncio.Event()
+        self._load, self._load_beat = RunnerLoad(), 0
         limits = GateLimits(owner_grace_ms=compute_owner_grace_ms(settings.get(CALLER_RETRY)))
         self.gate = RunGate(monotonic_ms, limits, self._order, self._report, wall_ms())
         self.driver = RunnerDriver(self.gate, port, monotonic_ms, self.application.spawn)
@@ -205,7 +211,17 @@
                 self.roster.tick()
             except Exception as error:
                 emit(AGENT_TICK_FAILED, error=repr(error))
-            await asyncio.sleep(TICK_MS / 1000)
+            if self.gate.has_work or await self._wait_for_work():
+                await pause(TICK_MS)
+
+    async def _wait_for_work(self) -> bool:
+        """Wait for a message about runs; return False if none came for `IDLE_TICK_MS`."""
+        self._work_came.clear()
+        pause_s = find_pause_s(IDLE_TICK_MS, asyncio.get_running_loop().time())
+        with suppress(TimeoutError):
+            async with asyncio.timeout(pause_s):
+                return await self._work_came.wait()
+        return False
 
     # ---- outputs of the gate ----
 
@@ -274,9 +290,20 @@
     def _make_heartbeat(self, link: Link) -> Heartbeat:
         heartbeat = Heartbeat(config_version=self.roster.configuration.version)
         if link.peer.role == "dispatcher":
-            heartbeat.runner_load = self.gate.describe_load(self._received_starts[link.peer.name])
+            heartbeat.runner_load = self._describe_load(self._received_starts[link.peer.name])
         return heartbeat
 
+    def _describe_load(self, received: int) -> RunnerLoad:
+        """Return the load for one owner; for all links of one beat it is computed once.
+
+        It is encoded before the next one is asked for, so that one object serves all of them.
+        """
+        beat = self.endpoint.beat
+        if not beat or beat != self._load_beat:
+            self._load, self._load_beat = self.gate.describe_load(received), beat
+        self._load.received = received
+        return self._load
+
     def _receive_heartbeat(
         self, link: Link, heartbeat: Heartbeat, heartbeat_sent_ms: float | None
     ) -> None:
@@ -288,6 +315,7 @@
             )
 
     def _receive_starts(self, link: Link, message: StartRuns) -> None:
+        self._work_came.set()
         owner = Owner(link.peer.name, link.peer.incarnation)
         is_expired = monotonic_ms() > (message.valid_until_ms or 0)
         for start in message.starts or ():
@@ -295,6 +323,7 @@
             self.gate.receive_start(owner, start, is_expired)
 
     def _receive_stops(self, link: Link, message: StopRuns) -> None:
+        self._work_came.set()
         owner = Owner(link.peer.name, link.peer.incarnation)
         self.gate.receive_stop(owner, [(key.task, key.run) for key in message.runs or ()])
 
@@ -304,6 +333,7 @@
             self.driver.notify_confirmed()
 
     def _receive_claim(self, link: Link, message: ClaimRuns) -> None:
+        self._work_came.set()
         owner = Owner(link.peer.name, link.peer.incarnation)
         self._received_starts[link.peer.name] += len(message.runs or ())
         self.gate.receive_claim(owner, list(message.runs or ()), link.opened_ms)
--- a/apricotrail/runners/_gate.py
+++ b/apricotrail/runners/_gate.py
@@ -387,6 +387,11 @@
         runner = self.runner
         return runner.runner if runner is not None and runner.boot == self.boot else ""
 
+    @property
+    def has_work(self) -> bool:
+        """Return whether there are runs or unconfirmed ends, which `tick` watches over."""
+        return bool(self._runs) or self._in_doubt or self.has_unconfirmed
+
     @property
     def has_unconfirmed(self) -> bool:
         """Return whether any end awaits the confirmation of its owner."""
--- a/apricotrail/wire/_endpoint.py
+++ b/apricotrail/wire/_endpoint.py
@@ -7,6 +7,7 @@
 
 from apricotrail.clocks import Clock, monotonic_ms
 from apricotrail.events import Level, declare_event, emit
+from apricotrail.pauses import pause
 from apricotrail.settings import Settings, declare_setting
 from apricotrail.wire._keys import KeyRing
 from apricotrail.wire._link import BUFFER_BYTES, HEARTBEAT_MS, SILENT_MS, Link
@@ -96,6 +97,9 @@
         process is alive and has acted on all that came before.
     heartbeat_ms_by_role : dict of str to float
         Time between heartbeats to peers of a role, if it is longer than ``link.heartbeat_ms``.
+    beat : int
+        Number of the beat in which heartbeats for all links are being made, one after the other:
+        what is computed for one of them holds for the others. 0 between two beats.
     """
 
     def __init__(
@@ -117,6 +121,7 @@
         self.receive_heartbeat: HeartbeatSink = lambda link, heartbeat, heartbeat_sent_ms: None
         self.may_echo: Callable[[], bool] = lambda: True
         self.heartbeat_ms_by_role: dict[str, float] = {}
+        self.beat = self._beats = 0
         self._heartbeat_ms = settings.get(HEARTBEAT_MS)
         self._redial_ms = settings.get(REDIAL_MS)
         self._connect_ms = settings.get(CONNECT_MS)
@@ -258,11 +263,14 @@
 
     async def _beat_forever(self) -> None:
         while True:
+            self._beats += 1
+            self.beat = self._beats
             for link in list(self._open):
                 role = link.peer.role if link.peer is not None else ""
                 interval_ms = self.heartbeat_ms_by_role.get(role, self._heartbeat_ms)
                 link.send_due_heartbeat(interval_ms)
-            await asyncio.sleep(self._heartbeat_ms / 1000)
+            self.beat = 0
+            await pause(self._heartbeat_ms)
 
     async def _dial_forever(self, address: str, host: str, port: int) -> None:
         pause_ms = self._redial_ms
