http: plain responses without h11's state machine, request heads kept

Change: the checked head of a request and its bytes are kept (256 of them). A response that comes whole with one Content-Length and nothing that changes its framing is read by one regular expression (http/_plain.py); anything else goes to h11 as before, with a fresh parser for the exchange. A connection is polled when it is taken for a call, no longer also when it is given back. What follows a response in the same packet now closes the connection instead of standing at the start of the next response.

--- a/apricotrail/http/_exchange.py
+++ b/apricotrail/http/_exchange.py
@@ -2,13 +2,16 @@
 
 import asyncio
 from collections.abc import Callable
+from functools import lru_cache
 from select import POLLIN, poll
+from typing import NamedTuple
 
 import h11
 from returns.result import Failure, Result, Success
 
 from apricotrail.errors import Problem
 from apricotrail.http._messages import Response
+from apricotrail.http._plain import read_plain_response
 from apricotrail.http._problems import (
     broken_response,
     cut_short,
@@ -23,6 +26,24 @@
 NO_BODY_STATUSES = frozenset({204, 304})
 FRAMING_HEADERS = frozenset({b"content-length", b"transfer-encoding"})
 OCTETS = "application/octet-stream"
+MAX_HEADS = 256
+
+
+class _Head(NamedTuple):
+    """Head of a request, and its bytes."""
+
+    request: h11.Request
+    data: bytes
+
+
+@lru_cache(MAX_HEADS)
+def _make_head(
+    method: str, path: str, headers: tuple[tuple[str, str], ...], body_bytes: int
+) -> _Head:
+    """Return the head of a request, which h11 checks; the same ones are sent again and again."""
+    fields = [*headers, ("Content-Length", str(body_bytes))]
+    request = h11.Request(method=method, target=path, headers=fields)
+    return _Head(request, h11.Connection(h11.CLIENT).send(request) or b"")
 
 
 class ClientConnection(asyncio.Protocol):
@@ -42,7 +63,9 @@
     def __init__(self, on_lost: Callable[["ClientConnection"], None]) -> None:
         self.idle_since_ms = 0.0
         self._on_lost = on_lost
-        self._h11 = h11.Connection(h11.CLIENT)
+        self._h11: h11.Connection | None = None
+        self._sent: tuple[h11.Request, bytes] | None = None
+        self._is_reusable = True
         self._transport: asyncio.Transport | None = None
         self._answer: asyncio.Future[Result[Response, Problem]] | None = None
         self._head: h11.Response | None = None
@@ -62,12 +85,19 @@
         if self._answer is None or self._answer.done():
             self.abort()
             return
+        if self._h11 is None:
+            plain = None if self._is_head else read_plain_response(data, self._max_body_bytes)
+            if plain is not None:
+                self._is_reusable = True
+                self._set_response(*plain)
+                return
+            self._h11 = self._make_parser()
         self._h11.receive_data(data)
         self._read_events()
 
     def eof_received(self) -> None:
         """Find out whether the response was whole."""
-        if self._answer is not None and not self._answer.done() and self._head is not None:
+        if self._h11 is not None and not self._answer.done() and self._head is not None:
             self._h11.receive_data(b"")
             self._read_events()
 
@@ -83,9 +113,13 @@
         """Return whether nothing can be sent any more."""
         return self._transport is None or self._transport.is_closing()
 
+    def is_between_exchanges(self) -> bool:
+        """Return whether the connection is open and its last exchange ended well, if any."""
+        return not self.is_closed() and self._is_reusable
+
     def is_usable(self) -> bool:
         """Return whether a request may be sent: open, between exchanges, nothing received."""
-        if self.is_closed() or self._h11.our_state is not h11.IDLE:
+        if not self.is_between_exchanges():
             return False
         readable = poll()
         socket = self._transport.get_extra_info("socket")  # type: ignore[union-attr]
@@ -119,16 +153,15 @@
         self._body_bytes = 0
         self._max_body_bytes = limit_bytes
         self._is_head = method == "HEAD"
-        fields = [*headers, ("Content-Length", str(len(body)))]
+        self._is_reusable = False
+        self._h11 = None
         try:
-            data = self._h11.send(h11.Request(method=method, target=path, headers=fields)) or b""
+            head = _make_head(method, path, tuple(headers), len(body))
         except (h11.LocalProtocolError, ValueError) as error:
             self._fail(unsendable(error))
             return self._answer
-        if body:
-            data += self._h11.send(h11.Data(data=body)) or b""
-        self._h11.send(h11.EndOfMessage())
-        self._transport.write(data)  # type: ignore[union-attr]
+        self._sent = (head.request, body)
+        self._transport.write(head.data + body)  # type: ignore[union-attr]
         return self._answer
 
     def abort(self) -> None:
@@ -138,6 +171,16 @@
 
     # ---- reading ----
 
+    def _make_parser(self) -> h11.Connection:
+        """Return a parser for the response to the request that was sent."""
+        parser = h11.Connection(h11.CLIENT)
+        request, body = self._sent  # type: ignore[misc]
+        parser.send(request)
+        if body:
+            parser.send(h11.Data(data=body))
+        parser.send(h11.EndOfMessage())
+        return parser
+
     def _read_events(self) -> None:
         while True:
             try:
@@ -182,11 +225,15 @@
             (name.decode("ascii"), value.decode("latin-1"))
             for name, value in head.headers  # type: ignore[union-attr]
         )
-        content_type = next((value for name, value in headers if name == "content-type"), OCTETS)
         body = self._body[0] if len(self._body) == 1 else b"".join(self._body)
-        if self._h11.our_state is h11.DONE and self._h11.their_state is h11.DONE:
-            self._h11.start_next_cycle()
-        status = head.status_code  # type: ignore[union-attr]
+        parser = self._h11
+        is_over = parser.our_state is h11.DONE and parser.their_state is h11.DONE
+        self._is_reusable = is_over and not parser.trailing_data[0]
+        self._set_response(head.status_code, headers, body)  # type: ignore[union-attr]
+
+    def _set_response(self, status: int, headers: tuple[tuple[str, str], ...], body: bytes) -> None:
+        self._h11 = self._sent = None
+        content_type = next((value for name, value in headers if name == "content-type"), OCTETS)
         self._answer.set_result(  # type: ignore[union-attr]
             Success(Response(status, body, content_type, headers))
         )
--- a/apricotrail/http/_pool.py
+++ b/apricotrail/http/_pool.py
@@ -55,7 +55,7 @@
 
     def give_back(self, connection: ClientConnection) -> None:
         """Keep a connection for reuse, or cut it if its exchange did not end well."""
-        if connection.is_usable():
+        if connection.is_between_exchanges():
             connection.idle_since_ms = self._clock()
             self._idle.append(connection)
             self._wake_one()
