A dispatcher answers every second heartbeat of an agent where it has no runs

Cause: of the messages of an idle agent and dispatcher half are answers to heartbeats, which nobody needs where the dispatcher has no runs: the answer shows the agent that the owner of its runs is alive.

Change: where a dispatcher has runs, each heartbeat is answered at once, as before. Where it has none, an answer is left out if one was sent less than 300 ms ago. Before starts and claims the newest heartbeat is answered first if it wasn't, so that the agent knows its owner as alive as before. Links still carry a heartbeat in each direction every 200 and 400 ms, and count as silent after 1,200 ms. Old agents see the same order. Small change in queues/_dispatcher.py: list_busy_agents.

Ruled out: a longer interval of the agents' heartbeats, since the load in them is stale after 450 ms.

--- a/apricotrail/queues/_application.py
+++ b/apricotrail/queues/_application.py
@@ -17,7 +17,14 @@
 from apricotrail.queues._jobs import JobAnswer, JobRequest
 from apricotrail.settings import Settings, declare_setting
 from apricotrail.wire import KeyRing, Link, LinkEndpoint
-from apricotrail.wire.generated.ttypes import Heartbeat, Identity, RunnerLost, RunOutcomes
+from apricotrail.wire.generated.ttypes import (
+    ClaimRuns,
+    Heartbeat,
+    Identity,
+    RunnerLost,
+    RunOutcomes,
+    StartRuns,
+)
 
 __all__ = ["QueueDispatcher"]
 
@@ -35,6 +42,9 @@
     "Address for /healthz, /readyz and /metrics; empty for none.",
 )
 IDLE_TICK_MS = 100  # without open jobs; less than the pause of a process that is noticed
+# Without runs at an agent, every second heartbeat of it, sent every 200 ms, is answered; links are
+# replaced only after a silence of more than a second.
+IDLE_ECHO_MS = 300
 STOP_WAIT_MS = 400  # a job sent again waits this long for its stopped runs to end
 POLL_MS = 10
 START_WAIT_MS = 600  # a new process has its links and queues within this once its peers run
@@ -103,6 +113,7 @@
         self.application = Application("dispatcher")
         self.table = QueueTable()
         self.stopping = False
+        self._busy_agents: set[str] = set()
         identity = Identity(
             settings.get(NAME), "dispatcher", settings.get(ZONE), wall_ms(), settings.get(NAME)
         )
@@ -231,6 +242,7 @@
     async def _tick_forever(self) -> None:
         while True:
             try:
+                self._busy_agents = self.dispatcher.list_busy_agents()
                 self.dispatcher.tick()
                 self.roster.tick()
             except Exception as error:
@@ -248,7 +260,14 @@
 
     def _send(self, agent: str, message: Any) -> bool:
         link = self.endpoint.links.get(agent)
-        return link is not None and link.send(message)
+        if link is None:
+            return False
+        if isinstance(message, StartRuns | ClaimRuns):
+            self._busy_agents.add(agent)
+            if link.owes_echo:
+                # The agent starts a run only if it knows that its owner was alive just before.
+                link.send_heartbeat()
+        return link.send(message)
 
     def _link_up(self, link: Link) -> None:
         if link.peer.role == "runner":
@@ -271,12 +290,18 @@
             if heartbeat.runner_load is not None:
                 self.dispatcher.receive_heartbeat(link.peer.name, heartbeat.runner_load)
             # Answering at once shows the agent that the owner of its runs is alive.
-            link.send_heartbeat()
+            if self._is_echo_due(link):
+                link.send_heartbeat()
             unsettled_ms = self.dispatcher.check_for_pause()
             if unsettled_ms > 0.0:
                 loop = asyncio.get_running_loop()
                 loop.call_later(unsettled_ms / 1000, link.send_heartbeat)
 
+    def _is_echo_due(self, link: Link) -> bool:
+        """Return whether an agent needs an answer to its heartbeat: it has runs, or waits long."""
+        is_busy = link.peer.name in self._busy_agents
+        return is_busy or monotonic_ms() - link.beat_ms >= IDLE_ECHO_MS
+
     def _receive_outcomes(self, link: Link, message: RunOutcomes) -> None:
         self.dispatcher.receive_outcomes(link.peer.name, message)
 
--- a/apricotrail/queues/_dispatcher.py
+++ b/apricotrail/queues/_dispatcher.py
@@ -361,7 +361,7 @@
         now_ms = self._clock()
         for name, runner in self.registry.by_agent.items():
             runner.is_retiring = name in agents
-        busy = {task.agent for _, task in self._runs.values()}
+        busy = self.list_busy_agents()
         return frozenset(
             name
             for name in agents - busy
@@ -369,6 +369,10 @@
             and now_ms - self.registry.by_agent[name].used_ms >= RETIRED_IDLE_MS
         )
 
+    def list_busy_agents(self) -> set[str]:
+        """Return the agents with runs of this dispatcher, as far as it knows."""
+        return {task.agent for _, task in self._runs.values()}
+
     def receive_heartbeat(self, agent: str, load: RunnerLoad) -> None:
         """Record an agent's heartbeat, which is echoed at once, and the report in it."""
         runner = self.registry.by_agent.get(agent)
--- a/apricotrail/wire/_link.py
+++ b/apricotrail/wire/_link.py
@@ -167,6 +167,16 @@
         """Time of the last received bytes, on the endpoint's clock."""
         return self._heard_ms
 
+    @property
+    def beat_ms(self) -> float:
+        """Time of the last own heartbeat, on the endpoint's clock."""
+        return self._beat_ms
+
+    @property
+    def owes_echo(self) -> bool:
+        """Whether a heartbeat of the peer came that no own one has echoed yet."""
+        return self._echo < self._highest_received
+
     def send(self, message: Any, correlation: int = 0) -> bool:
         """Queue a message.
 
