Shared wake-ups on the grid of the wall clock

Cause: a dispatcher and a control replica wake once for nearly each heartbeat of each agent.

Change: the grid on which periodic work ends is that of the wall clock, so heartbeats of many processes reach their common peers together. Half of the processes are shifted by half of the grid, and beats of 200 ms have four starting points: eight groups, so that not all processes of a machine wake at once. Control's oversight uses it, too.

--- a/apricotrail/control/_service.py
+++ b/apricotrail/control/_service.py
@@ -30,6 +30,7 @@
 from apricotrail.events import Level, declare_event, emit
 from apricotrail.membership import replica_name
 from apricotrail.metrics import ControlMetrics
+from apricotrail.pauses import pause
 from apricotrail.wire import Link, LinkEndpoint
 from apricotrail.wire.generated.ttypes import (
     Command,
@@ -327,7 +328,7 @@
         while not self.failed.is_set():
             self._run_step(self._oversee)
             self._run_step(self._watch_group)
-            await asyncio.sleep(OVERSEE_INTERVAL_MS / 1000)
+            await pause(OVERSEE_INTERVAL_MS)
 
     def _run_step(self, step: Callable[[], None]) -> None:
         try:
--- a/apricotrail/pauses.py
+++ b/apricotrail/pauses.py
@@ -1,13 +1,17 @@
-"""Pauses of periodic work that end together, so that one wake-up of the process serves all of it.
+"""Pauses of periodic work that end together, so that one wake-up of a process serves all of it.
 
 A process that wakes finds its caches cold, and pays for that more than for most of its periodic
-steps. So these pauses end at points of one grid in time. Each process has a grid of its own, since
-processes of one machine that all wake at the same moment would keep each other waiting.
+steps. So these pauses end at points of one grid in time. The grid is that of the wall clock, on
+which heartbeats of many processes reach their common peers together, too: those wake a few times
+for all of them. Half of the processes are shifted by half of the grid, and heartbeats every 200 ms
+begin at any of four points, so that not all processes of a machine wake at the same moment. Nothing
+relies on the clocks of machines being equal.
 """
 
 import asyncio
 from math import floor
-from random import random
+from random import choice
+from time import monotonic, time
 
 __all__ = ["GRID_MS", "find_pause_s", "pause"]
 
@@ -15,7 +19,7 @@
 """Distance of the points at which shared pauses end, in milliseconds."""
 
 _GRID_S = GRID_MS / 1000
-_OFFSET_S = random() * _GRID_S
+_OFFSET_S = (monotonic() - time() + choice((0.0, _GRID_S / 2))) % _GRID_S
 
 
 def find_pause_s(pause_ms: float, now_s: float) -> float:
