--- a/apricotrail/runners/_gate.py
+++ b/apricotrail/runners/_gate.py
@@ -597,15 +597,17 @@
         not answered, to what it was when the stop was ordered. A run without an owner gets no
         further lease, since its owner may have been gone for longer than this agent knows.
         """
-        grace_ms = self._limits.owner_grace_ms
-        return min(
-            (
-                self._find_wanted_ms(run) + grace_ms
-                for run in self._runs.values()
-                if run.phase is not RunPhase.QUEUED and run.stop_answered_ms is None
-            ),
-            default=inf,
-        )
+        earliest_ms = inf
+        alive_ms, queued = self._owner_alive_ms, RunPhase.QUEUED
+        for run in self._runs.values():
+            if run.phase is queued or run.stop_answered_ms is not None:
+                continue
+            wanted_ms = run.wanted_ms
+            if wanted_ms is None:
+                # Called many times for each run, so the usual case is looked up here.
+                wanted_ms = alive_ms.get(run.owner) or self._find_wanted_ms(run)
+            earliest_ms = min(earliest_ms, wanted_ms)
+        return earliest_ms + self._limits.owner_grace_ms
 
     def refuse_queued_if_closed(self) -> None:
         """Refuse the queued runs if operators took the zone out of service."""
--- a/apricotrail/wire/_codec.py
+++ b/apricotrail/wire/_codec.py
@@ -127,7 +127,7 @@
     message = type_()
     _PROTOCOL.trans = TMemoryBuffer(payload)
     try:
-        message.read(_PROTOCOL)
+        _PROTOCOL._fast_decode(message, _PROTOCOL, [type_, type_.thrift_spec])
     except Exception as error:
         raise _wire_error(f"{type_.__name__} can't be decoded: {error!r}.") from error
     finally:
@@ -157,21 +157,27 @@
         WireError
             If a frame is too large or can't be decoded.
         """
-        self._buffer += data
+        # Almost always whole frames come, which need not be copied first.
+        received = data
+        if self._buffer:
+            self._buffer += data
+            received = self._buffer
         frames = []
         start = 0
-        while len(self._buffer) - start >= HEADER_BYTES:
-            length, kind, correlation = _HEADER.unpack_from(self._buffer, start)
+        while len(received) - start >= HEADER_BYTES:
+            length, kind, correlation = _HEADER.unpack_from(received, start)
             if length > self._max_frame_bytes:
                 raise _wire_error(f"A frame of {length} bytes is over {self._max_frame_bytes}.")
             end = start + HEADER_BYTES + length
-            if len(self._buffer) < end:
+            if len(received) < end:
                 break
-            payload = bytes(self._buffer[start + HEADER_BYTES : end])
+            payload = bytes(received[start + HEADER_BYTES : end])
             frames.append(Frame(self._decode(kind, payload), correlation))
             start = end
-        if start:
+        if received is self._buffer:
             del self._buffer[:start]
+        elif start < len(received):
+            self._buffer += received[start:]
         return frames
 
     def _decode(self, kind: int, payload: bytes) -> Any:
