Fewer heartbeats where answers are enough; cheaper load reports and decoding

Cause: control and dispatchers answer heartbeats at once, but also sent their own when the last answer was 375 ms old, which is so before each late one. An agent's heartbeats to control, meant for every 500 ms, went out every 400 ms, as the beats come every 200 ms.

Change: control sends its own heartbeat only 750 ms after the last answer, a dispatcher to an agent 600 ms after it. A silent peer is looked for at each beat, whatever the interval, so a link is found silent no later than before. An agent's interval to control is 600 ms: contact is at most that old, less than the 750 ms of silence from which ends are in doubt. The load report computes the rest of each run once, and the forecast of a runner with room at once. The C module reads payloads through one small object in place of thrift's memory buffer.

Ruled out: rarer heartbeats between agents and dispatchers (reports are stale after 450 ms).

--- a/apricotrail/control/_service.py
+++ b/apricotrail/control/_service.py
@@ -50,6 +50,9 @@
 # These date their contact with control by the answers to their heartbeats. Answered at once, rare
 # heartbeats show a more recent contact than frequent ones that wait for the next timer.
 PROMPTLY_ANSWERED_ROLES = frozenset({"dispatcher", "runner"})
+# The answers, to heartbeats every 500 to 600 ms, are enough unless one is late; links of these
+# roles count as silent after 1.2 s.
+ANSWERED_HEARTBEAT_MS = 1_000.0
 
 CONTROL_STORAGE_FAILED = declare_event(
     3001,
@@ -167,6 +170,8 @@
         endpoint.on(NodesRequest, self._nodes.answer_request)
         endpoint.make_heartbeat = self._make_heartbeat
         endpoint.receive_heartbeat = self._receive_heartbeat
+        for role in PROMPTLY_ANSWERED_ROLES:
+            endpoint.heartbeat_ms_by_role[role] = ANSWERED_HEARTBEAT_MS
         endpoint.on_up(self._link_up)
         endpoint.on_down(self._link_down)
 
--- a/apricotrail/queues/_application.py
+++ b/apricotrail/queues/_application.py
@@ -45,6 +45,8 @@
 # Without runs at an agent, every second heartbeat of it, sent every 200 ms, is answered; links are
 # replaced only after a silence of more than a second.
 IDLE_ECHO_MS = 300
+# The answers are enough unless a heartbeat of the agent is late.
+ANSWERED_HEARTBEAT_MS = 800.0
 STOP_WAIT_MS = 400  # a job sent again waits this long for its stopped runs to end
 POLL_MS = 10
 START_WAIT_MS = 600  # a new process has its links and queues within this once its peers run
@@ -144,6 +146,7 @@
         self.endpoint.make_heartbeat = self._make_heartbeat
         self.endpoint.may_echo = lambda: self.dispatcher.check_for_pause() == 0.0
         self.endpoint.receive_heartbeat = self._receive_heartbeat
+        self.endpoint.heartbeat_ms_by_role["runner"] = ANSWERED_HEARTBEAT_MS
         metrics = self.dispatcher.metrics
         metrics.links.watch(lambda: len(self.endpoint.links))
         metrics.config_version.watch(lambda: self.table.version)
--- a/apricotrail/runners/_application.py
+++ b/apricotrail/runners/_application.py
@@ -61,8 +61,8 @@
 )
 ZONE_STATE_PREFIX = "zone-state/"
 # Control answers at once, so contact with it is at most this old, and a round trip: less than the
-# gate's limit for its silence.
-CONTROL_HEARTBEAT_MS = 500.0
+# gate's limit for its silence. A multiple of the 200 ms between the heartbeats to dispatchers.
+CONTROL_HEARTBEAT_MS = 600.0
 STOP_POLL_MS = 20
 IDLE_TICK_MS = 200  # time between two periodic checks while nothing is due before the next one
 
--- a/apricotrail/runners/_forecast.py
+++ b/apricotrail/runners/_forecast.py
@@ -84,16 +84,18 @@
     urgent = [run for run in queue if run.is_urgent]
     mean_ms = sum(end.remaining_ms for end in ends) / len(ends) if ends else 0.0
     spacing_ms = mean_ms / len(ends) if ends else DEFAULT_SPACING_MS
-    return Forecast(
-        _wait_behind(free_cpu_millis, ends, queue, typical_cpu_millis),
-        _wait_behind(free_cpu_millis, ends, urgent, typical_cpu_millis),
-        spacing_ms,
-    )
+    next_ms = _wait_behind(free_cpu_millis, ends, queue, typical_cpu_millis)
+    urgent_ms = next_ms
+    if len(urgent) < len(queue):
+        urgent_ms = _wait_behind(free_cpu_millis, ends, urgent, typical_cpu_millis)
+    return Forecast(next_ms, urgent_ms, spacing_ms)
 
 
 def _wait_behind(
     free_cpu_millis: int, ends: list[ExpectedEnd], queue: list[QueuedRun], typical_cpu_millis: int
 ) -> float:
+    if not queue and free_cpu_millis >= typical_cpu_millis:
+        return 0.0
     pending = list(ends)
     heapify(pending)
     now_ms = 0.0
--- a/apricotrail/runners/_load.py
+++ b/apricotrail/runners/_load.py
@@ -53,7 +53,9 @@
     running = [run for run in runs if run.phase is not RunPhase.QUEUED]
     used_cpu_millis, _ = sum_resources(running)
     committed_cpu_millis, committed_memory_mb = sum_resources(runs)
-    forecast = _predict(runner.cpu_millis - used_cpu_millis, running, queued, now_ms)
+    remaining_ms = [_predict_remaining_ms(run, now_ms) for run in running]
+    free_cpu_millis = runner.cpu_millis - used_cpu_millis
+    forecast = _predict(free_cpu_millis, running, remaining_ms, queued, now_ms)
     return RunnerLoad(
         runner.runner,
         runner.boot,
@@ -74,7 +76,7 @@
         _bound(forecast.next_start_ms),
         _bound(forecast.urgent_start_ms),
         _bound(forecast.spacing_ms),
-        _bound(_predict_idle_ms(running, queued, now_ms)),
+        _bound(_predict_idle_ms(remaining_ms, queued)),
         sum(bool(run.start.isolated) for run in runs),
     )
 
@@ -94,11 +96,14 @@
 
 
 def _predict(
-    free_cpu_millis: int, running: list[Run], queued: list[Run], now_ms: float
+    free_cpu_millis: int,
+    running: list[Run],
+    remaining_ms: list[float],
+    queued: list[Run],
+    now_ms: float,
 ) -> Forecast:
-    ends = [
-        ExpectedEnd(_predict_remaining_ms(run, now_ms), run.start.cpu_millis) for run in running
-    ]
+    cpu_millis = [run.start.cpu_millis for run in running]
+    ends = list(map(ExpectedEnd, remaining_ms, cpu_millis))
     queue = [
         QueuedRun(
             run.start.cpu_millis,
@@ -107,15 +112,15 @@
         )
         for run in queued
     ]
-    sizes = [run.start.cpu_millis for run in (*running, *queued)]
+    sizes = [*cpu_millis, *(run.start.cpu_millis for run in queued)]
     typical_cpu_millis = sum(sizes) // len(sizes) if sizes else 0
     return predict_starts(free_cpu_millis, ends, queue, typical_cpu_millis)
 
 
-def _predict_idle_ms(running: list[Run], queued: list[Run], now_ms: float) -> float:
+def _predict_idle_ms(remaining_ms: list[float], queued: list[Run]) -> float:
     """Return the expected time until the running runs and the queued isolated ones have ended."""
     isolated_ms = sum(run.start.estimate_ms or 0 for run in queued if run.start.isolated)
-    return max((_predict_remaining_ms(run, now_ms) for run in running), default=0.0) + isolated_ms
+    return max(remaining_ms, default=0.0) + isolated_ms
 
 
 def _predict_remaining_ms(run: Run, now_ms: float) -> float:
--- a/apricotrail/wire/_codec.py
+++ b/apricotrail/wire/_codec.py
@@ -4,11 +4,12 @@
 structure in the compact protocol of Apache Thrift.
 """
 
+from io import BytesIO
 from struct import Struct
 from typing import Any, NamedTuple
 
 from thrift.protocol.TCompactProtocol import TCompactProtocolAccelerated
-from thrift.transport.TTransport import TMemoryBuffer
+from thrift.transport.TTransport import TTransportException
 
 from apricotrail.errors import ApricotrailError, ErrorKind, Problem
 from apricotrail.wire.generated import ttypes
@@ -71,12 +72,27 @@
     "RunnerLost",
 )
 _TYPE_BY_KIND = {number: getattr(ttypes, name) for number, name in enumerate(_KIND_NAMES, start=1)}
-# One protocol object serves all messages, as it keeps no state between them; a new one for each
-# takes longer than the C module takes to encode or decode the message.
-_PROTOCOL = TCompactProtocolAccelerated(TMemoryBuffer(), fallback=False)
 _KIND_BY_TYPE = {type_: number for number, type_ in _TYPE_BY_KIND.items()}
 
 
+class _Payload:
+    """What the C module reads one whole payload from, as from thrift's `CReadableTransport`."""
+
+    def __init__(self) -> None:
+        self.cstringio_buf = _EMPTY
+
+    def cstringio_refill(self, partial: bytes, wanted: int) -> BytesIO:
+        """Raise, since a payload is there as a whole."""
+        raise TTransportException(TTransportException.END_OF_FILE, "The payload is too short.")
+
+
+# One protocol object and transport serve all messages, as they keep no state between them; new
+# ones for each take longer than the C module takes to encode or decode the message.
+_EMPTY = BytesIO()
+_PAYLOAD = _Payload()
+_PROTOCOL = TCompactProtocolAccelerated(_PAYLOAD, fallback=False)
+
+
 class WireError(ApricotrailError):
     """A frame that breaks the format; the link it came on is closed."""
 
@@ -125,13 +141,13 @@
         If the bytes are no such structure.
     """
     message = type_()
-    _PROTOCOL.trans = TMemoryBuffer(payload)
+    _PAYLOAD.cstringio_buf = BytesIO(payload)
     try:
         _PROTOCOL._fast_decode(message, _PROTOCOL, [type_, type_.thrift_spec])
     except Exception as error:
         raise _wire_error(f"{type_.__name__} can't be decoded: {error!r}.") from error
     finally:
-        _PROTOCOL.trans = None  # else the last payload, perhaps a large one, would stay in memory
+        _PAYLOAD.cstringio_buf = _EMPTY  # else a large payload would stay in memory
     return message
 
 
--- a/apricotrail/wire/_link.py
+++ b/apricotrail/wire/_link.py
@@ -232,8 +232,10 @@
         """Send a heartbeat unless one was sent within the last three quarters of the interval.
 
         On a link where the heartbeats of the peer are answered at once, the answers are enough.
+        A peer that has been silent for too long is found at any interval.
         """
-        if self._clock() - self._beat_ms < 0.75 * interval_ms:
+        now_ms = self._clock()
+        if now_ms - self._beat_ms < 0.75 * interval_ms and not self._is_silent(now_ms):
             return
         try:
             self.send_heartbeat()
@@ -244,7 +246,7 @@
     def send_heartbeat(self) -> None:
         """Send a heartbeat, or abandon the link if the peer has been silent for too long."""
         now_ms = self._clock()
-        if now_ms - min(self._heard_ms, self._echoed_ms) > self._endpoint.silent_ms:
+        if self._is_silent(now_ms):
             emit(LINK_SILENT, peer=self._peer_name())
             self.close()
             return
@@ -260,6 +262,9 @@
             self._sent_at_ms[self._sequence] = now_ms
             self._beat_ms = now_ms
 
+    def _is_silent(self, now_ms: float) -> bool:
+        return now_ms - min(self._heard_ms, self._echoed_ms) > self._endpoint.silent_ms
+
     # ---- handshake ----
 
     def _hello(self) -> Hello:
