http: a call on an open connection needs a timer only

Cause: each call entered a time-out context and a coroutine of the pool, also where a connection was idle.

Change: a call that finds an idle connection sends at once; a timer ends the exchange with the same problem as before.

--- a/apricotrail/http/_client.py
+++ b/apricotrail/http/_client.py
@@ -7,6 +7,7 @@
 
 from apricotrail.clocks import Clock, monotonic_ms
 from apricotrail.errors import ErrorKind, Problem
+from apricotrail.http._exchange import ClientConnection
 from apricotrail.http._limits import ClientLimits
 from apricotrail.http._messages import Response
 from apricotrail.http._pool import ConnectionPool
@@ -84,7 +85,13 @@
         limit_bytes = (
             self._limits.max_answer_bytes if max_answer_bytes is None else max_answer_bytes
         )
-        connection = None
+        connection = pool.take_idle()
+        if connection is not None:
+            if not may_send():
+                pool.give_back(connection)
+                return Failure(_unreachable(address, "was not sent the request: withdrawn"))
+            answer = connection.send(method, path, fields, body, limit_bytes)
+            return await self._wait_for_answer(pool, connection, answer, address, timeout_ms)
         result: Result[Response, Problem] | None = None
         try:
             async with asyncio.timeout(timeout_ms / 1000):
@@ -103,6 +110,24 @@
         finally:
             self._put_away(pool, connection, whole=result is not None)
 
+    async def _wait_for_answer(
+        self,
+        pool: ConnectionPool,
+        connection: ClientConnection,
+        answer: "asyncio.Future[Result[Response, Problem]]",
+        address: str,
+        timeout_ms: float,
+    ) -> Result[Response, Problem]:
+        """Wait on a connection that was open already, as most are; that needs a timer only."""
+        timer = asyncio.get_running_loop().call_later(
+            timeout_ms / 1000, lambda: connection.expire(_deadline(address, timeout_ms))
+        )
+        try:
+            return await answer
+        finally:
+            timer.cancel()
+            self._put_away(pool, connection, whole=not answer.cancelled())
+
     async def close(self) -> None:
         """Cut every connection."""
         for pool in self._pools.values():
--- a/apricotrail/http/_exchange.py
+++ b/apricotrail/http/_exchange.py
@@ -164,6 +164,11 @@
         self._transport.write(head.data + body)  # type: ignore[union-attr]
         return self._answer
 
+    def expire(self, problem: Problem) -> None:
+        """End an open exchange with `problem`, as its time is over."""
+        if self._answer is not None and not self._answer.done():
+            self._fail(problem)
+
     def abort(self) -> None:
         """Cut the connection."""
         if self._transport is not None:
--- a/apricotrail/http/_pool.py
+++ b/apricotrail/http/_pool.py
@@ -46,7 +46,7 @@
             If no connection could be opened.
         """
         while True:
-            connection = self._take_idle()
+            connection = self.take_idle()
             if connection is not None:
                 return connection
             if len(self._open) + self._opening < self._limits.connections:
@@ -81,7 +81,8 @@
         for connection in list(self._open):
             self.discard(connection)
 
-    def _take_idle(self) -> ClientConnection | None:
+    def take_idle(self) -> ClientConnection | None:
+        """Return a usable connection that is open already, None if there is none."""
         while self._idle:
             connection = self._idle.pop()
             idle_ms = self._clock() - connection.idle_since_ms
