--- a/apricotrail/pauses.py
+++ b/apricotrail/pauses.py
@@ -19,7 +19,7 @@
 """Shortest distance of the points at which shared pauses end, in milliseconds."""
 
 _GRIDS_MS = (500, 200, 100, GRID_MS)
-_SHIFTS = 8
+_SHIFTS = 5
 _OFFSET_S = monotonic() - time() + choice(range(_SHIFTS)) * 0.2 / _SHIFTS
 
 
--- a/apricotrail/queues/tests/test_application.py
+++ b/apricotrail/queues/tests/test_application.py
@@ -3,12 +3,14 @@
 import asyncio
 import unittest
 
-from apricotrail.clocks import VirtualClock
+from apricotrail.clocks import VirtualClock, monotonic_ms
 from apricotrail.membership import MAX_NOTICE_MS
 from apricotrail.queues import QueueDispatcher
+from apricotrail.queues._application import IDLE_ECHO_MS
 from apricotrail.queues._dispatcher import SETTLE_MS, Dispatcher, DispatcherParts
 from apricotrail.queues.tests.harness import QUEUE, make_request
 from apricotrail.settings import Settings
+from apricotrail.wire.generated.ttypes import ClaimRuns, Heartbeat, Identity, StartRuns
 
 
 class TestCallersThatLeave(unittest.IsolatedAsyncioTestCase):
@@ -67,3 +69,48 @@
             echoes.append(process.endpoint.may_echo())
         self.assertGreaterEqual(sum(echoes), len(echoes) // 2)
         self.assertNotIn((False, False), list(zip(echoes, echoes[1:], strict=False)))
+
+
+class FakeLink:
+    """A link to an agent that keeps what is sent."""
+
+    def __init__(self):
+        self.peer = Identity("a", "runner", "", 1, "")
+        self.sent, self.beat_ms, self.owes_echo = [], 0.0, False
+
+    def send(self, message):
+        self.sent.append(type(message).__name__)
+        return True
+
+    def send_heartbeat(self):
+        self.sent.append("Heartbeat")
+        self.beat_ms, self.owes_echo = monotonic_ms(), False
+
+
+class TestAnswersToHeartbeats(unittest.TestCase):
+    def setUp(self):
+        self.process, self.link = QueueDispatcher(Settings({})), FakeLink()
+        self.process.endpoint.links["a"] = self.link
+
+    def receive_heartbeats(self, count):
+        for sequence in range(count):
+            self.process._receive_heartbeat(self.link, Heartbeat(sequence), None)
+        return self.link.sent.count("Heartbeat")
+
+    # Guards against runs that are stopped since their owner seems silent.
+    def test_each_heartbeat_of_an_agent_with_runs_is_answered(self):
+        self.process._send("a", StartRuns([]))
+        self.assertEqual(self.receive_heartbeats(4), 4)
+
+    # Guards against idle links on which half of all messages answer heartbeats for nobody.
+    def test_without_runs_an_answer_that_follows_another_soon_is_left_out(self):
+        self.assertEqual(self.receive_heartbeats(4), 1)
+        self.link.beat_ms -= IDLE_ECHO_MS
+        self.assertEqual(self.receive_heartbeats(1), 2)
+
+    # Guards against a start that its agent refuses, since the last sign of life it knows is old.
+    def test_the_newest_heartbeat_is_answered_before_starts_and_claims(self):
+        for message in (StartRuns([]), ClaimRuns([])):
+            self.link.owes_echo, self.link.sent = True, []
+            self.process._send("a", message)
+            self.assertEqual(self.link.sent, ["Heartbeat", type(message).__name__])
--- a/apricotrail/runners/_application.py
+++ b/apricotrail/runners/_application.py
@@ -220,7 +220,7 @@
         """
         loop = asyncio.get_running_loop()
         end_s = loop.time() + find_pause_s(IDLE_TICK_MS, loop.time())
-        while self.gate.find_due_ms() > monotonic_ms() + IDLE_TICK_MS:
+        while self.gate.find_due_ms() > monotonic_ms() + 1000 * (end_s - loop.time()):
             self._runs_came.clear()
             try:
                 async with asyncio.timeout_at(end_s):
