--- a/apricotrail/pauses.py
+++ b/apricotrail/pauses.py
@@ -20,14 +20,16 @@
 
 _GRIDS_MS = (500, 200, 100, GRID_MS)
 _SHIFTS = 5
+_EARLY = 0.1
 _OFFSET_S = monotonic() - time() + choice(range(_SHIFTS)) * 0.2 / _SHIFTS
 
 
 def find_pause_s(pause_ms: float, now_s: float) -> float:
-    """Return the seconds from `now_s` to the grid point that is nearest to the end of a pause.
+    """Return the seconds from `now_s` to the last grid point before the end of a pause.
 
     Work that is repeated after pauses of a multiple of `GRID_MS` keeps its mean interval, as a
-    pause that begins late by less than half of its grid is shortened by that.
+    pause that begins late is shortened by that. No pause is longer than wanted by more than
+    `_EARLY` of its grid, which allows for timers that end early.
 
     Parameters
     ----------
@@ -40,7 +42,7 @@
     grid_s = next((it for it in _GRIDS_MS if pause_ms % it == 0), 0) / 1000
     if not grid_s:
         return pause_ms / 1000
-    points = floor((now_s + pause_ms / 1000 - _OFFSET_S) / grid_s + 0.5)
+    points = floor((now_s + pause_ms / 1000 - _OFFSET_S) / grid_s + _EARLY)
     return points * grid_s + _OFFSET_S - now_s
 
 
--- a/apricotrail/queues/_application.py
+++ b/apricotrail/queues/_application.py
@@ -41,7 +41,7 @@
     "",
     "Address for /healthz, /readyz and /metrics; empty for none.",
 )
-IDLE_TICK_MS = 100  # without open jobs; less than the pause of a process that is noticed
+IDLE_TICK_MS = 100  # if no task waits; less than the pause of a process that is noticed
 # Without runs at an agent, every second heartbeat of it, sent every 200 ms, is answered; links are
 # replaced only after a silence of more than a second.
 IDLE_ECHO_MS = 300
@@ -244,13 +244,16 @@
 
     async def _tick_forever(self) -> None:
         while True:
+            pause_ms = TICK_MS
             try:
                 self._busy_agents = self.dispatcher.list_busy_agents()
                 self.dispatcher.tick()
                 self.roster.tick()
+                if not self.dispatcher.has_waiting():
+                    pause_ms = IDLE_TICK_MS
             except Exception as error:
                 emit(DISPATCHER_TICK_FAILED, error=repr(error))
-            await pause(TICK_MS if self.dispatcher.jobs else IDLE_TICK_MS)
+            await pause(pause_ms)
 
     def _has_runners(self) -> bool:
         return any(runner.load is not None for runner in self.dispatcher.registry.by_agent.values())
--- a/apricotrail/queues/_dispatcher.py
+++ b/apricotrail/queues/_dispatcher.py
@@ -369,6 +369,15 @@
             and now_ms - self.registry.by_agent[name].used_ms >= RETIRED_IDLE_MS
         )
 
+    def has_waiting(self) -> bool:
+        """Return whether tasks wait for a runner or a step, or runs for news of a lost agent."""
+        return bool(self._lost_agents) or any(
+            task.phase is TaskPhase.WAITING
+            for job in self.jobs.values()
+            if not job.stopping
+            for task in job.tasks
+        )
+
     def list_busy_agents(self) -> set[str]:
         """Return the agents with runs of this dispatcher, as far as it knows."""
         return {task.agent for _, task in self._runs.values()}
--- a/apricotrail/tests/test_layout.py
+++ b/apricotrail/tests/test_layout.py
@@ -18,7 +18,7 @@
     ("http", "names", "wire"),
     ("application", "logs"),
     ("events", "settings"),
-    ("clocks", "errors"),
+    ("clocks", "errors", "pauses"),
 )
 SUBPACKAGES = [name for layer in LAYERS for name in layer]
 
--- a/apricotrail/tests/test_pauses.py
+++ b/apricotrail/tests/test_pauses.py
@@ -25,6 +25,13 @@
             now_s += find_pause_s(200, now_s)
         self.assertAlmostEqual(now_s - start_s, 20.0)
 
+    # Guards against heartbeats that come later than the limits for silence count on.
+    @params(50, 100, 200, 500)
+    def test_no_pause_is_much_longer_than_wanted(self, pause_ms):
+        pauses_s = [find_pause_s(pause_ms, 100 + 0.007 * step) for step in range(200)]
+        self.assertLessEqual(max(pauses_s), 1.1 * pause_ms / 1000 + 1e-6)
+        self.assertGreater(min(pauses_s), 0)
+
     # Guards against a short pause of a retry that the grid stretches or drops.
     def test_short_pauses_stay_as_they_are(self):
         self.assertEqual(find_pause_s(20, 123.4), 0.02)
