--- a/apricotrail/control/_service.py
+++ b/apricotrail/control/_service.py
@@ -30,6 +30,7 @@
 from apricotrail.events import Level, declare_event, emit
 from apricotrail.membership import replica_name
 from apricotrail.metrics import ControlMetrics
+from apricotrail.pauses import pause
 from apricotrail.wire import Link, LinkEndpoint
 from apricotrail.wire.generated.ttypes import (
     Command,
@@ -49,6 +50,9 @@
 # These date their contact with control by the answers to their heartbeats. Answered at once, rare
 # heartbeats show a more recent contact than frequent ones that wait for the next timer.
 PROMPTLY_ANSWERED_ROLES = frozenset({"dispatcher", "runner"})
+# The answers, to heartbeats every 500 to 600 ms, are enough unless one is late; links of these
+# roles count as silent after 1.2 s.
+ANSWERED_HEARTBEAT_MS = 1_000.0
 
 CONTROL_STORAGE_FAILED = declare_event(
     3001,
@@ -166,6 +170,8 @@
         endpoint.on(NodesRequest, self._nodes.answer_request)
         endpoint.make_heartbeat = self._make_heartbeat
         endpoint.receive_heartbeat = self._receive_heartbeat
+        for role in PROMPTLY_ANSWERED_ROLES:
+            endpoint.heartbeat_ms_by_role[role] = ANSWERED_HEARTBEAT_MS
         endpoint.on_up(self._link_up)
         endpoint.on_down(self._link_down)
 
@@ -327,7 +333,7 @@
         while not self.failed.is_set():
             self._run_step(self._oversee)
             self._run_step(self._watch_group)
-            await asyncio.sleep(OVERSEE_INTERVAL_MS / 1000)
+            await pause(OVERSEE_INTERVAL_MS)
 
     def _run_step(self, step: Callable[[], None]) -> None:
         try:
--- a/apricotrail/http/_exchange.py
+++ b/apricotrail/http/_exchange.py
@@ -83,9 +83,14 @@
         """Return whether nothing can be sent any more."""
         return self._transport is None or self._transport.is_closing()
 
+    def is_between_exchanges(self) -> bool:
+        """Return whether the connection is open and its last exchange ended well, if any."""
+        is_idle = self._h11.our_state is h11.IDLE and not self._h11.trailing_data[0]
+        return is_idle and not self.is_closed()
+
     def is_usable(self) -> bool:
         """Return whether a request may be sent: open, between exchanges, nothing received."""
-        if self.is_closed() or self._h11.our_state is not h11.IDLE:
+        if not self.is_between_exchanges():
             return False
         readable = poll()
         socket = self._transport.get_extra_info("socket")  # type: ignore[union-attr]
@@ -131,6 +136,11 @@
         self._transport.write(data)  # type: ignore[union-attr]
         return self._answer
 
+    def expire(self, problem: Problem) -> None:
+        """End an open exchange with `problem`, as its time is over."""
+        if self._answer is not None and not self._answer.done():
+            self._fail(problem)
+
     def abort(self) -> None:
         """Cut the connection."""
         if self._transport is not None:
--- a/apricotrail/http/_pool.py
+++ b/apricotrail/http/_pool.py
@@ -46,7 +46,7 @@
             If no connection could be opened.
         """
         while True:
-            connection = self._take_idle()
+            connection = self.take_idle()
             if connection is not None:
                 return connection
             if len(self._open) + self._opening < self._limits.connections:
@@ -55,7 +55,7 @@
 
     def give_back(self, connection: ClientConnection) -> None:
         """Keep a connection for reuse, or cut it if its exchange did not end well."""
-        if connection.is_usable():
+        if connection.is_between_exchanges():
             connection.idle_since_ms = self._clock()
             self._idle.append(connection)
             self._wake_one()
@@ -81,7 +81,8 @@
         for connection in list(self._open):
             self.discard(connection)
 
-    def _take_idle(self) -> ClientConnection | None:
+    def take_idle(self) -> ClientConnection | None:
+        """Return a usable connection that is open already, None if there is none."""
         while self._idle:
             connection = self._idle.pop()
             idle_ms = self._clock() - connection.idle_since_ms
--- a/apricotrail/http/tests/test_client.py
+++ b/apricotrail/http/tests/test_client.py
@@ -110,6 +110,16 @@
             self.assertEqual((await first).failure().kind, ErrorKind.DEADLINE)
             self.assertEqual(server.requests, 1)
 
+    async def test_bytes_behind_a_response_are_not_read_as_the_next_one(self):
+        """Guards against an answer to another request, sent in the same packet as the last one."""
+        async with StandInServer(OK + OK, close=False) as server:
+            client = HttpClient(LIMITS)
+            for _ in range(2):
+                result = await client.request("GET", server.address, "/")
+                self.assertEqual(result.unwrap().body, b"ok")
+            self.assertEqual(server.connections, 2)
+            await client.close()
+
     async def test_connection_closed_while_idle_is_not_used(self):
         async with StandInServer(OK, close=True) as server:
             client = HttpClient(LIMITS)
--- a/apricotrail/runners/_application.py
+++ b/apricotrail/runners/_application.py
@@ -15,6 +15,7 @@
     compute_owner_grace_ms,
 )
 from apricotrail.metrics import add_status_listener
+from apricotrail.pauses import find_pause_s, pause
 from apricotrail.runners._driver import RunnerDriver, RunnerPort
 from apricotrail.runners._gate import GateLimits, RunGate
 from apricotrail.runners._runs import Owner, RunKey, RunnerReport
@@ -25,6 +26,7 @@
     Heartbeat,
     Identity,
     OutcomesTaken,
+    RunnerLoad,
     RunnerLost,
     RunOutcome,
     RunOutcomes,
@@ -61,9 +63,10 @@
 )
 ZONE_STATE_PREFIX = "zone-state/"
 # Control answers at once, so contact with it is at most this old, and a round trip: less than the
-# gate's limit for its silence.
-CONTROL_HEARTBEAT_MS = 500.0
+# gate's limit for its silence. A multiple of the 200 ms between the heartbeats to dispatchers.
+CONTROL_HEARTBEAT_MS = 600.0
 STOP_POLL_MS = 20
+IDLE_TICK_MS = 200  # time between two periodic checks while nothing is due before the next one
 
 AGENT_STOPPING = declare_event(
     11201,
@@ -123,6 +126,8 @@
         self._outcomes: dict[Owner, list[RunOutcome]] = defaultdict(list)
         self._received_starts: dict[str, int] = defaultdict(int)
         self._is_flush_scheduled = False
+        self._runs_came = asyncio.Event()
+        self._load, self._load_beat = RunnerLoad(), 0
         limits = GateLimits(owner_grace_ms=compute_owner_grace_ms(settings.get(CALLER_RETRY)))
         self.gate = RunGate(monotonic_ms, limits, self._order, self._report, wall_ms())
         self.driver = RunnerDriver(self.gate, port, monotonic_ms, self.application.spawn)
@@ -206,9 +211,26 @@
             try:
                 self.gate.tick()
                 self.roster.tick()
+                await self._pause_until_due()
             except Exception as error:
                 emit(AGENT_TICK_FAILED, error=repr(error))
-            await asyncio.sleep(TICK_MS / 1000)
+                await pause(TICK_MS)
+
+    async def _pause_until_due(self) -> None:
+        """Sleep for `TICK_MS`, or for `IDLE_TICK_MS` if nothing is due by then.
+
+        Starts, stops and claims that come meanwhile may bring forward what is due.
+        """
+        loop = asyncio.get_running_loop()
+        end_s = loop.time() + find_pause_s(IDLE_TICK_MS, loop.time())
+        while self.gate.find_due_ms() > monotonic_ms() + 1000 * (end_s - loop.time()):
+            self._runs_came.clear()
+            try:
+                async with asyncio.timeout_at(end_s):
+                    await self._runs_came.wait()
+            except TimeoutError:
+                return
+        await pause(TICK_MS)
 
     # ---- outputs of the gate ----
 
@@ -277,9 +299,20 @@
     def _make_heartbeat(self, link: Link) -> Heartbeat:
         heartbeat = Heartbeat(config_version=self.roster.configuration.version)
         if link.peer.role == "dispatcher":
-            heartbeat.runner_load = self.gate.describe_load(self._received_starts[link.peer.name])
+            heartbeat.runner_load = self._describe_load(self._received_starts[link.peer.name])
         return heartbeat
 
+    def _describe_load(self, received: int) -> RunnerLoad:
+        """Return the load for one owner; for all links of one beat it is computed once.
+
+        It is encoded before the next one is asked for, so that one object serves all of them.
+        """
+        beat = self.endpoint.beat
+        if not beat or beat != self._load_beat:
+            self._load, self._load_beat = self.gate.describe_load(received), beat
+        self._load.received = received
+        return self._load
+
     def _receive_heartbeat(
         self, link: Link, heartbeat: Heartbeat, heartbeat_sent_ms: float | None
     ) -> None:
@@ -291,6 +324,7 @@
             )
 
     def _receive_starts(self, link: Link, message: StartRuns) -> None:
+        self._runs_came.set()
         owner = Owner(link.peer.name, link.peer.incarnation)
         is_expired = monotonic_ms() > (message.valid_until_ms or 0)
         for start in message.starts or ():
@@ -298,6 +332,7 @@
             self.gate.receive_start(owner, start, is_expired)
 
     def _receive_stops(self, link: Link, message: StopRuns) -> None:
+        self._runs_came.set()
         owner = Owner(link.peer.name, link.peer.incarnation)
         self.gate.receive_stop(owner, _list_keys(message.runs or ()))
 
@@ -307,6 +342,7 @@
             self.driver.notify_confirmed()
 
     def _receive_claim(self, link: Link, message: ClaimRuns) -> None:
+        self._runs_came.set()
         owner = Owner(link.peer.name, link.peer.incarnation)
         self._received_starts[link.peer.name] += len(message.runs or ())
         self.gate.receive_claim(
--- a/apricotrail/runners/_gate.py
+++ b/apricotrail/runners/_gate.py
@@ -28,7 +28,7 @@
 from apricotrail.runners._runs import Listing, Order, Owner, RunKey, RunnerReport, StartReply
 from apricotrail.runners._starts import may_send_start, receive_start, receive_start_reply
 from apricotrail.runners._stops import receive_stop, receive_stop_reply
-from apricotrail.runners._timers import tick
+from apricotrail.runners._timers import find_due_ms, tick
 from apricotrail.wire.generated.ttypes import RunnerLoad, RunOutcome, RunReason, RunStart
 
 __all__ = ["MIN_START_LEASE_MS", "GateLimits", "RunGate"]
@@ -220,6 +220,13 @@
         """
         return find_lease_limit_ms(self)
 
+    def find_due_ms(self) -> float:
+        """Return the time, on the own clock, from which on `tick` has something to do.
+
+        It may be too early, but not too late unless runs, claims or stops arrive meanwhile.
+        """
+        return find_due_ms(self)
+
     def refuse_queued_if_closed(self) -> None:
         """Refuse the queued runs if operators took the zone out of service."""
         if not self.zone_open:
--- a/apricotrail/runners/_leases.py
+++ b/apricotrail/runners/_leases.py
@@ -24,15 +24,17 @@
 
 def find_lease_limit_ms(gate: GateState) -> float:
     """Return the time, on the own clock, beyond which no lease may be extended now."""
-    grace_ms = gate._limits.owner_grace_ms
-    return min(
-        (
-            find_wanted_ms(gate, run) + grace_ms
-            for run in gate._runs.values()
-            if run.phase is not RunPhase.QUEUED and run.stop_answered_ms is None
-        ),
-        default=inf,
-    )
+    earliest_ms = inf
+    alive_ms, queued = gate._owner_alive_ms, RunPhase.QUEUED
+    for run in gate._runs.values():
+        if run.phase is queued or run.stop_answered_ms is not None:
+            continue
+        wanted_ms = run.wanted_ms
+        if wanted_ms is None:
+            # Called many times for each run, so the usual case is looked up here.
+            wanted_ms = alive_ms.get(run.owner) or find_wanted_ms(gate, run)
+        earliest_ms = min(earliest_ms, wanted_ms)
+    return earliest_ms + gate._limits.owner_grace_ms
 
 
 def may_renew(gate: GateState) -> bool:
--- a/apricotrail/runners/_timers.py
+++ b/apricotrail/runners/_timers.py
@@ -13,7 +13,7 @@
 from apricotrail.runners._stops import stop_owned, stop_run
 from apricotrail.wire.generated.ttypes import RunReason, RunState
 
-__all__ = ["tick"]
+__all__ = ["find_due_ms", "tick"]
 
 LEASES_LAPSED = declare_event(
     11009,
@@ -47,6 +47,28 @@
     start_queued(gate)
 
 
+def find_due_ms(gate: GateState) -> float:
+    """Return the time, on the own clock, from which on `tick` has something to do.
+
+    It may be too early, but not too late unless runs, claims or stops arrive meanwhile.
+    """
+    runs = gate._runs.values()
+    if not runs and not gate._is_lapsing and not len(gate._unconfirmed):
+        return inf
+    owners = {run.owner for run in runs} | gate._unconfirmed.list_owners()
+    alive_ms = gate._owner_alive_ms
+    if gate._is_lapsing or not all(owner in alive_ms for owner in owners):
+        return 0.0
+    if any(run.phase is RunPhase.QUEUED for run in runs):
+        return 0.0
+    limits = gate._limits
+    silent_ms = min((alive_ms[owner] for owner in owners), default=inf) + limits.owner_silent_ms
+    progress_ms = (run.progress_ms for run in runs if run.phase is RunPhase.RUNNING)
+    stalled_ms = min(progress_ms, default=inf) + limits.stall_ms
+    lapsed_ms = max(gate._lease_end_ms, gate._listing_asked_ms + limits.lease_ms)
+    return min(silent_ms, stalled_ms, lapsed_ms)
+
+
 def _is_stalled(gate: GateState, run: Run, now_ms: float) -> bool:
     """Return whether a run shows no progress although its runner sent a listing recently."""
     stall_ms = gate._limits.stall_ms
--- a/apricotrail/wire/_codec.py
+++ b/apricotrail/wire/_codec.py
@@ -4,11 +4,12 @@
 structure in the compact protocol of Apache Thrift.
 """
 
+from io import BytesIO
 from struct import Struct
 from typing import Any, NamedTuple
 
 from thrift.protocol.TCompactProtocol import TCompactProtocolAccelerated
-from thrift.transport.TTransport import TMemoryBuffer
+from thrift.transport.TTransport import TTransportException
 
 from apricotrail.errors import ApricotrailError, ErrorKind, Problem
 from apricotrail.wire.generated import ttypes
@@ -74,6 +75,24 @@
 _KIND_BY_TYPE = {type_: number for number, type_ in _TYPE_BY_KIND.items()}
 
 
+class _Payload:
+    """What the C module reads one whole payload from, as from thrift's `CReadableTransport`."""
+
+    def __init__(self) -> None:
+        self.cstringio_buf = _EMPTY
+
+    def cstringio_refill(self, partial: bytes, wanted: int) -> BytesIO:
+        """Raise, since a payload is there as a whole."""
+        raise TTransportException(TTransportException.END_OF_FILE, "The payload is too short.")
+
+
+# One protocol object and transport serve all messages, as they keep no state between them; new
+# ones for each take longer than the C module takes to encode or decode the message.
+_EMPTY = BytesIO()
+_PAYLOAD = _Payload()
+_PROTOCOL = TCompactProtocolAccelerated(_PAYLOAD, fallback=False)
+
+
 class WireError(ApricotrailError):
     """A frame that breaks the format; the link it came on is closed."""
 
@@ -109,9 +128,8 @@
 
 def encode_message(message: Any) -> bytes:
     """Return the compact encoding of a structure."""
-    buffer = TMemoryBuffer()
-    message.write(TCompactProtocolAccelerated(buffer, fallback=False))
-    return buffer.getvalue()
+    type_ = type(message)
+    return _PROTOCOL._fast_encode(message, [type_, type_.thrift_spec])
 
 
 def decode_message(type_: type, payload: bytes) -> Any:
@@ -123,10 +141,13 @@
         If the bytes are no such structure.
     """
     message = type_()
+    _PAYLOAD.cstringio_buf = BytesIO(payload)
     try:
-        message.read(TCompactProtocolAccelerated(TMemoryBuffer(payload), fallback=False))
+        _PROTOCOL._fast_decode(message, _PROTOCOL, [type_, type_.thrift_spec])
     except Exception as error:
         raise _wire_error(f"{type_.__name__} can't be decoded: {error!r}.") from error
+    finally:
+        _PAYLOAD.cstringio_buf = _EMPTY  # else a large payload would stay in memory
     return message
 
 
@@ -152,21 +173,27 @@
         WireError
             If a frame is too large or can't be decoded.
         """
-        self._buffer += data
+        # Almost always whole frames come, which need not be copied first.
+        received = data
+        if self._buffer:
+            self._buffer += data
+            received = self._buffer
         frames = []
         start = 0
-        while len(self._buffer) - start >= HEADER_BYTES:
-            length, kind, correlation = _HEADER.unpack_from(self._buffer, start)
+        while len(received) - start >= HEADER_BYTES:
+            length, kind, correlation = _HEADER.unpack_from(received, start)
             if length > self._max_frame_bytes:
                 raise _wire_error(f"A frame of {length} bytes is over {self._max_frame_bytes}.")
             end = start + HEADER_BYTES + length
-            if len(self._buffer) < end:
+            if len(received) < end:
                 break
-            payload = bytes(self._buffer[start + HEADER_BYTES : end])
+            payload = bytes(received[start + HEADER_BYTES : end])
             frames.append(Frame(self._decode(kind, payload), correlation))
             start = end
-        if start:
+        if received is self._buffer:
             del self._buffer[:start]
+        elif start < len(received):
+            self._buffer += received[start:]
         return frames
 
     def _decode(self, kind: int, payload: bytes) -> Any:
