Split the queues' dispatcher into modules by subject

The parts are functions of one DispatchState now; Dispatcher keeps its interface and the pauses of its process. No change of behaviour: the order of messages, events and random draws is the same.

MAX_PAUSE_MS and START_VALID_MS stay names of _dispatcher, where the tests of the whole path raise them; the latter is passed into the state.

--- /dev/null
+++ b/apricotrail/queues/_agents.py
@@ -0,0 +1,116 @@
+"""Links to agents: claims of the runs there, links to be closed, runs at agents without a link."""
+
+from apricotrail.events import Level, declare_event, emit
+from apricotrail.membership import AGENT_LOST_AFTER_MS
+from apricotrail.queues._lost_agents import LostAgent
+from apricotrail.queues._outcomes import end_run
+from apricotrail.queues._starts import make_start
+from apricotrail.queues._state import DispatchState
+from apricotrail.wire.generated.ttypes import (
+    ClaimRuns,
+    RunKey,
+    RunOutcome,
+    RunReason,
+    RunState,
+    StopRuns,
+)
+
+__all__ = ["RETIRED_IDLE_MS", "declare_runs_lost", "link_agent", "retire_agents", "unlink_agent"]
+
+RETIRED_IDLE_MS = 1_000.0  # time without a start or an outcome before a link is closed
+
+AGENT_LOST = declare_event(
+    10006,
+    "runner_agent_lost",
+    Level.WARNING,
+    "The link to a runner's agent was lost; its runs stay open until it returns or leases lapse.",
+)
+AGENT_UP = declare_event(
+    10007,
+    "runner_agent_up",
+    Level.INFO,
+    "A runner's agent is linked; this dispatcher claimed the runs that it believes to be there.",
+)
+RUNS_WRITTEN_OFF = declare_event(
+    10009,
+    "runs_written_off",
+    Level.WARNING,
+    "The runner leases of a silent agent have lapsed; its runs count as lost and may be retried.",
+)
+
+
+def link_agent(state: DispatchState, agent: str) -> None:
+    """Add the runner of a linked agent, and claim the runs believed to be there.
+
+    Runs of jobs that are answered are stopped: the stop may have been lost with the last link.
+    """
+    state.lost_agents.pop(agent, None)
+    runner = state.registry.add(agent)
+    starts, stops = [], []
+    for (name, run), (job, task) in state.runs.items():
+        if task.agent != agent:
+            continue
+        runner.note_sent(job.request.steps[task.step], task.is_isolated)
+        if job.stopping:
+            stops.append(RunKey(name, run))
+        else:
+            starts.append(make_start(state, job, task, name, run, 0))
+    state.send(agent, ClaimRuns(starts))
+    if stops:
+        state.send(agent, StopRuns(stops))
+    emit(AGENT_UP, agent=agent, claimed=len(starts), stopped=len(stops))
+
+
+def unlink_agent(state: DispatchState, agent: str) -> None:
+    """Record the loss of the link to an agent; its runs count as lost after their leases."""
+    runner = state.registry.by_agent.get(agent)
+    heard_ms = runner.heartbeat_ms if runner is not None and runner.heartbeat_ms else state.clock()
+    state.registry.remove(agent)
+    runs = sum(task.agent == agent for _, task in state.runs.values())
+    if runs:
+        state.lost_agents.setdefault(agent, LostAgent(heard_ms))
+    emit(AGENT_LOST, agent=agent, runs=runs, heard_ms_ago=round(state.clock() - heard_ms))
+
+
+def retire_agents(state: DispatchState, agents: frozenset[str]) -> frozenset[str]:
+    """Place no more tasks at `agents`, but at all others; return those whose link may close.
+
+    Closing the link of an agent would stop the runs of this dispatcher, and may lose the
+    confirmation of outcomes that were received just now.
+    """
+    now_ms = state.clock()
+    for name, runner in state.registry.by_agent.items():
+        runner.is_retiring = name in agents
+    busy = {task.agent for _, task in state.runs.values()}
+    return frozenset(
+        name
+        for name in agents - busy
+        if name in state.registry.by_agent
+        and now_ms - state.registry.by_agent[name].used_ms >= RETIRED_IDLE_MS
+    )
+
+
+def declare_runs_lost(state: DispatchState, now_ms: float) -> None:
+    """End the runs of agents without a link once their leases must have lapsed.
+
+    Whether the agent may have finalised outcomes matters only for jobs that are not answered
+    yet: the tasks of the others are not started again.
+    """
+    for agent, lost in list(state.lost_agents.items()):
+        lost.note_listing(state.is_unlisted(agent), now_ms)
+        has_expired = lost.has_expired(now_ms)
+        if has_expired:
+            del state.lost_agents[agent]
+        elif now_ms - lost.heard_ms < AGENT_LOST_AFTER_MS:
+            continue
+        ended = [
+            (key, it)
+            for key, it in state.runs.items()
+            if it[1].agent == agent and (has_expired or it[0].stopping)
+        ]
+        if ended:
+            emit(RUNS_WRITTEN_OFF, agent=agent, runs=len(ended))
+        for (name, run), (job, task) in ended:
+            del state.runs[name, run]
+            outcome = RunOutcome(name, run, RunState.LOST, RunReason.OWNER_SILENT, 0, 0, 0)
+            end_run(state, job, task, outcome)
