--- a/apricotrail/queues/tests/test_write_offs.py
+++ b/apricotrail/queues/tests/test_write_offs.py
@@ -14,7 +14,7 @@
     def __init__(self) -> None:
         super().__init__("a", "b")
         self.confirms = True
-        self.dispatcher._is_unlisted_since = lambda agent, as_of_ms: self.confirms
+        self.dispatcher._state.is_unlisted_since = lambda agent, as_of_ms: self.confirms
         self.unlisted = False
         self.answer = self.submit(make_request(count=1)._replace(budget_ms=60_000.0))
         self.first = self.runs()[0]
