--- a/Makefile
+++ b/Makefile
@@ -14,6 +14,7 @@
 	touch $@
 
 test: setup
+	@grep '^CI passes over' KNOWN-RED.txt || true
 	$(BIN)/nose2 --config nose2.cfg
 	PYTHONPATH=platform $(BIN)/nose2 --config nose2.cfg -s platform -t platform
 
