--- a/apricotrail/entry/_application.py
+++ b/apricotrail/entry/_application.py
@@ -170,9 +170,11 @@
         )
         self.observer = JobObserver(self.metrics, self.burn)
         self.pipeline = Pipeline(self._ownership_parts(), self.observer.observe_job)
-        limits = read_server_limits(settings)
-        self.server = HttpServer(self._make_router(), limits)
-        self.operators = HttpServer(make_operator_router(self._operating_parts()), limits)
+        self.server = HttpServer(self._make_router(), read_server_limits(settings))
+        self.operators = HttpServer(
+            make_operator_router(self._operating_parts()),
+            read_server_limits(settings, "operators"),
+        )
         self.operators_address = ""
         self._was_member = False
         self._register_handlers()
--- a/apricotrail/http/_limits.py
+++ b/apricotrail/http/_limits.py
@@ -1,4 +1,8 @@
-"""Bounds of the HTTP server and client."""
+"""Bounds of the HTTP server and client.
+
+Each kind of listener has bounds of its own, so that what one of them is sent takes nothing from the
+others.
+"""
 
 from typing import NamedTuple
 
@@ -22,7 +26,29 @@
 MAX_BODY_BYTES = declare_setting(
     "http.max_body_bytes",
     16 * 1024 * 1024,
-    "Body of one request; more gets 413.",
+    "Body of one request of a caller; more gets 413.",
+    unit="bytes",
+    minimum=1,
+)
+OPERATORS_MAX_BODY_BYTES = declare_setting(
+    "http.operators_max_body_bytes",
+    8 * 1024 * 1024,
+    "Body of one request of an operator, such as a document; more gets 413.",
+    unit="bytes",
+    minimum=1,
+)
+RUNNERS_MAX_BODY_BYTES = declare_setting(
+    "http.runners_max_body_bytes",
+    4 * 1024 * 1024,
+    "Body of one announcement of a runner to its agent; more gets 413.",
+    unit="bytes",
+    minimum=1,
+)
+STATUS_MAX_BODY_BYTES = declare_setting(
+    "http.status_max_body_bytes",
+    4 * 1024,
+    "Body of one request to a listener for health checks and metrics, which need none; more gets "
+    "413.",
     unit="bytes",
     minimum=1,
 )
@@ -108,12 +134,29 @@
     idle_ms: float = CLIENT_IDLE_MS.default
 
 
-def read_server_limits(settings: Settings) -> ServerLimits:
-    """Return the server's bounds from the settings."""
+_MAX_BODY_BYTES = {
+    "callers": MAX_BODY_BYTES,
+    "operators": OPERATORS_MAX_BODY_BYTES,
+    "runners": RUNNERS_MAX_BODY_BYTES,
+    "status": STATUS_MAX_BODY_BYTES,
+}
+
+
+def read_server_limits(settings: Settings, listener: str = "callers") -> ServerLimits:
+    """Return the bounds of a listener from the settings.
+
+    Parameters
+    ----------
+    settings : Settings
+        Values of ``http.*``.
+    listener : str
+        Who calls it: ``callers``, ``operators``, ``runners`` (their announcements) or ``status``
+        (health checks and metrics).
+    """
     return ServerLimits(
         settings.get(MAX_CONNECTIONS),
         settings.get(MAX_HEADER_BYTES),
-        settings.get(MAX_BODY_BYTES),
+        settings.get(_MAX_BODY_BYTES[listener]),
         settings.get(HEADER_TIMEOUT_MS),
         settings.get(BODY_TIMEOUT_MS),
         settings.get(IDLE_TIMEOUT_MS),
--- a/apricotrail/metrics/_listener.py
+++ b/apricotrail/metrics/_listener.py
@@ -46,7 +46,8 @@
     from apricotrail.http import HttpServer, read_server_limits
     from apricotrail.wire import parse_address
 
-    server = HttpServer(_make_router(metrics, is_ready), read_server_limits(settings), clock)
+    limits = read_server_limits(settings, "status")
+    server = HttpServer(_make_router(metrics, is_ready), limits, clock)
 
     async def start() -> None:
         await server.listen(*parse_address(address))
