Bytes of unfinished requests are bounded over all connections of a listener

Callers saw: a process that ran out of memory while 40 connections sent bodies and stopped short of the end; each body was inside the limit for one request. Cause: each connection had a limit, all of them together had none, so 4,096 connections could hold 64 GiB. Change: the server counts by peer address what its connections hold, for requests that aren't answered and for what is pipelined behind running ones. Over the bound, a share of the process's memory, the largest unfinished request of the greediest peer is refused with 503 and Retry-After, which is true, since its handler was not called; pipelined input is dropped and its connection closed after the running answer.

--- a/apricotrail/entry/_application.py
+++ b/apricotrail/entry/_application.py
@@ -170,10 +170,15 @@
         )
         self.observer = JobObserver(self.metrics, self.burn)
         self.pipeline = Pipeline(self._ownership_parts(), self.observer.observe_job)
-        self.server = HttpServer(self._make_router(), read_server_limits(settings))
+        self.server = HttpServer(
+            self._make_router(),
+            read_server_limits(settings),
+            on_limit=self.metrics.limits_met.add,
+        )
         self.operators = HttpServer(
             make_operator_router(self._operating_parts()),
             read_server_limits(settings, "operators"),
+            on_limit=self.metrics.limits_met.add,
         )
         self.operators_address = ""
         self._was_member = False
--- a/apricotrail/http/_limits.py
+++ b/apricotrail/http/_limits.py
@@ -6,7 +6,8 @@
 
 from typing import NamedTuple
 
-from apricotrail.settings import Settings, declare_setting
+from apricotrail.resources import read_resources
+from apricotrail.settings import Setting, Settings, declare_setting
 
 __all__ = ["ClientLimits", "ServerLimits", "read_client_limits", "read_server_limits"]
 
@@ -52,6 +53,24 @@
     unit="bytes",
     minimum=1,
 )
+REQUEST_MEMORY_SHARE = declare_setting(
+    "http.request_memory_share",
+    0.125,
+    "Share of process.memory_mb for the bytes of requests that aren't answered yet, over all "
+    "connections of the callers' listener; above it, the largest one that is still being read, of "
+    "the peer that holds most, gets 503.",
+    minimum=0.001,
+    maximum=0.5,
+)
+PIPELINED_MEMORY_SHARE = declare_setting(
+    "http.pipelined_memory_share",
+    0.03,
+    "Share of process.memory_mb for bytes behind requests that are running, over all connections "
+    "of the callers' listener; above it, the connection that holds most, of the peer that holds "
+    "most, is closed after the running request's answer.",
+    minimum=0.001,
+    maximum=0.5,
+)
 HEADER_TIMEOUT_MS = declare_setting(
     "http.header_timeout_ms",
     5_000,
@@ -113,7 +132,15 @@
 
 
 class ServerLimits(NamedTuple):
-    """Bounds of one server; the settings of the same names explain them."""
+    """Bounds of one server; the settings of the same names explain them.
+
+    Attributes
+    ----------
+    listener : str
+        Kind of listener, for logs and metrics.
+    request_bytes, pipelined_bytes : int
+        The settings' shares of the process's memory, in bytes.
+    """
 
     max_connections: int = MAX_CONNECTIONS.default
     max_header_bytes: int = MAX_HEADER_BYTES.default
@@ -123,6 +150,9 @@
     idle_timeout_ms: float = IDLE_TIMEOUT_MS.default
     linger_ms: float = LINGER_MS.default
     last_request_ms: float = LAST_REQUEST_MS.default
+    listener: str = "callers"
+    request_bytes: int = 64 * 1024 * 1024
+    pipelined_bytes: int = 16 * 1024 * 1024
 
 
 class ClientLimits(NamedTuple):
@@ -134,11 +164,18 @@
     idle_ms: float = CLIENT_IDLE_MS.default
 
 
-_MAX_BODY_BYTES = {
-    "callers": MAX_BODY_BYTES,
-    "operators": OPERATORS_MAX_BODY_BYTES,
-    "runners": RUNNERS_MAX_BODY_BYTES,
-    "status": STATUS_MAX_BODY_BYTES,
+class _Kind(NamedTuple):
+    """A kind of listener: its limit on bodies, and its part of the shares for callers."""
+
+    max_body_bytes: Setting[int]
+    part: float
+
+
+_KINDS = {
+    "callers": _Kind(MAX_BODY_BYTES, 1.0),
+    "operators": _Kind(OPERATORS_MAX_BODY_BYTES, 0.5),
+    "runners": _Kind(RUNNERS_MAX_BODY_BYTES, 0.5),
+    "status": _Kind(STATUS_MAX_BODY_BYTES, 0.1),
 }
 
 
@@ -148,20 +185,28 @@
     Parameters
     ----------
     settings : Settings
-        Values of ``http.*``.
+        Values of ``http.*`` and ``process.*``.
     listener : str
         Who calls it: ``callers``, ``operators``, ``runners`` (their announcements) or ``status``
         (health checks and metrics).
     """
+    kind = _KINDS[listener]
+    memory_bytes = kind.part * read_resources(settings).memory_bytes
+    request_bytes = int(memory_bytes * settings.get(REQUEST_MEMORY_SHARE))
+    header_bytes = settings.get(MAX_HEADER_BYTES)
     return ServerLimits(
         settings.get(MAX_CONNECTIONS),
-        settings.get(MAX_HEADER_BYTES),
-        settings.get(_MAX_BODY_BYTES[listener]),
+        header_bytes,
+        # A single request must fit what all together may hold.
+        min(settings.get(kind.max_body_bytes), max(1, request_bytes - 2 * header_bytes)),
         settings.get(HEADER_TIMEOUT_MS),
         settings.get(BODY_TIMEOUT_MS),
         settings.get(IDLE_TIMEOUT_MS),
         settings.get(LINGER_MS),
         settings.get(LAST_REQUEST_MS),
+        listener,
+        request_bytes,
+        int(memory_bytes * settings.get(PIPELINED_MEMORY_SHARE)),
     )
 
 
--- a/apricotrail/http/_problems.py
+++ b/apricotrail/http/_problems.py
@@ -13,6 +13,7 @@
     "no_answer",
     "no_framing",
     "response_too_large",
+    "too_many_bytes",
     "too_many_connections",
     "unsendable",
 ]
@@ -50,6 +51,13 @@
     return Problem(ErrorKind.OVERLOADED, "Too many open connections.", remedy)
 
 
+def too_many_bytes() -> Problem:
+    """An unfinished request that has to give way."""
+    message = "This listener holds too many bytes of unfinished requests; this one was not handled."
+    remedy = "Nothing has run; send it again after Retry-After, to another process if possible."
+    return Problem(ErrorKind.OVERLOADED, message, remedy)
+
+
 def handler_failed() -> Problem:
     """An exception in a handler."""
     remedy = "Retry under the same id; if it stays, report the log's event 1502."
--- a/apricotrail/http/_server.py
+++ b/apricotrail/http/_server.py
@@ -1,15 +1,18 @@
 """The listening side: open connections, their timeouts, draining and stop."""
 
 import asyncio
+from collections import Counter
 from collections.abc import Awaitable, Callable
 from contextlib import suppress
 from email.utils import formatdate
 
 from apricotrail.clocks import Clock, monotonic_ms
-from apricotrail.http._connection import ServerConnection
+from apricotrail.events import Level, declare_event, emit
+from apricotrail.http._connection import Phase, ServerConnection
 from apricotrail.http._limits import ServerLimits
 from apricotrail.http._listener import Listener
 from apricotrail.http._messages import Request, Response
+from apricotrail.http._usage import Holding, PeerUsage, choose_largest
 from apricotrail.pauses import find_pause_s
 
 __all__ = ["HttpServer"]
@@ -18,6 +21,14 @@
 MIN_SWEEP_MS = 5
 SWEEPS_PER_TIMEOUT = 4
 
+LIMIT_MET = declare_event(
+    1504,
+    "http_limit_met",
+    Level.WARNING,
+    "Clients met a limit of a listener; their requests were refused, or connections closed, as "
+    "docs/http.md says for it. count is the number since the last such line.",
+)
+
 Handler = Callable[[Request], Response | Awaitable[Response]]
 
 
@@ -32,9 +43,13 @@
         Bounds on what callers can send and hold.
     clock : Clock
         Monotonic time in milliseconds.
+    on_limit : callable
+        ``on_limit(name)`` is called each time that clients meet a limit of the listener.
 
     Attributes
     ----------
+    request_bytes, pipelined_bytes : PeerUsage
+        Held for requests that aren't answered yet, and for those behind running ones.
     draining : bool
         Whether responses ask callers to close their connections.
     requests : int
@@ -44,7 +59,11 @@
     """
 
     def __init__(
-        self, handler: Handler, limits: ServerLimits | None = None, clock: Clock = monotonic_ms
+        self,
+        handler: Handler,
+        limits: ServerLimits | None = None,
+        clock: Clock = monotonic_ms,
+        on_limit: Callable[[str], None] = lambda name: None,
     ) -> None:
         self.handler = handler
         self.limits = limits or ServerLimits()
@@ -53,6 +72,11 @@
         self.requests = 0
         self.refused = 0
         self.date = formatdate(usegmt=True).encode()
+        self.request_bytes = PeerUsage(self.limits.request_bytes)
+        self.pipelined_bytes = PeerUsage(self.limits.pipelined_bytes)
+        self._on_limit = on_limit
+        self._limits_met: Counter[str] = Counter()
+        self._is_shedding = False
         self._connections: set[ServerConnection] = set()
         self._listener = Listener(lambda: ServerConnection(self))
         self._sweeper: asyncio.TimerHandle | None = None
@@ -124,8 +148,55 @@
         if not self._connections:
             self._emptied.set()
 
+    def note_held(self, connection: ServerConnection, unfinished: int, pipelined: int) -> None:
+        """Note how many bytes a connection holds now; too many in all make the largest give way."""
+        self.request_bytes.change(connection.peer, unfinished - connection.unfinished_bytes)
+        self.pipelined_bytes.change(connection.peer, pipelined - connection.pipelined_bytes)
+        connection.unfinished_bytes = unfinished
+        connection.pipelined_bytes = pipelined
+        if not self._is_shedding:
+            self._is_shedding = True
+            self._shed_bytes()
+            self._is_shedding = False
+
     # ---- internals ----
 
+    def _shed_bytes(self) -> None:
+        while self.request_bytes.is_over():
+            largest = choose_largest(
+                self.request_bytes,
+                (
+                    Holding(it.peer, it.unfinished_bytes, it.since_ms, it)
+                    for it in self._connections
+                    if it.unfinished_bytes and it.phase is not Phase.RUNNING
+                ),
+            )
+            if largest is None:
+                break
+            self._note_limit("request_memory")
+            largest.refuse_unfinished()
+        while self.pipelined_bytes.is_over():
+            self._note_limit("pipelined_memory")
+            choose_largest(
+                self.pipelined_bytes,
+                (
+                    Holding(it.peer, it.pipelined_bytes, it.since_ms, it)
+                    for it in self._connections
+                    if it.pipelined_bytes
+                ),
+            ).drop_pipelined()
+
+    def _note_limit(self, name: str) -> None:
+        """Count a limit that was met; the sweep logs it."""
+        name = f"{self.limits.listener} {name}"
+        self._limits_met[name] += 1
+        self._on_limit(name)
+
+    def _log_limits(self) -> None:
+        for name, count in self._limits_met.items():
+            emit(LIMIT_MET, limit=name, count=count, connections=len(self._connections))
+        self._limits_met.clear()
+
     async def _finish_requests(self) -> None:
         with suppress(TimeoutError):
             async with asyncio.timeout(self.limits.last_request_ms / 1000):
@@ -153,6 +224,7 @@
     def _sweep(self) -> None:
         self._schedule_sweep()
         self.date = formatdate(usegmt=True).encode()
+        self._log_limits()
         now_ms = self.clock()
         for connection in list(self._connections):
             connection.expire(now_ms)
--- a/apricotrail/http/tests/test_server.py
+++ b/apricotrail/http/tests/test_server.py
@@ -138,6 +138,66 @@
                 writer.close()
                 await server.stop(100)
 
+    # Guards against the sum of many unfinished requests, and against a greedy peer that takes the
+    # room of the others.
+    async def test_unfinished_requests_of_the_greediest_peer_give_way_the_largest_first(self):
+        limits = LIMITS._replace(
+            max_connections=100, body_timeout_ms=60_000, request_bytes=3_000, max_body_bytes=2_000
+        )
+        seen = []
+        server = HttpServer(answer, limits, on_limit=seen.append)
+        host, port = (await server.listen("127.0.0.1", 0)).split(":")
+
+        async def send(peer: str, size: int, whole: int = 1_900):
+            streams = await asyncio.open_connection(host, int(port), local_addr=(peer, 0))
+            streams[1].write(POST + b"Content-Length: %d\r\n\r\n" % whole + b"a" * size)
+            before = server.request_bytes.total
+            while server.request_bytes.total == before and not seen:
+                await asyncio.sleep(0)
+            return streams
+
+        modest = await send("127.0.0.2", 900, 1_000)
+        small = await send("127.0.0.1", 300)
+        large = await send("127.0.0.1", 1_700)
+        self.assertEqual(seen, [])
+        last = await send("127.0.0.1", 200)
+        self.assertEqual(seen, ["callers request_memory"])
+        refused = await large[0].read(-1)
+        self.assertTrue(refused.startswith(b"HTTP/1.1 503 "), refused)
+        self.assertIn(b"\r\nRetry-After: 1\r\n", refused)
+        modest[1].write(b"a" * 100)
+        self.assertTrue((await modest[0].readline()).startswith(b"HTTP/1.1 200 "))
+        for _, writer in (modest, small, large, last):
+            writer.close()
+        await server.stop(1_000)
+        self.assertEqual((server.request_bytes.total, server.request_bytes.by_peer), (0, {}))
+
+    async def test_pipelined_bytes_over_the_bound_are_dropped_and_the_answer_is_delivered(self):
+        limits = LIMITS._replace(max_connections=100, pipelined_bytes=6_500, last_request_ms=0)
+        seen, release = [], asyncio.Event()
+
+        async def answer_when_released(request: Request) -> Response:
+            await release.wait()
+            return answer(request)
+
+        server = HttpServer(answer_when_released, limits, on_limit=seen.append)
+        host, port = (await server.listen("127.0.0.1", 0)).split(":")
+        streams = [await asyncio.open_connection(host, int(port)) for _ in range(2)]
+        streams[0][1].write(GET + b"b" * 5_000)
+        streams[1][1].write(GET + b"b" * 10_000)
+        async with asyncio.timeout(10):
+            while not seen:
+                await asyncio.sleep(0.01)
+        release.set()
+        cut = await streams[1][0].read(-1)
+        self.assertEqual(seen, ["callers pipelined_memory"])
+        self.assertIn(b"Connection: close", cut)
+        self.assertTrue(cut.endswith(b"/healthz"), cut)
+        for _, writer in streams:
+            writer.close()
+        await server.stop(100)
+        self.assertEqual(server.pipelined_bytes.total, 0)
+
     async def test_disconnect_is_seen_by_the_handler(self):
         seen = asyncio.get_running_loop().create_future()
 
--- a/apricotrail/metrics/_listener.py
+++ b/apricotrail/metrics/_listener.py
@@ -47,7 +47,8 @@
     from apricotrail.wire import parse_address
 
     limits = read_server_limits(settings, "status")
-    server = HttpServer(_make_router(metrics, is_ready), limits, clock)
+    on_limit = metrics.limits_met.add
+    server = HttpServer(_make_router(metrics, is_ready), limits, clock, on_limit)
 
     async def start() -> None:
         await server.listen(*parse_address(address))
--- a/apricotrail/metrics/_roles.py
+++ b/apricotrail/metrics/_roles.py
@@ -38,6 +38,9 @@
             "wasted_messages", "Messages that led to no start or answer, by kind.", "kind"
         )
         self.refusals = self._label("refusals", "Requests refused, by kind of error.", "kind")
+        self.limits_met = self._label(
+            "limits_met", "Times that clients met a limit of a listener, by limit.", "limit"
+        )
         self.links_lost = self._count("links_lost", "Links to peers that were lost.")
         self.links = self._watch("links", "Open links to peers.")
         self.config_version = self._watch("config_version", "Configuration version in use.")
