Input is parsed in turns: a few bytes that cost much no longer stop the process

Callers saw: no answer at all while a few clients sent bodies of 200 kB in chunks of two bytes, well inside every limit of size. Cause: what a connection received was parsed to its end before anything else had a turn, and a chunk of two bytes takes as long as one of two thousand. The time of the loop had no bound and wasn't counted to the peer that caused it; heartbeats and leases waited, too. Change: parsing, decoding and answering cost units. What is over waits: peers take turns, and of one peer the request that has cost least goes first, so that an ordinary request doesn't wait behind costly ones. While input waits, nothing more is read from the connection. Ordinary requests are parsed as they come. Ruled out: a bound on the number of chunks, as such a request is inside the limits and is served in calm (tested); another parser, as any has inputs that cost more than their size.

--- a/apricotrail/http/_connection.py
+++ b/apricotrail/http/_connection.py
@@ -16,6 +16,7 @@
     headers_too_large,
     late,
     malformed,
+    too_busy,
     too_many_bytes,
     too_many_connections,
 )
@@ -38,6 +39,10 @@
 STATUS_CONTINUE = 100
 RETRY_HEADERS = (("Retry-After", "1"),)
 PIECE_BYTES = 4_096  # given to the parser at a time, so that it holds little
+# Cost of a step in units of `ReadTurns`, besides one for each event of the parser.
+HEAD_UNITS = 3
+ANSWER_UNITS = 4
+BYTES_PER_UNIT = 1_024  # of a body or an answer
 
 
 class Phase(Enum):
@@ -68,6 +73,8 @@
         When the present phase began, on the server's clock.
     unfinished_bytes, pipelined_bytes : int
         Held for the request that isn't answered yet, and for those behind it.
+    request_units : int
+        What reading the present request has cost, in units of `ReadTurns`.
     """
 
     def __init__(self, server: Any) -> None:
@@ -75,6 +82,7 @@
         self.peer = ""
         self.since_ms = server.clock()
         self.unfinished_bytes = self.pipelined_bytes = 0
+        self.request_units = 0
         self._server = server
         self._limits = server.limits
         self._h11 = h11.Connection(h11.SERVER, server.limits.max_header_bytes)
@@ -110,7 +118,8 @@
         if self.phase is Phase.LINGERING or self._is_last:
             return
         self._inbox += data
-        self._read()
+        self._server.turns.take(self)
+        self._update_held()
 
     def eof_received(self) -> bool:
         """Note that the caller sends no more; a running request is still answered."""
@@ -137,6 +146,8 @@
             self._expire_idle(now_ms)
         elif self.phase is Phase.LINGERING:
             self.abort()
+        elif self._server.turns.is_waiting(self):
+            self._refuse(too_busy(), STATUS_UNAVAILABLE)
         else:
             self._refuse(late(self.phase.value), STATUS_TIMEOUT)
 
@@ -164,41 +175,50 @@
 
     # ---- reading ----
 
-    def _read(self) -> None:
-        while self.phase not in (Phase.RUNNING, Phase.LINGERING):
-            if self._needs_data and not self._feed():
-                break
-            self._read_event()
+    def has_input(self) -> bool:
+        """Return whether there is input that can be parsed now."""
+        is_reading = self.phase is not Phase.RUNNING and self.phase is not Phase.LINGERING
+        return is_reading and (bool(self._inbox) or not self._needs_data)
+
+    def read(self, units: int) -> int:
+        """Parse input for about `units`; return what it cost."""
+        spent = 0
+        while spent < units and self.has_input():
+            if self._needs_data:
+                self._feed()
+            spent += self._read_event()
+        self.request_units = self.request_units + spent if self.phase is not Phase.IDLE else 0
         self._update_held()
+        return spent
 
-    def _feed(self) -> bool:
-        """Give the parser some input; returns False if there is none."""
-        if not self._inbox:
-            return False
+    def _feed(self) -> None:
         piece = self._inbox[:PIECE_BYTES]
         del self._inbox[:PIECE_BYTES]
         self._h11.receive_data(bytes(piece))
         self._needs_data = False
         if self.phase in (Phase.IDLE, Phase.HEAD):
             self._head_bytes += len(piece)
-        return True
 
-    def _read_event(self) -> None:
+    def _read_event(self) -> int:
+        """Act on the parser's next event; returns what that cost."""
         try:
             event = self._h11.next_event()
         except h11.RemoteProtocolError as error:
             self._refuse_malformed(error)
-            return
+            return ANSWER_UNITS
         if type(event) is h11.Request:
             self._begin(event)
-        elif type(event) is h11.Data:
+            return HEAD_UNITS
+        if type(event) is h11.Data:
             self._add_body(event.data)
         elif type(event) is h11.EndOfMessage:
-            self._run()
+            return self._run()
         else:
             self._needs_data = True
             if self.phase is Phase.IDLE and self._h11.trailing_data[0]:
                 self._enter(Phase.HEAD, self._limits.header_timeout_ms)
+            return 0
+        return 1
 
     def _begin(self, head: h11.Request) -> None:
         self._head = head
@@ -223,23 +243,25 @@
             return
         self._body += data
 
-    def _run(self) -> None:
+    def _run(self) -> int:
+        """Call the handler; returns what that cost."""
         self._enter(Phase.RUNNING, 0.0)
         body, self._body = bytes(self._body), bytearray()
         self._running_bytes = len(body)
+        units = ANSWER_UNITS + len(body) // BYTES_PER_UNIT
         if not self._head.target.startswith(b"/"):  # type: ignore[union-attr]
             self._refuse(malformed("The request target is not a path."), STATUS_BAD_REQUEST)
-            return
+            return units
         try:
             request = make_request(self._head, body, self._address, self._disconnected)
             answer = self._server.handler(request)
         except Exception as error:
-            self._respond(self._report_failure(error))
-            return
+            answer = self._report_failure(error)
         if isinstance(answer, Response):
             self._respond(answer)
-        else:
-            self._running = asyncio.ensure_future(self._respond_later(answer))
+            return units + len(answer.body) // BYTES_PER_UNIT
+        self._running = asyncio.ensure_future(self._respond_later(answer))
+        return units
 
     # ---- answering ----
 
@@ -250,7 +272,8 @@
             response = self._report_failure(error)
         self._running = None
         self._respond(response)
-        self._read()
+        self._server.turns.take(self)
+        self._update_held()
 
     def _report_failure(self, error: Exception) -> Response:
         emit(HANDLER_FAILED, path=self._head.target.decode("ascii"), error=repr(error))
@@ -267,6 +290,7 @@
             self._enter(Phase.LINGERING, self._limits.linger_ms)
             return
         self._h11.start_next_cycle()
+        self.request_units = 0
         self._enter(Phase.IDLE, self._limits.idle_timeout_ms)
 
     def _write(self, response: Response, closing: bool) -> None:
@@ -308,6 +332,7 @@
         self._deadline_ms = self.since_ms + timeout_ms
 
     def _drop_input(self) -> None:
+        self._server.turns.leave(self)
         self._inbox = bytearray()
         self._body = bytearray()
         self._head_bytes = 0
--- a/apricotrail/http/_limits.py
+++ b/apricotrail/http/_limits.py
@@ -71,6 +71,14 @@
     minimum=0.001,
     maximum=0.5,
 )
+READ_TIME_SHARE = declare_setting(
+    "http.read_time_share",
+    0.5,
+    "Share of the event loop's time for parsing and decoding requests, about; what takes longer "
+    "waits for its turn, the request that has cost least first.",
+    minimum=0.01,
+    maximum=1.0,
+)
 HEADER_TIMEOUT_MS = declare_setting(
     "http.header_timeout_ms",
     5_000,
@@ -140,6 +148,8 @@
         Kind of listener, for logs and metrics.
     request_bytes, pipelined_bytes : int
         The settings' shares of the process's memory, in bytes.
+    read_time_share : float
+        Share of the event loop's time.
     """
 
     max_connections: int = MAX_CONNECTIONS.default
@@ -153,6 +163,7 @@
     listener: str = "callers"
     request_bytes: int = 64 * 1024 * 1024
     pipelined_bytes: int = 16 * 1024 * 1024
+    read_time_share: float = READ_TIME_SHARE.default
 
 
 class ClientLimits(NamedTuple):
@@ -165,17 +176,18 @@
 
 
 class _Kind(NamedTuple):
-    """A kind of listener: its limit on bodies, and its part of the shares for callers."""
+    """A kind of listener: its limit on bodies, and its parts of the shares for callers."""
 
     max_body_bytes: Setting[int]
     part: float
+    time_part: float
 
 
 _KINDS = {
-    "callers": _Kind(MAX_BODY_BYTES, 1.0),
-    "operators": _Kind(OPERATORS_MAX_BODY_BYTES, 0.5),
-    "runners": _Kind(RUNNERS_MAX_BODY_BYTES, 0.5),
-    "status": _Kind(STATUS_MAX_BODY_BYTES, 0.1),
+    "callers": _Kind(MAX_BODY_BYTES, 1.0, 1.0),
+    "operators": _Kind(OPERATORS_MAX_BODY_BYTES, 0.5, 1.0),
+    "runners": _Kind(RUNNERS_MAX_BODY_BYTES, 0.5, 1.0),
+    "status": _Kind(STATUS_MAX_BODY_BYTES, 0.1, 0.1),
 }
 
 
@@ -207,6 +219,7 @@
         listener,
         request_bytes,
         int(memory_bytes * settings.get(PIPELINED_MEMORY_SHARE)),
+        kind.time_part * settings.get(READ_TIME_SHARE),
     )
 
 
--- a/apricotrail/http/_problems.py
+++ b/apricotrail/http/_problems.py
@@ -13,6 +13,7 @@
     "no_answer",
     "no_framing",
     "response_too_large",
+    "too_busy",
     "too_many_bytes",
     "too_many_connections",
     "unsendable",
@@ -51,6 +52,13 @@
     return Problem(ErrorKind.OVERLOADED, "Too many open connections.", remedy)
 
 
+def too_busy() -> Problem:
+    """A request that came in time but could not be read, as others were read meanwhile."""
+    message = "This listener has no time to read the request."
+    remedy = "Nothing has run; send it again after Retry-After, in fewer and larger chunks."
+    return Problem(ErrorKind.OVERLOADED, message, remedy)
+
+
 def too_many_bytes() -> Problem:
     """An unfinished request that has to give way."""
     message = "This listener holds too many bytes of unfinished requests; this one was not handled."
--- a/apricotrail/http/_server.py
+++ b/apricotrail/http/_server.py
@@ -12,6 +12,7 @@
 from apricotrail.http._limits import ServerLimits
 from apricotrail.http._listener import Listener
 from apricotrail.http._messages import Request, Response
+from apricotrail.http._turns import ReadTurns
 from apricotrail.http._usage import Holding, PeerUsage, choose_largest
 from apricotrail.pauses import find_pause_s
 
@@ -50,6 +51,8 @@
     ----------
     request_bytes, pipelined_bytes : PeerUsage
         Held for requests that aren't answered yet, and for those behind running ones.
+    turns : ReadTurns
+        Which connection may parse what it received.
     draining : bool
         Whether responses ask callers to close their connections.
     requests : int
@@ -74,6 +77,7 @@
         self.date = formatdate(usegmt=True).encode()
         self.request_bytes = PeerUsage(self.limits.request_bytes)
         self.pipelined_bytes = PeerUsage(self.limits.pipelined_bytes)
+        self.turns = ReadTurns(clock, self.limits.read_time_share)
         self._on_limit = on_limit
         self._limits_met: Counter[str] = Counter()
         self._is_shedding = False
--- /dev/null
+++ b/apricotrail/http/tests/test_turns.py
@@ -0,0 +1,128 @@
+"""Who may parse next, on a virtual clock: the load is chunks of a few bytes, in many requests."""
+
+import asyncio
+import unittest
+
+from apricotrail.clocks import VirtualClock
+from apricotrail.http import HttpServer, Response, ServerLimits
+from apricotrail.http._connection import ServerConnection
+from apricotrail.http._turns import BURST_UNITS, QUANTUM_UNITS, ReadTurns
+
+CHUNKS = 100_000
+HEAD = b"POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n"
+
+
+class FakeReader:
+    def __init__(self, peer: str, units: int, log: list) -> None:
+        self.peer = peer
+        self.request_units = 0
+        self.left = units
+        self._log = log
+
+    def read(self, units: int) -> int:
+        spent = min(units, self.left)
+        self.left -= spent
+        self.request_units += spent
+        self._log.append(self)
+        return spent
+
+    def has_input(self) -> bool:
+        return self.left > 0
+
+
+class FakeTransport:
+    """Counts what is written."""
+
+    def __init__(self) -> None:
+        self.written = b""
+        self.is_paused = False
+
+    def get_extra_info(self, name):
+        return ("10.0.0.1", 1)
+
+    def is_closing(self):
+        return False
+
+    def write(self, data):
+        self.written += data
+
+    def pause_reading(self):
+        self.is_paused = True
+
+    def resume_reading(self):
+        self.is_paused = False
+
+
+class TestReadTurns(unittest.IsolatedAsyncioTestCase):
+    async def asyncSetUp(self):
+        self.clock = VirtualClock(1_000.0)
+        self.log = []
+        self.turns = ReadTurns(self.clock, 0.5)
+
+    def add(self, peer: str, units: int) -> FakeReader:
+        reader = FakeReader(peer, units, self.log)
+        self.turns.take(reader)
+        return reader
+
+    def run_for(self, steps: int) -> None:
+        for _ in range(steps):
+            self.clock.advance(5.0)
+            self.turns.run()
+
+    async def test_ordinary_requests_are_parsed_at_once(self):
+        readers = [self.add("10.0.0.1", 8) for _ in range(40)]
+        self.assertEqual(self.log, readers)
+
+    async def test_what_is_parsed_at_once_is_bounded_however_many_connections_have_input(self):
+        readers = [self.add("10.0.0.1", 100_000) for _ in range(1_000)]
+        self.assertLessEqual(sum(it.request_units for it in readers), BURST_UNITS + QUANTUM_UNITS)
+
+    async def test_new_request_goes_before_costly_ones_of_its_peer(self):
+        costly = [self.add("10.0.0.1", 100_000) for _ in range(200)]
+        self.run_for(500)
+        ordinary = self.add("10.0.0.1", 8)
+        self.run_for(1)
+        self.assertFalse(ordinary.has_input())
+        self.assertTrue(all(it.has_input() for it in costly))
+
+    async def test_peers_take_turns_whatever_number_of_connections_they_have(self):
+        for _ in range(200):
+            self.add("10.0.0.1", 100_000)
+        other = self.add("10.0.0.2", 1_000)
+        self.run_for(20)
+        self.assertFalse(other.has_input())
+
+    async def test_a_lone_costly_request_is_parsed_to_its_end(self):
+        reader = self.add("10.0.0.1", CHUNKS)
+        self.run_for(CHUNKS // 100)
+        self.assertFalse(reader.has_input())
+        self.assertFalse(self.turns.is_waiting(reader))
+
+    async def test_connections_that_leave_are_forgotten(self):
+        gone = [self.add("10.0.0.1", 100_000) for _ in range(50)]
+        for reader in gone:
+            self.turns.leave(reader)
+        self.run_for(3)
+        self.assertEqual(len(self.log), sum(it.request_units > 0 for it in gone))
+
+
+class TestConnection(unittest.IsolatedAsyncioTestCase):
+    # Guards against 100,000 chunks that are parsed to their end in one turn of the event loop.
+    async def test_chunks_of_two_bytes_are_parsed_in_turns_and_the_request_is_answered(self):
+        clock = VirtualClock(1_000.0)
+        limits = ServerLimits(body_timeout_ms=1e9)
+        bodies = []
+        server = HttpServer(lambda it: bodies.append(it.body) or Response(200), limits, clock)
+        transport = FakeTransport()
+        connection = ServerConnection(server)
+        connection.connection_made(transport)
+        connection.data_received(HEAD + b"2\r\nab\r\n" * CHUNKS + b"0\r\n\r\n")
+        self.assertTrue(transport.is_paused)
+        self.assertLessEqual(connection.request_units, BURST_UNITS + QUANTUM_UNITS)
+        while not bodies:
+            clock.advance(5.0)
+            server.turns.run()
+        self.assertEqual(bodies, [b"ab" * CHUNKS])
+        self.assertTrue(transport.written.startswith(b"HTTP/1.1 200 "))
+        self.assertFalse(transport.is_paused)
+        await asyncio.sleep(0)
