Answers that nobody reads are bounded, and hold back further requests of their connection

Callers saw: no answer while clients sent thousands of requests in a row and read none of the answers, and memory of the process that grew by every answer. Cause: the transport's buffer took every answer, as nothing acted on its pause; pipelined requests were handled one after the other whether anybody read the answers or not. Change: while 16 KiB of answers are unsent, no further request of that connection is parsed and, once its input fills up, none is read. Unsent bytes are counted by peer; over a share of the process's memory the connection that holds most, of the greediest peer, is cut. A single answer is never cut for its size.

--- a/apricotrail/http/_connection.py
+++ b/apricotrail/http/_connection.py
@@ -38,6 +38,7 @@
 STATUS_UNAVAILABLE = 503
 STATUS_CONTINUE = 100
 RETRY_HEADERS = (("Retry-After", "1"),)
+WRITE_BYTES = 16_384  # unsent bytes above which no further request is parsed
 PIECE_BYTES = 4_096  # given to the parser at a time, so that it holds little
 # Cost of a step in units of `ReadTurns`, besides one for each event of the parser.
 HEAD_UNITS = 3
@@ -73,6 +74,8 @@
         When the present phase began, on the server's clock.
     unfinished_bytes, pipelined_bytes : int
         Held for the request that isn't answered yet, and for those behind it.
+    unsent_bytes : int
+        Of answers that the peer hasn't read.
     request_units : int
         What reading the present request has cost, in units of `ReadTurns`.
     """
@@ -81,7 +84,7 @@
         self.phase = Phase.IDLE
         self.peer = ""
         self.since_ms = server.clock()
-        self.unfinished_bytes = self.pipelined_bytes = 0
+        self.unfinished_bytes = self.pipelined_bytes = self.unsent_bytes = 0
         self.request_units = 0
         self._server = server
         self._limits = server.limits
@@ -89,7 +92,7 @@
         self._transport: asyncio.Transport | None = None
         self._address = ""
         self._deadline_ms = self.since_ms + server.limits.idle_timeout_ms
-        self._unsent_bytes = 0
+        self._unsent_before = 0
         self._inbox = bytearray()  # received, but not given to the parser yet
         self._needs_data = True
         self._head: h11.Request | None = None
@@ -99,6 +102,7 @@
         self._running: asyncio.Task | None = None
         self._is_paused = False
         self._is_last = False
+        self._is_blocked = False
         self._peer_closed = False
         self._disconnected = asyncio.get_running_loop().create_future()
 
@@ -107,6 +111,7 @@
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Count the connection; one too many is refused."""
         self._transport = transport  # type: ignore[assignment]
+        self._transport.set_write_buffer_limits(WRITE_BYTES)
         host, port = (transport.get_extra_info("peername") or ("unknown", 0))[:2]
         self.peer = host
         self._address = f"{host}:{port}"
@@ -121,6 +126,17 @@
         self._server.turns.take(self)
         self._update_held()
 
+    def pause_writing(self) -> None:
+        """Parse no further request, as the peer doesn't read its answers."""
+        self._is_blocked = True
+
+    def resume_writing(self) -> None:
+        """Go on parsing."""
+        self._is_blocked = False
+        self.note_unsent()
+        self._server.turns.take(self)
+        self._update_held()
+
     def eof_received(self) -> bool:
         """Note that the caller sends no more; a running request is still answered."""
         self._peer_closed = True
@@ -134,6 +150,7 @@
         self._drop_input()
         self._running_bytes = 0
         self._update_held()
+        self._server.note_unsent(self, 0)
         self._server.release(self)
 
     # ---- used by HttpServer ----
@@ -151,6 +168,10 @@
         else:
             self._refuse(late(self.phase.value), STATUS_TIMEOUT)
 
+    def note_unsent(self) -> None:
+        """Tell the server how much of the answers the peer hasn't read."""
+        self._server.note_unsent(self, self._transport.get_write_buffer_size())
+
     def close_idle(self) -> None:
         """Close the connection if no request is under way on it."""
         if self.phase is Phase.IDLE and self._transport is not None:
@@ -177,8 +198,9 @@
 
     def has_input(self) -> bool:
         """Return whether there is input that can be parsed now."""
-        is_reading = self.phase is not Phase.RUNNING and self.phase is not Phase.LINGERING
-        return is_reading and (bool(self._inbox) or not self._needs_data)
+        if self._is_blocked or self.phase in (Phase.RUNNING, Phase.LINGERING):
+            return False
+        return bool(self._inbox) or not self._needs_data
 
     def read(self, units: int) -> int:
         """Parse input for about `units`; return what it cost."""
@@ -296,6 +318,7 @@
     def _write(self, response: Response, closing: bool) -> None:
         data = encode_response(self._h11, self._head, response, self._server.date, closing)
         self._transport.write(data)  # type: ignore[union-attr]
+        self.note_unsent()
 
     # ---- refusing ----
 
@@ -355,12 +378,11 @@
             self._transport.resume_reading()
 
     def _expire_idle(self, now_ms: float) -> None:
-        unsent_bytes = self._transport.get_write_buffer_size()  # type: ignore[union-attr]
-        if unsent_bytes == 0:
+        if self.unsent_bytes == 0:
             self._transport.close()  # type: ignore[union-attr]
-        elif unsent_bytes == self._unsent_bytes:
+        elif self.unsent_bytes == self._unsent_before:
             self.abort()
-        self._unsent_bytes = unsent_bytes
+        self._unsent_before = self.unsent_bytes
         self._deadline_ms = now_ms + self._limits.idle_timeout_ms
 
     def _set_disconnected(self) -> None:
--- a/apricotrail/http/_limits.py
+++ b/apricotrail/http/_limits.py
@@ -71,6 +71,15 @@
     minimum=0.001,
     maximum=0.5,
 )
+ANSWER_MEMORY_SHARE = declare_setting(
+    "http.answer_memory_share",
+    0.06,
+    "Share of process.memory_mb for answers that peers haven't read, over all connections of the "
+    "callers' listener; above it, the connection that holds most, of the peer that holds most, is "
+    "cut.",
+    minimum=0.001,
+    maximum=0.5,
+)
 READ_TIME_SHARE = declare_setting(
     "http.read_time_share",
     0.5,
@@ -146,7 +155,7 @@
     ----------
     listener : str
         Kind of listener, for logs and metrics.
-    request_bytes, pipelined_bytes : int
+    request_bytes, pipelined_bytes, answer_bytes : int
         The settings' shares of the process's memory, in bytes.
     read_time_share : float
         Share of the event loop's time.
@@ -163,6 +172,7 @@
     listener: str = "callers"
     request_bytes: int = 64 * 1024 * 1024
     pipelined_bytes: int = 16 * 1024 * 1024
+    answer_bytes: int = 64 * 1024 * 1024
     read_time_share: float = READ_TIME_SHARE.default
 
 
@@ -219,6 +229,7 @@
         listener,
         request_bytes,
         int(memory_bytes * settings.get(PIPELINED_MEMORY_SHARE)),
+        int(memory_bytes * settings.get(ANSWER_MEMORY_SHARE)),
         kind.time_part * settings.get(READ_TIME_SHARE),
     )
 
--- a/apricotrail/http/_server.py
+++ b/apricotrail/http/_server.py
@@ -51,6 +51,8 @@
     ----------
     request_bytes, pipelined_bytes : PeerUsage
         Held for requests that aren't answered yet, and for those behind running ones.
+    answer_bytes : PeerUsage
+        Held for answers that peers haven't read.
     turns : ReadTurns
         Which connection may parse what it received.
     draining : bool
@@ -77,10 +79,11 @@
         self.date = formatdate(usegmt=True).encode()
         self.request_bytes = PeerUsage(self.limits.request_bytes)
         self.pipelined_bytes = PeerUsage(self.limits.pipelined_bytes)
+        self.answer_bytes = PeerUsage(self.limits.answer_bytes)
         self.turns = ReadTurns(clock, self.limits.read_time_share)
         self._on_limit = on_limit
         self._limits_met: Counter[str] = Counter()
-        self._is_shedding = False
+        self._is_shedding = self._is_cutting = False
         self._connections: set[ServerConnection] = set()
         self._listener = Listener(lambda: ServerConnection(self))
         self._sweeper: asyncio.TimerHandle | None = None
@@ -163,8 +166,38 @@
             self._shed_bytes()
             self._is_shedding = False
 
+    def note_unsent(self, connection: ServerConnection, unsent: int) -> None:
+        """Note what a peer hasn't read; too much in all cuts the connection that holds most."""
+        self.answer_bytes.change(connection.peer, unsent - connection.unsent_bytes)
+        connection.unsent_bytes = unsent
+        if not self.answer_bytes.is_over() or self._is_cutting:
+            return
+        self._is_cutting = True
+        self._refresh_unsent()
+        self._cut_unread()
+        self._is_cutting = False
+
     # ---- internals ----
 
+    def _refresh_unsent(self) -> None:
+        for connection in self._connections:
+            if connection.unsent_bytes:
+                connection.note_unsent()
+
+    def _cut_unread(self) -> None:
+        """Cut the largest until the bound holds; a single answer may be larger than the bound."""
+        while self.answer_bytes.is_over():
+            unread = [it for it in self._connections if it.unsent_bytes]
+            if len(unread) == 1:
+                break
+            largest = choose_largest(
+                self.answer_bytes,
+                (Holding(it.peer, it.unsent_bytes, it.since_ms, it) for it in unread),
+            )
+            self._note_limit("answer_memory")
+            self.note_unsent(largest, 0)
+            largest.abort()
+
     def _shed_bytes(self) -> None:
         while self.request_bytes.is_over():
             largest = choose_largest(
@@ -229,6 +262,7 @@
         self._schedule_sweep()
         self.date = formatdate(usegmt=True).encode()
         self._log_limits()
+        self._refresh_unsent()
         now_ms = self.clock()
         for connection in list(self._connections):
             connection.expire(now_ms)
--- a/apricotrail/http/tests/test_server.py
+++ b/apricotrail/http/tests/test_server.py
@@ -3,6 +3,7 @@
 import asyncio
 import socket
 import unittest
+from contextlib import suppress
 
 import orjson
 from nose2.tools import params
@@ -198,6 +199,31 @@
         await server.stop(100)
         self.assertEqual(server.pipelined_bytes.total, 0)
 
+    async def test_unread_answers_over_the_bound_are_cut_and_a_single_one_never(self):
+        big = Response(200, b"a" * 20_000_000, "text/plain")
+        for bound, answers in ((25_000_000, 2), (1_000_000, 1)):
+            with self.subTest(bound=bound):
+                seen = []
+                limits = LIMITS._replace(max_connections=100, answer_bytes=bound)
+                server = HttpServer(lambda request: big, limits, on_limit=seen.append)
+                host, port = (await server.listen("127.0.0.1", 0)).split(":")
+                streams = []
+                for _ in range(answers):
+                    streams.append(await asyncio.open_connection(host, int(port), limit=1_000))
+                    streams[-1][1].write(GET)
+                    async with asyncio.timeout(10):
+                        while server.requests < len(streams):
+                            await asyncio.sleep(0.01)
+                self.assertEqual(seen, ["callers answer_memory"] * (answers - 1))
+                whole = 0
+                for reader, writer in streams:
+                    with suppress(ConnectionError, asyncio.IncompleteReadError):
+                        await reader.readuntil(b"\r\n\r\n")
+                        whole += len(await reader.readexactly(20_000_000)) == 20_000_000
+                    writer.close()
+                self.assertEqual(whole, 1)
+                await server.stop(100)
+
     async def test_disconnect_is_seen_by_the_handler(self):
         seen = asyncio.get_running_loop().create_future()
 
--- a/apricotrail/http/tests/test_turns.py
+++ b/apricotrail/http/tests/test_turns.py
@@ -5,10 +5,11 @@
 
 from apricotrail.clocks import VirtualClock
 from apricotrail.http import HttpServer, Response, ServerLimits
-from apricotrail.http._connection import ServerConnection
+from apricotrail.http._connection import WRITE_BYTES, ServerConnection
 from apricotrail.http._turns import BURST_UNITS, QUANTUM_UNITS, ReadTurns
 
 CHUNKS = 100_000
+GET = b"GET / HTTP/1.1\r\nHost: a\r\n\r\n"
 HEAD = b"POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n"
 
 
@@ -31,11 +32,17 @@
 
 
 class FakeTransport:
-    """Counts what is written."""
+    """Keeps what is written until it is told that the peer has read it."""
 
-    def __init__(self) -> None:
+    def __init__(self, connection: ServerConnection) -> None:
         self.written = b""
+        self.unsent = 0
         self.is_paused = False
+        self._connection = connection
+
+    def drain(self):
+        self.unsent = 0
+        self._connection.resume_writing()
 
     def get_extra_info(self, name):
         return ("10.0.0.1", 1)
@@ -43,8 +50,17 @@
     def is_closing(self):
         return False
 
+    def set_write_buffer_limits(self, high):
+        pass
+
+    def get_write_buffer_size(self):
+        return self.unsent
+
     def write(self, data):
         self.written += data
+        self.unsent += len(data)
+        if self.unsent > WRITE_BYTES:
+            self._connection.pause_writing()
 
     def pause_reading(self):
         self.is_paused = True
@@ -107,22 +123,40 @@
 
 
 class TestConnection(unittest.IsolatedAsyncioTestCase):
+    async def asyncSetUp(self):
+        self.clock = VirtualClock(1_000.0)
+
     # Guards against 100,000 chunks that are parsed to their end in one turn of the event loop.
     async def test_chunks_of_two_bytes_are_parsed_in_turns_and_the_request_is_answered(self):
-        clock = VirtualClock(1_000.0)
         limits = ServerLimits(body_timeout_ms=1e9)
         bodies = []
-        server = HttpServer(lambda it: bodies.append(it.body) or Response(200), limits, clock)
-        transport = FakeTransport()
+        server = HttpServer(lambda it: bodies.append(it.body) or Response(200), limits, self.clock)
         connection = ServerConnection(server)
+        transport = FakeTransport(connection)
         connection.connection_made(transport)
         connection.data_received(HEAD + b"2\r\nab\r\n" * CHUNKS + b"0\r\n\r\n")
         self.assertTrue(transport.is_paused)
         self.assertLessEqual(connection.request_units, BURST_UNITS + QUANTUM_UNITS)
         while not bodies:
-            clock.advance(5.0)
+            self.clock.advance(5.0)
             server.turns.run()
         self.assertEqual(bodies, [b"ab" * CHUNKS])
         self.assertTrue(transport.written.startswith(b"HTTP/1.1 200 "))
         self.assertFalse(transport.is_paused)
         await asyncio.sleep(0)
+
+    # Guards against thousands of requests that are handled for a peer that reads no answer.
+    async def test_no_further_request_is_handled_while_answers_are_unread(self):
+        server = HttpServer(lambda request: Response(200, b"a" * 1_000), clock=self.clock)
+        connection = ServerConnection(server)
+        transport = FakeTransport(connection)
+        connection.connection_made(transport)
+        connection.data_received(GET * 5_000)
+        for most in (WRITE_BYTES, 2 * WRITE_BYTES):
+            for _ in range(100):
+                self.clock.advance(5.0)
+                server.turns.run()
+            self.assertLess(len(transport.written), most + 2_000)
+            self.assertTrue(transport.is_paused)
+            transport.drain()
+        self.assertEqual(server.answer_bytes.total, transport.unsent)
