The last answer of a closing connection is delivered while its peer still reads

Cause: a lingering connection was cut at its deadline, whatever was still unsent. Change: it is cut only if nothing was read within http.linger_ms. Evidence: the new test fails before ("True is not false": cut at the first deadline) and passes.

--- a/apricotrail/http/_connection.py
+++ b/apricotrail/http/_connection.py
@@ -162,7 +162,7 @@
         if self.phase is Phase.IDLE:
             self._expire_idle(now_ms)
         elif self.phase is Phase.LINGERING:
-            self.abort()
+            self._expire_lingering(now_ms)
         elif self._server.turns.is_waiting(self):
             self._refuse(too_busy(), STATUS_UNAVAILABLE)
         else:
@@ -385,6 +385,13 @@
         self._unsent_before = self.unsent_bytes
         self._deadline_ms = now_ms + self._limits.idle_timeout_ms
 
+    def _expire_lingering(self, now_ms: float) -> None:
+        """Cut the connection, unless its peer still reads the last answer."""
+        if not self.unsent_bytes or self.unsent_bytes == self._unsent_before:
+            self.abort()
+        self._unsent_before = self.unsent_bytes
+        self._deadline_ms = now_ms + self._limits.linger_ms
+
     def _set_disconnected(self) -> None:
         if not self._disconnected.done():
             self._disconnected.set_result(None)
--- a/apricotrail/http/tests/test_turns.py
+++ b/apricotrail/http/tests/test_turns.py
@@ -38,6 +38,7 @@
         self.written = b""
         self.unsent = 0
         self.is_paused = False
+        self.is_closed = False
         self._connection = connection
 
     def drain(self):
@@ -50,6 +51,12 @@
     def is_closing(self):
         return False
 
+    def close(self):
+        pass
+
+    def abort(self):
+        self.is_closed = True
+
     def set_write_buffer_limits(self, high):
         pass
 
@@ -160,3 +167,21 @@
             self.assertTrue(transport.is_paused)
             transport.drain()
         self.assertEqual(server.answer_bytes.total, transport.unsent)
+
+    # Guards against an answer that is cut while a slow peer reads it, as its connection closes.
+    async def test_last_answer_is_delivered_as_long_as_its_peer_reads(self):
+        server = HttpServer(lambda request: Response(200, b"a" * 100_000), clock=self.clock)
+        server.begin_draining()
+        connection = ServerConnection(server)
+        transport = FakeTransport(connection)
+        connection.connection_made(transport)
+        connection.data_received(GET)
+        for _ in range(5):
+            transport.unsent -= 10_000
+            self.clock.advance(server.limits.linger_ms)
+            connection.note_unsent()
+            connection.expire(self.clock())
+            self.assertFalse(transport.is_closed)
+        self.clock.advance(server.limits.linger_ms)
+        connection.expire(self.clock())
+        self.assertTrue(transport.is_closed)
