Connections are bounded by listener and peer as shares of the descriptors; silent ones give way

Callers saw: no new connection taken, while others held all of them and said nothing. Cause: http.max_connections (4,096) is above what most machines have (1,638 to 10,250 descriptors, 200 reserved), so the callers' listener could take the last descriptor, and with it links, files and the operators' listener. Whoever came first kept a connection for 75 s without a word. Change: a listener holds a share of process.max_descriptors, and one peer address a share of that. Over the bound the least recently used connection on which no request runs is closed, of the peer with most connections, those that read a body last; the new one is refused with 503 only if requests run on all.

--- a/apricotrail/http/_connection.py
+++ b/apricotrail/http/_connection.py
@@ -177,6 +177,10 @@
         if self.phase is Phase.IDLE and self._transport is not None:
             self._transport.close()
 
+    def is_unused(self) -> bool:
+        """Return whether neither a body is read, a request runs nor an answer is being sent."""
+        return self.phase not in (Phase.BODY, Phase.RUNNING) and not self.unsent_bytes
+
     def abort(self) -> None:
         """Cut the connection and cancel its handler."""
         if self._running is not None:
@@ -312,6 +316,7 @@
             self._enter(Phase.LINGERING, self._limits.linger_ms)
             return
         self._h11.start_next_cycle()
+        self._server.note_use(self)
         self.request_units = 0
         self._enter(Phase.IDLE, self._limits.idle_timeout_ms)
 
--- a/apricotrail/http/_limits.py
+++ b/apricotrail/http/_limits.py
@@ -14,9 +14,25 @@
 MAX_CONNECTIONS = declare_setting(
     "http.max_connections",
     4_096,
-    "Connections that callers may hold open; further ones get 503.",
+    "Connections that a listener holds open at most; see http.connection_share.",
     minimum=1,
 )
+CONNECTION_SHARE = declare_setting(
+    "http.connection_share",
+    0.5,
+    "Share of process.max_descriptors for connections of the callers' listener, so that some stay "
+    "free for links, files and the other listeners; above it, the least recently used connection "
+    "of the peer with most is closed, or the new one gets 503 if requests run on all.",
+    minimum=0.01,
+    maximum=0.5,
+)
+PEER_CONNECTION_SHARE = declare_setting(
+    "http.peer_connection_share",
+    0.75,
+    "Share of a listener's connections that one peer address may hold.",
+    minimum=0.01,
+    maximum=1.0,
+)
 MAX_HEADER_BYTES = declare_setting(
     "http.max_header_bytes",
     16 * 1024,
@@ -148,6 +164,9 @@
 )
 
 
+LEAST_CONNECTIONS = 4
+
+
 class ServerLimits(NamedTuple):
     """Bounds of one server; the settings of the same names explain them.
 
@@ -157,6 +176,8 @@
         Kind of listener, for logs and metrics.
     request_bytes, pipelined_bytes, answer_bytes : int
         The settings' shares of the process's memory, in bytes.
+    max_peer_connections : int
+        Connections of one peer address.
     read_time_share : float
         Share of the event loop's time.
     """
@@ -173,6 +194,7 @@
     request_bytes: int = 64 * 1024 * 1024
     pipelined_bytes: int = 16 * 1024 * 1024
     answer_bytes: int = 64 * 1024 * 1024
+    max_peer_connections: int = MAX_CONNECTIONS.default
     read_time_share: float = READ_TIME_SHARE.default
 
 
@@ -213,11 +235,14 @@
         (health checks and metrics).
     """
     kind = _KINDS[listener]
-    memory_bytes = kind.part * read_resources(settings).memory_bytes
+    resources = read_resources(settings)
+    memory_bytes = kind.part * resources.memory_bytes
+    descriptors = int(kind.part * resources.descriptors * settings.get(CONNECTION_SHARE))
+    connections = min(settings.get(MAX_CONNECTIONS), max(LEAST_CONNECTIONS, descriptors))
     request_bytes = int(memory_bytes * settings.get(REQUEST_MEMORY_SHARE))
     header_bytes = settings.get(MAX_HEADER_BYTES)
     return ServerLimits(
-        settings.get(MAX_CONNECTIONS),
+        connections,
         header_bytes,
         # A single request must fit what all together may hold.
         min(settings.get(kind.max_body_bytes), max(1, request_bytes - 2 * header_bytes)),
@@ -230,6 +255,7 @@
         request_bytes,
         int(memory_bytes * settings.get(PIPELINED_MEMORY_SHARE)),
         int(memory_bytes * settings.get(ANSWER_MEMORY_SHARE)),
+        max(1, int(connections * settings.get(PEER_CONNECTION_SHARE))),
         kind.time_part * settings.get(READ_TIME_SHARE),
     )
 
--- a/apricotrail/http/_server.py
+++ b/apricotrail/http/_server.py
@@ -10,10 +10,10 @@
 from apricotrail.events import Level, declare_event, emit
 from apricotrail.http._connection import Phase, ServerConnection
 from apricotrail.http._limits import ServerLimits
-from apricotrail.http._listener import Listener
 from apricotrail.http._messages import Request, Response
 from apricotrail.http._turns import ReadTurns
 from apricotrail.http._usage import Holding, PeerUsage, choose_largest
+from apricotrail.listener import Listener
 from apricotrail.pauses import find_pause_s
 
 __all__ = ["HttpServer"]
@@ -85,6 +85,8 @@
         self._limits_met: Counter[str] = Counter()
         self._is_shedding = self._is_cutting = False
         self._connections: set[ServerConnection] = set()
+        # By peer, those that have been of no use for longest first.
+        self._by_peer: dict[str, dict[ServerConnection, None]] = {}
         self._listener = Listener(lambda: ServerConnection(self))
         self._sweeper: asyncio.TimerHandle | None = None
         self._emptied = asyncio.Event()
@@ -145,13 +147,35 @@
     # ---- used by ServerConnection ----
 
     def track(self, connection: ServerConnection) -> bool:
-        """Count a new connection; returns False if it is one too many."""
+        """Count a new connection; another one may give way to it. Returns False if it is too many.
+
+        Of the peer with most connections, that gives way which has been of no use for longest.
+        """
         self._connections.add(connection)
-        return len(self._connections) <= self.limits.max_connections
+        own = self._by_peer.setdefault(connection.peer, {})
+        own[connection] = None
+        while len(own) > self.limits.max_peer_connections:
+            if not self._evict(own, connection, "peer_connections"):
+                return False
+        while len(self._connections) > self.limits.max_connections:
+            most = max(self._by_peer.values(), key=len)
+            if not self._evict(most, connection, "connections"):
+                return False
+        return True
+
+    def note_use(self, connection: ServerConnection) -> None:
+        """Note that a request was answered on a connection."""
+        own = self._by_peer.get(connection.peer, {})
+        if connection in own:
+            own[connection] = own.pop(connection)
 
     def release(self, connection: ServerConnection) -> None:
         """Forget a closed connection."""
         self._connections.discard(connection)
+        own = self._by_peer.get(connection.peer, {})
+        own.pop(connection, None)
+        if not own:
+            self._by_peer.pop(connection.peer, None)
         if not self._connections:
             self._emptied.set()
 
@@ -179,6 +203,21 @@
 
     # ---- internals ----
 
+    def _evict(
+        self, connections: dict[ServerConnection, None], newcomer: ServerConnection, limit: str
+    ) -> bool:
+        """Cut the first of `connections` that waits for a request, or else for the rest of one."""
+        self._note_limit(limit)
+        chosen = next((it for it in connections if it is not newcomer and it.is_unused()), None)
+        if chosen is None:
+            reading = (it for it in connections if it.phase is Phase.BODY)
+            chosen = next(reading, None)
+        if chosen is None:
+            return False
+        self.release(chosen)
+        chosen.abort()
+        return True
+
     def _refresh_unsent(self) -> None:
         for connection in self._connections:
             if connection.unsent_bytes:
--- a/apricotrail/http/_listener.py
+++ b/apricotrail/listener.py
@@ -13,7 +13,7 @@
 __all__ = ["Listener"]
 
 BACKLOG = 1_024
-ACCEPTS_PER_TICK = 64
+ACCEPTS_PER_TICK = 16  # those over a limit are open until the next tick
 ACCEPT_PAUSE_MS = 100
 
 ACCEPT_FAILED = declare_event(
