test_idle_and_unread_connections_are_closed runs on a virtual clock

Change: the test moves a virtual clock by the server's idle time once the request is answered. It checks the same: an idle connection, and one whose peer reads nothing, are closed.

--- a/apricotrail/http/tests/test_server.py
+++ b/apricotrail/http/tests/test_server.py
@@ -8,6 +8,7 @@
 import orjson
 from nose2.tools import params
 
+from apricotrail.clocks import VirtualClock
 from apricotrail.http import HttpServer, Request, Response, ServerLimits, json_response
 from apricotrail.http._client import HttpClient
 from apricotrail.http._connection import Phase
@@ -173,17 +174,20 @@
                     await server.stop(1_000)
 
     async def test_idle_and_unread_connections_are_closed(self):
-        limits = LIMITS._replace(idle_timeout_ms=40)
         big = Response(200, b"a" * 20_000_000, "text/plain")
         for name, request in (("idle", b""), ("unread", GET)):
             with self.subTest(name):
-                server = HttpServer(lambda request: big, limits)
+                clock = VirtualClock(1_000.0)
+                server = HttpServer(lambda request: big, LIMITS, clock)
                 host, port = (await server.listen("127.0.0.1", 0)).split(":")
                 reader, writer = await asyncio.open_connection(host, int(port), limit=1_000)
                 writer.write(request)
                 async with asyncio.timeout(10):
-                    while not (server.requests or not request) or len(server):
+                    while not (server.requests if request else len(server)):
                         await asyncio.sleep(0.01)
+                    while len(server):
+                        clock.advance(LIMITS.idle_timeout_ms)
+                        await asyncio.sleep(0.05)
                 writer.close()
                 await server.stop(100)
 
