Links: bounds on their number, on the handshake and on what is buffered over all of them

Callers and peers saw: descriptors of control replicas and agents taken by connections that say nothing, and 144 MB of memory for frames that somebody without a key announced and half sent. Cause: a frame of 32 MiB was buffered before the handshake, on each connection; nothing bounded the sum of incomplete frames or of bytes waiting to be written (64 MiB a link); whole reads were decoded before the first frame was looked at, and unknown frames before the handshake were skipped for 1.2 s; 4,096 links are above what most machines have descriptors for. Change: before the handshake a frame has at most 1 KiB, frames are taken one at a time, and anything but a hello and a proof closes the connection. Links have a share of the descriptors, connections without a handshake a share of that; the oldest of the address with most gives way, so that silent ones don't keep links out. Incomplete frames and unsent bytes are bounded over all links as shares of the memory; the link that holds most is closed, and large messages aren't sent over the bound. Ruled out: the listener of the HTTP server for links, as the tests' virtual network stands in for the loop's own; the number of connections accepted at once is set by asyncio's backlog instead.

--- a/apricotrail/control/tests/test_nodes.py
+++ b/apricotrail/control/tests/test_nodes.py
@@ -6,6 +6,7 @@
 import unittest
 
 from apricotrail.control._nodes import PIECE_NODES, NodeSharing
+from apricotrail.resources import LimitCounts
 from apricotrail.wire.generated.ttypes import Identity, NodeChanges, NodeList, NodesRequest
 
 
@@ -28,6 +29,7 @@
     def __init__(self) -> None:
         self.identity = Identity("control-1#a", "control", "pipa", 1, "control-1")
         self.links = {}
+        self.limits_met = LimitCounts("links")
 
 
 class NodeCase:
--- a/apricotrail/http/_server.py
+++ b/apricotrail/http/_server.py
@@ -1,20 +1,19 @@
 """The listening side: open connections, their timeouts, draining and stop."""
 
 import asyncio
-from collections import Counter
 from collections.abc import Awaitable, Callable
 from contextlib import suppress
 from email.utils import formatdate
 
 from apricotrail.clocks import Clock, monotonic_ms
-from apricotrail.events import Level, declare_event, emit
 from apricotrail.http._connection import Phase, ServerConnection
 from apricotrail.http._limits import ServerLimits
+from apricotrail.http._listener import Listener
 from apricotrail.http._messages import Request, Response
 from apricotrail.http._turns import ReadTurns
 from apricotrail.http._usage import Holding, PeerUsage, choose_largest
-from apricotrail.listener import Listener
 from apricotrail.pauses import find_pause_s
+from apricotrail.resources import LimitCounts
 
 __all__ = ["HttpServer"]
 
@@ -22,14 +21,6 @@
 MIN_SWEEP_MS = 5
 SWEEPS_PER_TIMEOUT = 4
 
-LIMIT_MET = declare_event(
-    1504,
-    "http_limit_met",
-    Level.WARNING,
-    "Clients met a limit of a listener; their requests were refused, or connections closed, as "
-    "docs/http.md says for it. count is the number since the last such line.",
-)
-
 Handler = Callable[[Request], Response | Awaitable[Response]]
 
 
@@ -81,8 +72,8 @@
         self.pipelined_bytes = PeerUsage(self.limits.pipelined_bytes)
         self.answer_bytes = PeerUsage(self.limits.answer_bytes)
         self.turns = ReadTurns(clock, self.limits.read_time_share)
-        self._on_limit = on_limit
-        self._limits_met: Counter[str] = Counter()
+        self._limits_met = LimitCounts(self.limits.listener)
+        self._limits_met.on_limit = on_limit
         self._is_shedding = self._is_cutting = False
         self._connections: set[ServerConnection] = set()
         # By peer, those that have been of no use for longest first.
@@ -207,7 +198,7 @@
         self, connections: dict[ServerConnection, None], newcomer: ServerConnection, limit: str
     ) -> bool:
         """Cut the first of `connections` that waits for a request, or else for the rest of one."""
-        self._note_limit(limit)
+        self._limits_met.note(limit)
         chosen = next((it for it in connections if it is not newcomer and it.is_unused()), None)
         if chosen is None:
             reading = (it for it in connections if it.phase is Phase.BODY)
@@ -233,7 +224,7 @@
                 self.answer_bytes,
                 (Holding(it.peer, it.unsent_bytes, it.since_ms, it) for it in unread),
             )
-            self._note_limit("answer_memory")
+            self._limits_met.note("answer_memory")
             self.note_unsent(largest, 0)
             largest.abort()
 
@@ -249,10 +240,10 @@
             )
             if largest is None:
                 break
-            self._note_limit("request_memory")
+            self._limits_met.note("request_memory")
             largest.refuse_unfinished()
         while self.pipelined_bytes.is_over():
-            self._note_limit("pipelined_memory")
+            self._limits_met.note("pipelined_memory")
             choose_largest(
                 self.pipelined_bytes,
                 (
@@ -262,17 +253,6 @@
                 ),
             ).drop_pipelined()
 
-    def _note_limit(self, name: str) -> None:
-        """Count a limit that was met; the sweep logs it."""
-        name = f"{self.limits.listener} {name}"
-        self._limits_met[name] += 1
-        self._on_limit(name)
-
-    def _log_limits(self) -> None:
-        for name, count in self._limits_met.items():
-            emit(LIMIT_MET, limit=name, count=count, connections=len(self._connections))
-        self._limits_met.clear()
-
     async def _finish_requests(self) -> None:
         with suppress(TimeoutError):
             async with asyncio.timeout(self.limits.last_request_ms / 1000):
@@ -300,7 +280,7 @@
     def _sweep(self) -> None:
         self._schedule_sweep()
         self.date = formatdate(usegmt=True).encode()
-        self._log_limits()
+        self._limits_met.log()
         self._refresh_unsent()
         now_ms = self.clock()
         for connection in list(self._connections):
--- a/apricotrail/metrics/_roles.py
+++ b/apricotrail/metrics/_roles.py
@@ -39,7 +39,7 @@
         )
         self.refusals = self._label("refusals", "Requests refused, by kind of error.", "kind")
         self.limits_met = self._label(
-            "limits_met", "Times that clients met a limit of a listener, by limit.", "limit"
+            "limits_met", "Times that a limit of a listener or of links was met.", "limit"
         )
         self.links_lost = self._count("links_lost", "Links to peers that were lost.")
         self.links = self._watch("links", "Open links to peers.")
--- a/apricotrail/tests/test_layout.py
+++ b/apricotrail/tests/test_layout.py
@@ -16,7 +16,7 @@
     ("agent", "control", "operators", "queues", "runners"),
     ("document", "membership", "metrics", "policy", "reports"),
     ("http", "names", "wire"),
-    ("application", "listener", "logs", "resources"),
+    ("application", "logs", "resources"),
     ("events", "settings"),
     ("clocks", "errors", "pauses"),
 )
--- a/apricotrail/wire/_codec.py
+++ b/apricotrail/wire/_codec.py
@@ -4,6 +4,7 @@
 structure in the compact protocol of Apache Thrift.
 """
 
+from collections.abc import Iterator
 from io import BytesIO
 from struct import Struct
 from typing import Any, NamedTuple
@@ -158,15 +159,28 @@
     ----------
     max_frame_bytes : int
         Largest payload accepted.
+
+    Attributes
+    ----------
+    max_frame_bytes : int
+        As given; may be changed between two frames.
     """
 
     def __init__(self, max_frame_bytes: int = MAX_FRAME_BYTES) -> None:
         self.unknown_kinds = 0
-        self._max_frame_bytes = max_frame_bytes
+        self.max_frame_bytes = max_frame_bytes
         self._buffer = bytearray()
 
+    def __len__(self) -> int:
+        """Return how many bytes of an incomplete frame are held."""
+        return len(self._buffer)
+
     def feed(self, data: bytes) -> list[Frame]:
-        """Add received bytes and return the frames that are now whole.
+        """Add received bytes and return the frames that are now whole; see `iterate`."""
+        return list(self.iterate(data))
+
+    def iterate(self, data: bytes) -> Iterator[Frame]:
+        """Add received bytes and decode the frames that are now whole, one at a time.
 
         Raises
         ------
@@ -178,23 +192,23 @@
         if self._buffer:
             self._buffer += data
             received = self._buffer
-        frames = []
         start = 0
-        while len(received) - start >= HEADER_BYTES:
-            length, kind, correlation = _HEADER.unpack_from(received, start)
-            if length > self._max_frame_bytes:
-                raise _wire_error(f"A frame of {length} bytes is over {self._max_frame_bytes}.")
-            end = start + HEADER_BYTES + length
-            if len(received) < end:
-                break
-            payload = bytes(received[start + HEADER_BYTES : end])
-            frames.append(Frame(self._decode(kind, payload), correlation))
-            start = end
-        if received is self._buffer:
-            del self._buffer[:start]
-        elif start < len(received):
-            self._buffer += received[start:]
-        return frames
+        try:
+            while len(received) - start >= HEADER_BYTES:
+                length, kind, correlation = _HEADER.unpack_from(received, start)
+                if length > self.max_frame_bytes:
+                    raise _wire_error(f"A frame of {length} bytes is over {self.max_frame_bytes}.")
+                end = start + HEADER_BYTES + length
+                if len(received) < end:
+                    break
+                payload = bytes(received[start + HEADER_BYTES : end])
+                start = end
+                yield Frame(self._decode(kind, payload), correlation)
+        finally:
+            if received is self._buffer:
+                del self._buffer[:start]
+            elif start < len(received):
+                self._buffer += received[start:]
 
     def _decode(self, kind: int, payload: bytes) -> Any:
         type_ = _TYPE_BY_KIND.get(kind)
--- a/apricotrail/wire/_endpoint.py
+++ b/apricotrail/wire/_endpoint.py
@@ -2,15 +2,19 @@
 
 import asyncio
 import random
+import socket
+from collections import Counter
 from collections.abc import Awaitable, Callable
 from typing import Any
 
 from apricotrail.clocks import Clock, monotonic_ms
 from apricotrail.events import Level, declare_event, emit
 from apricotrail.pauses import pause
+from apricotrail.resources import LimitCounts
 from apricotrail.settings import Settings, declare_setting
 from apricotrail.wire._keys import KeyRing
-from apricotrail.wire._link import BUFFER_BYTES, HEARTBEAT_MS, SILENT_MS, Link
+from apricotrail.wire._limits import LinkLimits, read_link_limits
+from apricotrail.wire._link import HEARTBEAT_MS, SILENT_MS, Link
 from apricotrail.wire.generated import ttypes
 from apricotrail.wire.generated.ttypes import Heartbeat, Identity
 
@@ -24,9 +28,6 @@
     minimum=1,
     maximum=10_000,
 )
-MAX_LINKS = declare_setting(
-    "link.max_links", 4_096, "Open links of one process, both directions.", minimum=1
-)
 CONNECT_MS = declare_setting(
     "link.connect_ms", 1_000, "Time for a connection and its handshake.", unit="ms", minimum=10
 )
@@ -35,6 +36,8 @@
     "",
     "Address under which others reach this process, if it isn't the one it listens at.",
 )
+ACCEPTS_PER_TURN = 16  # those over a limit are open until the next turn of the loop
+BACKLOG = 1_024  # all other processes may dial at the same moment
 MAX_PORT = 65_535
 MAX_PORT_DIGITS = 5
 MAX_SHOWN_CHARACTERS = 100
@@ -84,7 +87,7 @@
     keys : KeyRing
         Keys for the proof of identity.
     settings : Settings
-        Heartbeat, silence and buffer limits.
+        Heartbeat, silence and limits on links.
     clock : Clock
         Monotonic time in milliseconds.
 
@@ -97,6 +100,10 @@
         process is alive and has acted on all that came before.
     heartbeat_ms_by_role : dict of str to float
         Time between heartbeats to peers of a role, if it is longer than ``link.heartbeat_ms``.
+    limits : LinkLimits
+        Bounds on links and on what is buffered for them.
+    limits_met : LimitCounts
+        Counts how often they are met.
     beat : int
         Number of the beat in which heartbeats for all links are being made, one after the other:
         what is computed for one of them holds for the others. 0 between two beats.
@@ -116,7 +123,8 @@
         self.clock = clock
         self.links: dict[str, Link] = {}
         self.silent_ms = settings.get(SILENT_MS)
-        self.buffer_bytes = settings.get(BUFFER_BYTES)
+        self.limits: LinkLimits = read_link_limits(settings)
+        self.limits_met = LimitCounts("links")
         self.make_heartbeat: HeartbeatSource = lambda link: Heartbeat(config_version=0)
         self.receive_heartbeat: HeartbeatSink = lambda link, heartbeat, heartbeat_sent_ms: None
         self.may_echo: Callable[[], bool] = lambda: True
@@ -125,12 +133,14 @@
         self._heartbeat_ms = settings.get(HEARTBEAT_MS)
         self._redial_ms = settings.get(REDIAL_MS)
         self._connect_ms = settings.get(CONNECT_MS)
-        self._max_links = settings.get(MAX_LINKS)
+        self._max_links = self.limits.links
         self._advertise = settings.get(ADVERTISE)
         self._handlers: dict[type, Handler] = {}
         self._up_hooks: list[Callable[[Link], None]] = []
         self._down_hooks: list[Callable[[Link], None]] = []
-        self._open: set[Link] = set()
+        self._open: dict[Link, None] = {}  # the oldest first
+        self._unproven: dict[Link, None] = {}  # opened by others, handshake not done
+        self._received_bytes = 0
         self._dialers: dict[str, asyncio.Task] = {}
         self._dialed_names: dict[str, str] = {}
         self._tasks: set[asyncio.Task] = set()
@@ -165,7 +175,10 @@
             Port, 0 for any free one.
         """
         loop = asyncio.get_running_loop()
-        self._server = await loop.create_server(lambda: Link(self, dialing=False), host, port)
+        self._server = await loop.create_server(
+            lambda: Link(self, dialing=False), host, port, backlog=ACCEPTS_PER_TURN
+        )
+        _raise_backlog(self._server)
         bound_port = self._server.sockets[0].getsockname()[1]
         self.identity.address = self._advertise or f"{host}:{bound_port}"
         return self.identity.address
@@ -216,13 +229,53 @@
         return task
 
     def track(self, link: Link) -> None:
-        """Count a new connection; one too many is closed."""
-        self._open.add(link)
+        """Count a new connection; above a bound, one without a handshake or the new one is closed.
+
+        Of those without a handshake, the oldest of the address with most gives way.
+        """
+        self._open[link] = None
+        if not link.dialing:
+            self._unproven[link] = None
+        if len(self._unproven) > self.limits.unproven:
+            self.limits_met.note("unproven")
+            self._find_oldest_unproven().close()
         if len(self._open) > self._max_links:
-            link.close()
+            self.limits_met.note("connections")
+            (self._find_oldest_unproven() or link).close()
+
+    def _find_oldest_unproven(self) -> Link | None:
+        most = Counter(link.address for link in self._unproven).most_common(1)
+        return next((it for it in self._unproven if it.address == most[0][0]), None)
+
+    def note_received(self, link: Link, held: int) -> None:
+        """Note the size of a link's incomplete frame; too much in all closes the largest."""
+        self._received_bytes += held - link.received_bytes_held
+        link.received_bytes_held = held
+        while self._received_bytes > self.limits.received_bytes:
+            holding = [it for it in self._open if it.received_bytes_held]
+            if len(holding) == 1:
+                return
+            self.limits_met.note("receive_memory")
+            max(holding, key=lambda it: it.received_bytes_held).close()
+
+    def has_room(self, size: int) -> bool:
+        """Return whether a frame of `size` bytes may be added to what waits to be written."""
+        unsent = sum(link.unsent_bytes for link in self._open)
+        return not unsent or unsent + size <= self.limits.unsent_bytes
+
+    def _close_slowest(self) -> None:
+        """Close the links with most unsent bytes while those of all links are over the bound."""
+        unsent = {link: link.unsent_bytes for link in self._open}
+        total = sum(unsent.values())
+        while total > self.limits.unsent_bytes and len(unsent) > 1:
+            slowest = max(unsent, key=unsent.__getitem__)
+            total -= unsent.pop(slowest)
+            self.limits_met.note("send_memory")
+            slowest.close()
 
     def admit(self, link: Link) -> None:
         """Take a link into use after its handshake."""
+        self._unproven.pop(link, None)
         older = self.links.get(link.peer.name)
         if older is not None and self._is_better(older, link):
             link.close()
@@ -244,7 +297,10 @@
 
     def release(self, link: Link) -> None:
         """Forget a closed link."""
-        self._open.discard(link)
+        self._open.pop(link, None)
+        self._unproven.pop(link, None)
+        self._received_bytes -= link.received_bytes_held
+        link.received_bytes_held = 0
         if not link.ready or self.links.get(link.peer.name) is not link:
             return
         del self.links[link.peer.name]
@@ -270,6 +326,8 @@
                 interval_ms = self.heartbeat_ms_by_role.get(role, self._heartbeat_ms)
                 link.send_due_heartbeat(interval_ms)
             self.beat = 0
+            self._close_slowest()
+            self.limits_met.log()
             await pause(self._heartbeat_ms)
 
     async def _dial_forever(self, address: str, host: str, port: int) -> None:
@@ -303,6 +361,19 @@
             return None
 
 
+def _raise_backlog(server: asyncio.Server) -> None:
+    """Let more connections wait in the kernel than asyncio accepts at once, which is its backlog.
+
+    A server of tests on virtual time has no socket.
+    """
+    if not isinstance(server, asyncio.Server):
+        return
+    for listening in server.sockets:
+        own = socket.socket(fileno=listening.fileno())
+        own.listen(BACKLOG)
+        own.detach()
+
+
 def parse_address(address: str) -> tuple[str, int]:
     """Split ``host:port``.
 
--- a/apricotrail/wire/_link.py
+++ b/apricotrail/wire/_link.py
@@ -11,12 +11,11 @@
 from apricotrail.errors import ApricotrailError, ErrorKind, Problem
 from apricotrail.events import Level, declare_event, emit
 from apricotrail.settings import declare_constraint, declare_setting
-from apricotrail.wire._codec import FrameReader, WireError, encode_frame
+from apricotrail.wire._codec import Frame, FrameReader, WireError, encode_frame
 from apricotrail.wire._keys import NONCE_BYTES, KeyRing
 from apricotrail.wire.generated.ttypes import Heartbeat, Hello, Identity, Proof
 
 __all__ = [
-    "BUFFER_BYTES",
     "HEARTBEAT_MS",
     "OLDEST_WIRE_VERSION",
     "SILENT_MS",
@@ -28,6 +27,7 @@
 OLDEST_WIRE_VERSION = 1
 MAX_CALLS = 65_536
 MAX_SENT_TIMES = 64
+LARGE_FRAME_BYTES = 64 * 1024  # what smaller ones add up to is looked at with each beat
 
 HEARTBEAT_MS = declare_setting(
     "link.heartbeat_ms",
@@ -51,14 +51,6 @@
     "link.heartbeat_ms must be under half of link.silent_ms",
     "Lower link.heartbeat_ms, or raise link.silent_ms.",
 )
-BUFFER_BYTES = declare_setting(
-    "link.buffer_bytes",
-    64 * 1024 * 1024,
-    "Bytes waiting to be written on one link before sends are refused.",
-    unit="bytes",
-    minimum=1_000_000,
-)
-
 LINK_MALFORMED = declare_event(
     1001, "link_malformed", Level.WARNING, "A peer sent a malformed frame; that link was closed."
 )
@@ -103,6 +95,10 @@
     opened_ms : float
         When the connection was opened, on the endpoint's clock. A peer that has proven its key was
         alive after that.
+    address : str
+        Address of the other end, without the port.
+    received_bytes_held : int
+        Bytes of an incomplete frame.
     """
 
     def __init__(self, endpoint: Any, dialing: bool) -> None:
@@ -114,10 +110,12 @@
         self.received_frames = 0
         self.sent_bytes = 0
         self.received_bytes = 0
+        self.address = ""
+        self.received_bytes_held = 0
         self._endpoint = endpoint
         self._clock: Clock = endpoint.clock
         self.dialing = dialing
-        self._reader = FrameReader()
+        self._reader = FrameReader(endpoint.limits.handshake_frame_bytes)
         self._transport: asyncio.Transport | None = None
         self._nonce = urandom(NONCE_BYTES)
         self._peer_nonce = b""
@@ -137,6 +135,7 @@
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Send Hello when this side dialed."""
         self._transport = transport  # type: ignore[assignment]
+        self.address = (transport.get_extra_info("peername") or ("unknown",))[0]
         self._endpoint.track(self)
         if self.dialing:
             self._write(self._hello(), 0)
@@ -146,15 +145,16 @@
         self._heard_ms = self._clock()
         self.received_bytes += len(data)
         try:
-            frames = self._reader.feed(data)
+            for frame in self._reader.iterate(data):
+                self.received_frames += 1
+                self._receive_frame(frame)
+                if self.closed.done():
+                    return
         except WireError as error:
-            emit(LINK_MALFORMED, peer=self._peer_name(), error=str(error))
-            self.close()
+            self._refuse_frame(error)
             return
-        for frame in frames:
-            self.received_frames += 1
-            if frame.message is not None and not self.closed.done():
-                self._receive(frame.message, frame.correlation)
+        if len(self._reader) != self.received_bytes_held:
+            self._endpoint.note_received(self, len(self._reader))
 
     def connection_lost(self, exc: Exception | None) -> None:
         """Fail open calls and tell the endpoint."""
@@ -172,6 +172,11 @@
         """Time of the last own heartbeat, on the endpoint's clock."""
         return self._beat_ms
 
+    @property
+    def unsent_bytes(self) -> int:
+        """Bytes that wait to be written."""
+        return 0 if self._transport is None else self._transport.get_write_buffer_size()
+
     @property
     def owes_echo(self) -> bool:
         """Whether a heartbeat of the peer came that no own one has echoed yet."""
@@ -187,7 +192,7 @@
         """
         if not self.ready or self.closed.done() or self._transport is None:
             return False
-        if self._transport.get_write_buffer_size() > self._endpoint.buffer_bytes:
+        if self.unsent_bytes > self._endpoint.limits.unsent_bytes_of_one:
             emit(LINK_OVERFLOW, peer=self._peer_name(), kind=type(message).__name__)
             return False
         return self._write(message, correlation)
@@ -271,9 +276,11 @@
         endpoint = self._endpoint
         return Hello(WIRE_VERSION, endpoint.identity, self._nonce, endpoint.environment)
 
-    def _receive(self, message: Any, correlation: int) -> None:
+    def _receive_frame(self, frame: Frame) -> None:
+        message = frame.message
         if self.ready:
-            self._dispatch(message, correlation)
+            if message is not None:
+                self._dispatch(message, frame.correlation)
         elif isinstance(message, Hello):
             self._receive_hello(message)
         elif isinstance(message, Proof) and self.peer is not None:
@@ -316,11 +323,20 @@
             self._refuse("a wrong key proof")
             return
         self.ready = True
+        self._reader.max_frame_bytes = self._endpoint.limits.frame_bytes
         self._echoed_ms = self._clock()
         if not self.opened.done():
             self.opened.set_result(True)
         self._endpoint.admit(self)
 
+    def _refuse_frame(self, error: WireError) -> None:
+        if self.ready:
+            emit(LINK_MALFORMED, peer=self._peer_name(), error=str(error))
+        else:
+            self._endpoint.limits_met.note("handshake")
+            emit(LINK_REFUSED, peer=self.address, reason=str(error))
+        self.close()
+
     def _refuse(self, reason: str) -> None:
         emit(LINK_REFUSED, peer=self._peer_name(), reason=reason)
         self.close()
@@ -386,6 +402,9 @@
         except WireError as error:
             emit(LINK_OVERFLOW, peer=self._peer_name(), error=str(error))
             return False
+        if len(frame) > LARGE_FRAME_BYTES and not self._endpoint.has_room(len(frame)):
+            emit(LINK_OVERFLOW, peer=self._peer_name(), kind=type(message).__name__)
+            return False
         self.sent_frames += 1
         self.sent_bytes += len(frame)
         self._transport.write(frame)  # type: ignore[union-attr]
