Headers, trailers and answers count for the time that they take

Cause: a request with 3,000 short headers, or as many trailers, takes 9 to 12 ms to parse, one with 5,000 query fields 7 ms to take apart; each counted as 3 units, about 75 us, so that 100 connections with 16 kB each held the loop for a second. Long answers counted only where the handler gave them at once. Found by measuring what h11 takes for odd heads. Change: a head counts by its bytes, trailers by their number, an answer by its bytes whenever it is sent. A handler can charge for work that a request's size doesn't show (Request.charge).

--- a/apricotrail/http/_connection.py
+++ b/apricotrail/http/_connection.py
@@ -42,6 +42,8 @@
 PIECE_BYTES = 4_096  # given to the parser at a time, so that it holds little
 # Cost of a step in units of `ReadTurns`, besides one for each event of the parser.
 HEAD_UNITS = 3
+HEAD_BYTES_PER_UNIT = 64
+TRAILERS_PER_UNIT = 4
 ANSWER_UNITS = 4
 BYTES_PER_UNIT = 1_024  # of a body or an answer
 
@@ -233,12 +235,13 @@
             self._refuse_malformed(error)
             return ANSWER_UNITS
         if type(event) is h11.Request:
+            units = HEAD_UNITS + self._head_bytes // HEAD_BYTES_PER_UNIT
             self._begin(event)
-            return HEAD_UNITS
+            return units
         if type(event) is h11.Data:
             self._add_body(event.data)
         elif type(event) is h11.EndOfMessage:
-            return self._run()
+            return len(event.headers) // TRAILERS_PER_UNIT + self._run()
         else:
             self._needs_data = True
             if self.phase is Phase.IDLE and self._h11.trailing_data[0]:
@@ -279,13 +282,14 @@
             self._refuse(malformed("The request target is not a path."), STATUS_BAD_REQUEST)
             return units
         try:
-            request = make_request(self._head, body, self._address, self._disconnected)
+            charge = self._server.turns.charge
+            request = make_request(self._head, body, self._address, self._disconnected, charge)
             answer = self._server.handler(request)
         except Exception as error:
             answer = self._report_failure(error)
         if isinstance(answer, Response):
             self._respond(answer)
-            return units + len(answer.body) // BYTES_PER_UNIT
+            return units
         self._running = asyncio.ensure_future(self._respond_later(answer))
         return units
 
@@ -308,6 +312,7 @@
     def _respond(self, response: Response) -> None:
         self._server.requests += 1
         self._running_bytes = 0
+        self._server.turns.charge(len(response.body) // BYTES_PER_UNIT)
         if self._transport is None or self._transport.is_closing():
             return
         self._write(response, self._server.draining or self._peer_closed or self._is_last)
--- a/apricotrail/http/_messages.py
+++ b/apricotrail/http/_messages.py
@@ -1,7 +1,7 @@
 """Requests and responses as values, and the JSON form of problems."""
 
 from asyncio import Future
-from collections.abc import Mapping
+from collections.abc import Callable, Mapping
 from typing import Any, NamedTuple
 
 import orjson
@@ -13,6 +13,10 @@
 JSON_TYPE = "application/json"
 
 
+def _charge_nothing(units: int) -> None:
+    pass
+
+
 class Request(NamedTuple):
     """One whole request.
 
@@ -32,6 +36,9 @@
         Address of the other end.
     disconnected : asyncio.Future or None
         Done once the caller's connection is closed, also when it closes only its sending side.
+    charge : callable
+        ``charge(units)`` counts work that is more than the request's size shows, in units of 25
+        microseconds or so; other requests of the listener wait longer for their turns.
     """
 
     method: str
@@ -41,6 +48,7 @@
     body: bytes
     peer: str
     disconnected: Future | None = None
+    charge: Callable[[int], None] = _charge_nothing
 
 
 class Response(NamedTuple):
--- a/apricotrail/http/_requests.py
+++ b/apricotrail/http/_requests.py
@@ -1,6 +1,7 @@
 """Requests and responses between h11's events and this package's messages."""
 
 from asyncio import Future
+from collections.abc import Callable
 from urllib.parse import parse_qsl
 
 import h11
@@ -24,7 +25,11 @@
 
 
 def make_request(
-    head: h11.Request, body: bytes, peer: str, disconnected: Future[None] | None
+    head: h11.Request,
+    body: bytes,
+    peer: str,
+    disconnected: Future[None] | None,
+    charge: Callable[[int], None],
 ) -> Request:
     """Return the request of a head and a whole body."""
     headers: dict[str, str] = {}
@@ -34,7 +39,7 @@
     path, _, query = head.target.decode("ascii").partition("?")
     parameters = dict(parse_qsl(query, keep_blank_values=True)) if query else {}
     method = head.method.decode("ascii")
-    return Request(method, path, parameters, headers, body, peer, disconnected)
+    return Request(method, path, parameters, headers, body, peer, disconnected, charge)
 
 
 def encode_response(
--- a/apricotrail/http/_turns.py
+++ b/apricotrail/http/_turns.py
@@ -75,6 +75,10 @@
         else:
             self._add(reader)
 
+    def charge(self, units: int) -> None:
+        """Count the cost of work that a request caused besides parsing it."""
+        self._allowance -= units
+
     def leave(self, reader: Reader) -> None:
         """Forget a connection that has nothing to parse any more."""
         self._waiting.discard(reader)
@@ -95,7 +99,8 @@
         self._schedule()
 
     def _let_read(self, reader: Reader) -> None:
-        self._allowance -= reader.read(QUANTUM_UNITS)
+        spent = reader.read(QUANTUM_UNITS)  # may also charge for further work
+        self._allowance -= spent
         if reader.has_input():
             self._add(reader)
 
--- a/apricotrail/http/tests/test_turns.py
+++ b/apricotrail/http/tests/test_turns.py
@@ -152,6 +152,27 @@
         self.assertFalse(transport.is_paused)
         await asyncio.sleep(0)
 
+    # Guards against thousands of short headers, query fields or trailers, which take milliseconds.
+    async def test_many_headers_or_trailers_and_long_answers_count_for_what_they_cost(self):
+        fields = b"a:b\r\n" * 3_000
+        for name, request, answer in (
+            ("headers", GET[:-2] + fields + b"\r\n", b""),
+            ("query", b"GET /?" + b"a=&" * 5_000 + GET[5:], b""),
+            ("trailers", HEAD + b"0\r\n" + fields + b"\r\n", b""),
+            ("answer", GET, b"a" * 200_000),
+        ):
+            with self.subTest(name):
+                server = HttpServer(lambda it, body=answer: Response(200, body), clock=self.clock)
+                for _ in range(30):
+                    connection = ServerConnection(server)
+                    connection.connection_made(FakeTransport(connection))
+                    connection.data_received(request)
+                self.assertLessEqual(server.requests, 4)
+                for _ in range(400):
+                    self.clock.advance(5.0)
+                    server.turns.run()
+                self.assertEqual(server.requests, 30)
+
     # Guards against thousands of requests that are handled for a peer that reads no answer.
     async def test_no_further_request_is_handled_while_answers_are_unread(self):
         server = HttpServer(lambda request: Response(200, b"a" * 1_000), clock=self.clock)
