Jobs of thousands of tasks are placed in several turns of the event loop

Callers would see: no answer from a dispatcher for seconds after one request of a hundred bytes. Found by measuring what few bytes can ask for; a job may have 2,000 tasks, which is inside the limits. Cause: all tasks of a job were placed in one go, and each looks at all runners; with a limit of tasks at a runner (max_per_runner), each also walked all tasks of the job for each runner. Admission searched all runners for each task. Change: a pass of placement handles 64 tasks, a tick 256; the rest follows in later turns, one job at a time, and ordinary jobs are placed at once as before.

--- a/apricotrail/queues/__init__.py
+++ b/apricotrail/queues/__init__.py
@@ -3,8 +3,10 @@
 from apricotrail.queues._application import QueueDispatcher
 from apricotrail.queues._document import Queue, QueueTable, make_queue_items
 from apricotrail.queues._jobs import JobAnswer, JobRequest, JobState, Step
+from apricotrail.queues._starts import TASKS_PER_PASS
 
 __all__ = [
+    "TASKS_PER_PASS",
     "JobAnswer",
     "JobRequest",
     "JobState",
--- a/apricotrail/queues/_admission.py
+++ b/apricotrail/queues/_admission.py
@@ -91,21 +91,18 @@
     without dependencies count.
     """
     is_urgent = slack.due_ms <= URGENT_MS
-    waits = [
-        (runner.queue_wait_ms(is_urgent), number, max(0, runner.free_cpu()))
-        for number, runner in enumerate(runners)
-    ]
-    free = {number: free_cpu for _, number, free_cpu in waits}
-    heap = [(wait_ms, number) for wait_ms, number, _ in waits]
+    used = [(-max(0, runner.free_cpu()), number) for number, runner in enumerate(runners)]
+    heapify(used)
+    heap = [(runner.queue_wait_ms(is_urgent), number) for number, runner in enumerate(runners)]
     heapify(heap)
     longest_ms = 0.0
     for step in request.steps:
         if step.depends_on:
             continue
         for _ in range(step.count):
-            freest = max(free, key=free.__getitem__)
-            if free[freest] >= step.cpu_millis:
-                free[freest] -= step.cpu_millis
+            used_cpu, freest = used[0]
+            if -used_cpu >= step.cpu_millis:
+                heapreplace(used, (used_cpu + step.cpu_millis, freest))
                 continue
             wait_ms, number = heap[0]
             heapreplace(heap, (wait_ms + runners[number].spacing_ms(), number))
--- a/apricotrail/queues/_dispatcher.py
+++ b/apricotrail/queues/_dispatcher.py
@@ -25,7 +25,7 @@
 from apricotrail.queues._lost_agents import STILL_LISTED_MS, UNLISTED_FOR_MS
 from apricotrail.queues._outcomes import end_run
 from apricotrail.queues._registry import RunnerStatus, sum_free_cpu
-from apricotrail.queues._starts import place
+from apricotrail.queues._starts import TASKS_PER_PASS, place, place_later
 from apricotrail.queues._state import DispatcherParts, DispatchState
 from apricotrail.queues._submission import detach_caller, submit_job, would_admit
 from apricotrail.wire.generated.ttypes import (
@@ -52,6 +52,7 @@
 # agents are told that this process is alive.
 SETTLE_MS = 20.0
 SETTLE_AGAIN_MS = 500.0  # a process that is slow for long would never get to it otherwise
+TASKS_PER_TICK = 4 * TASKS_PER_PASS
 LATE_ANSWER_MS = 1_500.0  # callers that still wait this long after their deadline get an answer
 
 DISPATCHER_FROZE = declare_event(
@@ -216,11 +217,14 @@
         self.check_for_pause()
         now_ms = self._clock()
         declare_runs_lost(self._state, now_ms)
+        considered = 0
         for job in list(self.jobs.values()):
             if now_ms > job.deadline_ms + LATE_ANSWER_MS:
                 give_up(self._state, job, "late")
+            elif considered < TASKS_PER_TICK:
+                considered += place(self._state, job)
             else:
-                place(self._state, job)
+                place_later(self._state, job)
         self._state.answers.evict(now_ms)
         self.crashes.evict()
 
--- a/apricotrail/queues/_starts.py
+++ b/apricotrail/queues/_starts.py
@@ -1,4 +1,11 @@
-"""Placement of the tasks of a job on runners, and the start messages for them."""
+"""Placement of the tasks of a job on runners, and the start messages for them.
+
+A job may have thousands of tasks, and placing one takes as long as there are runners. So a pass
+places some of them, and the rest follows in later turns of the event loop, one job at a time.
+"""
+
+import asyncio
+from collections import Counter
 
 from apricotrail.events import Level, declare_event, emit
 from apricotrail.queues._admission import URGENT_MS, fits_somewhere
@@ -9,8 +16,9 @@
 from apricotrail.queues._state import DispatchState
 from apricotrail.wire.generated.ttypes import RunStart, StartRuns
 
-__all__ = ["make_start", "place"]
+__all__ = ["TASKS_PER_PASS", "make_start", "place", "place_later"]
 
+TASKS_PER_PASS = 64
 MAX_QUEUE_WAIT_MS = 400  # longest wait at one agent before the task is placed again
 ISOLATED_WAIT_MS = 2_000  # longest wait for a runner to become idle; most runs are shorter
 MIN_QUEUE_WAIT_MS = 60  # a few round trips, as placing a task again costs one
@@ -30,44 +38,92 @@
 )
 
 
-def place(state: DispatchState, job: Job) -> None:
-    """Send the tasks that can start now to runners.
+def place(state: DispatchState, job: Job, first: int = 0) -> int:
+    """Send tasks that can start now to runners; return how many were considered.
 
     A job with a task that crashes its runners has failed. One of which nothing can have begun
     is refused if its pool has no usable runner that a task of it fits, or if it has waited for
     longer than `MAX_START_WAIT_MS`. One that may not start any more is given up.
+
+    Parameters
+    ----------
+    state : DispatchState
+        State of the dispatcher.
+    job : Job
+        An open job.
+    first : int
+        Number of the task, among those that can start now, at which the pass begins. What is
+        behind the pass is placed later.
     """
     if job.stopping:
-        return
+        return 0
     ready = job.list_ready()
-    if not ready:
-        return
+    considered = ready[first : first + TASKS_PER_PASS]
+    if not considered:
+        return 0
     if not job.may_start:
         give_up(state, job, "dispatcher_froze")
-        return
-    restarts = {task.name: state.crashes.decide(task.name) for task in ready}
+        return 0
+    restarts = {task.name: state.crashes.decide(task.name) for task in considered}
     if Restart.NEVER in restarts.values():
         fail_deadly(state, job, [name for name, it in restarts.items() if it is Restart.NEVER])
-        return
+        return 0
     usable = state.registry.list_usable(job.queue.pool)
     may_have_begun = job.may_have_run or bool(job.list_sent())
     refusal = None if may_have_begun else _find_refusal(state, job, usable)
     if refusal is not None:
         answer_job(state, job, JobAnswer(JobState.REFUSED, refusal, RETRY_AFTER_MS))
-        return
+        return 0
     tasks_by_agent: dict[str, list[Task]] = {}
-    for task in ready:
+    taken = _count_taken(job)
+    for task in considered:
         step = job.request.steps[task.step]
         if restarts[task.name] is Restart.LATER:
             continue
         task.is_isolated = restarts[task.name] is Restart.ISOLATED
-        runner = _choose(state, job, usable, step, task)
+        runner = _choose(state, job, usable, step, task, taken)
         if runner is not None:
             runner.note_sent(step, task.is_isolated)
             task.agent = runner.agent
             tasks_by_agent.setdefault(runner.agent, []).append(task)
+    placed = 0
     for agent, tasks in tasks_by_agent.items():
         _send_starts(state, job, agent, tasks)
+        placed += len(tasks)
+    if len(ready) > first + len(considered):
+        # Those that were placed are no longer among the ready ones of the next pass.
+        place_later(state, job, first + len(considered) - placed)
+    return len(considered)
+
+
+def place_later(state: DispatchState, job: Job, first: int = 0) -> None:
+    """Place tasks of a job, as `place` does, in a later turn of the event loop."""
+    state.unplaced[job.job_id] = first
+    if len(state.unplaced) == 1:
+        asyncio.get_running_loop().call_soon(_place_next, state)
+
+
+def _place_next(state: DispatchState) -> None:
+    if not state.unplaced:
+        return
+    job_id, first = state.unplaced.popitem(last=False)
+    if state.unplaced:
+        asyncio.get_running_loop().call_soon(_place_next, state)
+    job = state.jobs.get(job_id)
+    if job is not None:
+        place(state, job, first)
+
+
+def _count_taken(job: Job) -> Counter[tuple[int, str]]:
+    """Return how many tasks of each limited step an agent has or had, by step and agent."""
+    steps = job.request.steps
+    if not any(step.max_per_runner for step in steps):
+        return Counter()
+    return Counter(
+        (task.step, task.agent)
+        for task in job.tasks
+        if task.phase is not TaskPhase.WAITING and steps[task.step].max_per_runner
+    )
 
 
 def _find_refusal(state: DispatchState, job: Job, usable: list[RunnerStatus]) -> str | None:
@@ -84,7 +140,12 @@
 
 
 def _choose(
-    state: DispatchState, job: Job, usable: list[RunnerStatus], step: Step, task: Task
+    state: DispatchState,
+    job: Job,
+    usable: list[RunnerStatus],
+    step: Step,
+    task: Task,
+    taken: Counter[tuple[int, str]],
 ) -> RunnerStatus | None:
     """Return the runner for a task, or None if it must wait.
 
@@ -93,10 +154,7 @@
     limit = step.max_per_runner
 
     def is_allowed(agent: str) -> bool:
-        if not limit:
-            return True
-        same = [it for it in job.tasks if it.step == task.step and it.agent == agent]
-        return sum(it.phase is not TaskPhase.WAITING for it in same) < limit
+        return not limit or taken[task.step, agent] < limit
 
     if task.is_isolated:
         down = state.crashes.list_at_risk()
--- a/apricotrail/queues/_state.py
+++ b/apricotrail/queues/_state.py
@@ -4,6 +4,7 @@
 outcomes of runs, lost agents and answers.
 """
 
+from collections import OrderedDict
 from collections.abc import Callable
 from random import Random
 from typing import Any, NamedTuple
@@ -74,6 +75,8 @@
     runs : dict
         Job and task of each run that was sent and is not known to have ended, by task name and run
         number.
+    unplaced : OrderedDict of str to int
+        Jobs of which tasks are placed in later turns of the event loop, and at which task to go on.
     lost_agents : dict of str to LostAgent
         Agents without a link at which runs of open jobs were.
     write_offs : WriteOffs
@@ -98,6 +101,7 @@
         self.crashes = CrashHistory(parts.clock)
         self.jobs: dict[str, Job] = {}
         self.runs: dict[tuple[str, int], tuple[Job, Task]] = {}
+        self.unplaced: OrderedDict[str, int] = OrderedDict()
         self.lost_agents: dict[str, LostAgent] = {}
         self.write_offs = WriteOffs(parts.clock)
         self.maybe_final: set[tuple[str, int]] = set()
