An odd wait_ms counts as none

Callers saw: 500 for GET /v1/jobs/...?wait_ms= with a superscript two or thousands of digits. Cause: str.isdigit accepts digits that int() refuses, and int() refuses over 4,300 digits. Change: ASCII digits, nine at most.

--- a/apricotrail/entry/_callers.py
+++ b/apricotrail/entry/_callers.py
@@ -18,6 +18,7 @@
 __all__ = ["CallerParts", "add_caller_routes"]
 
 MAX_WAIT_MS = 60_000
+MAX_WAIT_DIGITS = 9
 DEFAULT_LEASE_MS = 10_000
 MS_PER_S = 1_000
 RETRYABLE_KINDS = frozenset(
@@ -155,7 +156,8 @@
 
 def _read_wait_ms(request: Request) -> float:
     text = request.query.get("wait_ms", "0")
-    return float(min(int(text), MAX_WAIT_MS)) if text.isdigit() else 0.0
+    is_number = text.isascii() and text.isdigit() and len(text) <= MAX_WAIT_DIGITS
+    return float(min(int(text), MAX_WAIT_MS)) if is_number else 0.0
 
 
 def _parse_announcement(body: bytes) -> Result[Announcement, Problem]:
