Announced names and addresses of targets are bounded

Callers would see: an entry that runs out of memory, as it keeps up to 50,000 announcements, of which each could hold a name of megabytes until its lease ends. Found by looking for state that a listener keeps. Change: over 1,024 characters they are refused as malformed. Evidence: test_long_announcements_are_refused failed before (accepted) and passes.

--- a/apricotrail/entry/_announcements.py
+++ b/apricotrail/entry/_announcements.py
@@ -18,6 +18,7 @@
     "Most announced targets kept, unknown ones included.",
     minimum=1,
 )
+MAX_NAME_CHARACTERS = 1_024  # announcements are kept until their leases end
 MIN_LEASE_MS = 500
 MAX_LEASE_MS = 120_000
 MAX_SLOTS = 10_000
@@ -41,6 +42,9 @@
 
 def check_announcement(announcement: Announcement) -> Result[Announcement, Problem]:
     """Return the announcement if it is valid, or what is wrong with it."""
+    if max(len(announcement.target or ""), len(announcement.address or "")) > MAX_NAME_CHARACTERS:
+        message = f"name or address is over {MAX_NAME_CHARACTERS} characters."
+        return _malformed(message, "Give shorter ones.")
     try:
         parse_address(announcement.address or "")
     except ValueError as error:
--- a/apricotrail/entry/tests/test_odd_requests.py
+++ b/apricotrail/entry/tests/test_odd_requests.py
@@ -45,3 +45,11 @@
 
 def test_wait_is_bounded():
     assert _read_wait_ms(Request("GET", "/", {"wait_ms": "9" * 9}, {}, b"", "")) == MAX_WAIT_MS
+
+
+# Guards against entries that keep what somebody announces, a megabyte each.
+@params({"name": "a" * 1_025}, {"address": "a" * 1_025 + ":80"})
+def test_long_announcements_are_refused(changes):
+    refused = _parse_announcement(orjson.dumps(TARGET | changes))
+    assert refused.failure().kind is ErrorKind.MALFORMED
+    assert _parse_announcement(orjson.dumps(TARGET)).unwrap().target == "pipa-1"
