The refusal of unknown keys is short, however many there are

Callers saw: an answer as long as their body, if that held thousands of unknown keys. Change: it shows five of them, 100 characters each. Evidence: test_refusal_of_thousands_of_unknown_keys_is_short failed before and passes.

--- a/apricotrail/entry/_submission.py
+++ b/apricotrail/entry/_submission.py
@@ -39,6 +39,8 @@
     maximum=900_000,
 )
 # For callers and submission ids; without a slash, which separates the two in a job key.
+MAX_SHOWN_KEYS = 5
+MAX_SHOWN_CHARACTERS = 100
 _IDENTIFIER = re.compile(r"[A-Za-z0-9._~-]{1,128}")
 _KNOWN_KEYS = frozenset(
     {"submission", "caller", "service", "deadline_ms", "tasks", "cancel_on_disconnect"}
@@ -148,7 +150,8 @@
         return _malformed("The body is not a JSON object.", "Send one JSON object.")
     unknown = sorted(set(value) - _KNOWN_KEYS)
     if unknown:
-        return _malformed(f"Unknown keys: {', '.join(unknown)}.", "Remove or rename them.")
+        shown = ", ".join(key[:MAX_SHOWN_CHARACTERS] for key in unknown[:MAX_SHOWN_KEYS])
+        return _malformed(f"Unknown keys, among them {shown}.", "Remove or rename them.")
     for key in ("submission", "caller"):
         if not isinstance(value.get(key), str) or not _IDENTIFIER.fullmatch(value[key]):
             remedy = "Give 1 to 128 letters, digits, dots, hyphens, underscores or tildes."
--- a/apricotrail/entry/tests/test_odd_requests.py
+++ b/apricotrail/entry/tests/test_odd_requests.py
@@ -53,3 +53,8 @@
     refused = _parse_announcement(orjson.dumps(TARGET | changes))
     assert refused.failure().kind is ErrorKind.MALFORMED
     assert _parse_announcement(orjson.dumps(TARGET)).unwrap().target == "pipa-1"
+
+
+def test_refusal_of_thousands_of_unknown_keys_is_short():
+    body = orjson.dumps(GOOD | {f"{number}-{'a' * 500}": 0 for number in range(1_000)})
+    assert len(parse_submission(body, LIMITS).failure().message) < 1_000
