A request that waits for its turn is answered after a stop or a half-close

Callers would see: a connection closed without an answer, if their request was received but not parsed yet when a planned stop closed idle connections, or if they had closed their sending side behind it. Change: a connection with input to parse is not idle for a stop, nor closed at the end of its input; one that waits past its deadline gets 503 in any phase.

--- a/apricotrail/http/_connection.py
+++ b/apricotrail/http/_connection.py
@@ -9,6 +9,7 @@
 
 from apricotrail.errors import Problem
 from apricotrail.events import Level, declare_event, emit
+from apricotrail.http._input import ANSWER_UNITS, BYTES_PER_UNIT, RequestInput
 from apricotrail.http._messages import Response, problem_response
 from apricotrail.http._problems import (
     body_too_large,
@@ -39,13 +40,6 @@
 STATUS_CONTINUE = 100
 RETRY_HEADERS = (("Retry-After", "1"),)
 WRITE_BYTES = 16_384  # unsent bytes above which no further request is parsed
-PIECE_BYTES = 4_096  # given to the parser at a time, so that it holds little
-# Cost of a step in units of `ReadTurns`, besides one for each event of the parser.
-HEAD_UNITS = 3
-HEAD_BYTES_PER_UNIT = 64
-TRAILERS_PER_UNIT = 4
-ANSWER_UNITS = 4
-BYTES_PER_UNIT = 1_024  # of a body or an answer
 
 
 class Phase(Enum):
@@ -95,11 +89,8 @@
         self._address = ""
         self._deadline_ms = self.since_ms + server.limits.idle_timeout_ms
         self._unsent_before = 0
-        self._inbox = bytearray()  # received, but not given to the parser yet
-        self._needs_data = True
+        self._input = RequestInput(self._h11)
         self._head: h11.Request | None = None
-        self._head_bytes = 0
-        self._body = bytearray()
         self._running_bytes = 0
         self._running: asyncio.Task | None = None
         self._is_paused = False
@@ -124,9 +115,10 @@
         """Parse what came; bytes of a further request wait for the running one."""
         if self.phase is Phase.LINGERING or self._is_last:
             return
-        self._inbox += data
+        self._input.add(data)
         self._server.turns.take(self)
-        self._update_held()
+        if self._input.waiting_bytes:
+            self._update_held()
 
     def pause_writing(self) -> None:
         """Parse no further request, as the peer doesn't read its answers."""
@@ -140,10 +132,10 @@
         self._update_held()
 
     def eof_received(self) -> bool:
-        """Note that the caller sends no more; a running request is still answered."""
+        """Note that the caller sends no more; what came before is still handled and answered."""
         self._peer_closed = True
         self._set_disconnected()
-        return self.phase is Phase.RUNNING
+        return self.phase is Phase.RUNNING or self.has_input()
 
     def connection_lost(self, exc: Exception | None) -> None:
         """Tell the running handler and the server."""
@@ -161,22 +153,24 @@
         """Act on a passed deadline of the present phase."""
         if self.phase is Phase.RUNNING or now_ms < self._deadline_ms:
             return
-        if self.phase is Phase.IDLE:
+        if self._server.turns.is_waiting(self):
+            self._refuse(too_busy(), STATUS_UNAVAILABLE)
+        elif self.phase is Phase.IDLE:
             self._expire_idle(now_ms)
         elif self.phase is Phase.LINGERING:
             self._expire_lingering(now_ms)
-        elif self._server.turns.is_waiting(self):
-            self._refuse(too_busy(), STATUS_UNAVAILABLE)
         else:
             self._refuse(late(self.phase.value), STATUS_TIMEOUT)
 
     def note_unsent(self) -> None:
         """Tell the server how much of the answers the peer hasn't read."""
-        self._server.note_unsent(self, self._transport.get_write_buffer_size())
+        unsent = self._transport.get_write_buffer_size()  # type: ignore[union-attr]
+        if unsent != self.unsent_bytes:
+            self._server.note_unsent(self, unsent)
 
     def close_idle(self) -> None:
-        """Close the connection if no request is under way on it."""
-        if self.phase is Phase.IDLE and self._transport is not None:
+        """Close the connection if no request is under way on it or waits to be parsed."""
+        if self.phase is Phase.IDLE and self._transport is not None and not self.has_input():
             self._transport.close()
 
     def is_unused(self) -> bool:
@@ -206,52 +200,43 @@
         """Return whether there is input that can be parsed now."""
         if self._is_blocked or self.phase in (Phase.RUNNING, Phase.LINGERING):
             return False
-        return bool(self._inbox) or not self._needs_data
+        return self._input.has_more()
 
     def read(self, units: int) -> int:
         """Parse input for about `units`; return what it cost."""
         spent = 0
         while spent < units and self.has_input():
-            if self._needs_data:
-                self._feed()
             spent += self._read_event()
         self.request_units = self.request_units + spent if self.phase is not Phase.IDLE else 0
         self._update_held()
         return spent
 
-    def _feed(self) -> None:
-        piece = self._inbox[:PIECE_BYTES]
-        del self._inbox[:PIECE_BYTES]
-        self._h11.receive_data(bytes(piece))
-        self._needs_data = False
-        if self.phase in (Phase.IDLE, Phase.HEAD):
-            self._head_bytes += len(piece)
-
     def _read_event(self) -> int:
         """Act on the parser's next event; returns what that cost."""
         try:
-            event = self._h11.next_event()
+            event, cost = self._input.next_event()
         except h11.RemoteProtocolError as error:
             self._refuse_malformed(error)
             return ANSWER_UNITS
         if type(event) is h11.Request:
-            units = HEAD_UNITS + self._head_bytes // HEAD_BYTES_PER_UNIT
             self._begin(event)
-            return units
-        if type(event) is h11.Data:
-            self._add_body(event.data)
+        elif type(event) is h11.Data:
+            if not self._input.add_body(event.data, self._limits.max_body_bytes):
+                self._refuse_body()
         elif type(event) is h11.EndOfMessage:
-            return len(event.headers) // TRAILERS_PER_UNIT + self._run()
+            cost += self._run()
         else:
-            self._needs_data = True
-            if self.phase is Phase.IDLE and self._h11.trailing_data[0]:
-                self._enter(Phase.HEAD, self._limits.header_timeout_ms)
-            return 0
-        return 1
+            self._wait_for_data()
+        return cost
+
+    def _wait_for_data(self) -> None:
+        if self._peer_closed and not self._input.has_more():
+            self._transport.close()  # type: ignore[union-attr]
+        elif self.phase is Phase.IDLE and self._h11.trailing_data[0]:
+            self._enter(Phase.HEAD, self._limits.header_timeout_ms)
 
     def _begin(self, head: h11.Request) -> None:
         self._head = head
-        self._head_bytes = 0
         framing = find_framing(head)
         if framing is None:
             # RFC 9112, 6.1: another server on the way may have framed the body by the other one.
@@ -266,16 +251,10 @@
             go_on = h11.InformationalResponse(status_code=STATUS_CONTINUE, headers=[])
             self._transport.write(self._h11.send(go_on))  # type: ignore[union-attr]
 
-    def _add_body(self, data: bytes) -> None:
-        if len(self._body) + len(data) > self._limits.max_body_bytes:
-            self._refuse_body()
-            return
-        self._body += data
-
     def _run(self) -> int:
         """Call the handler; returns what that cost."""
-        self._enter(Phase.RUNNING, 0.0)
-        body, self._body = bytes(self._body), bytearray()
+        self.phase = Phase.RUNNING
+        body = self._input.take_body()
         self._running_bytes = len(body)
         units = ANSWER_UNITS + len(body) // BYTES_PER_UNIT
         if not self._head.target.startswith(b"/"):  # type: ignore[union-attr]
@@ -366,18 +345,15 @@
 
     def _drop_input(self) -> None:
         self._server.turns.leave(self)
-        self._inbox = bytearray()
-        self._body = bytearray()
-        self._head_bytes = 0
+        self._input.drop()
 
     def _update_held(self) -> None:
         """Tell the server what this connection holds, and pause reading while input waits."""
-        waiting = len(self._inbox)
+        waiting = self._input.waiting_bytes
         if self.phase is Phase.RUNNING:
             self._server.note_held(self, self._running_bytes, waiting)
         else:
-            held = self._head_bytes + len(self._body)
-            self._server.note_held(self, held + waiting, 0)
+            self._server.note_held(self, self._input.parsed_bytes + waiting, 0)
         must_pause = waiting > self._limits.max_header_bytes
         if must_pause == self._is_paused or self._transport is None:
             return
--- a/apricotrail/http/_server.py
+++ b/apricotrail/http/_server.py
@@ -172,6 +172,8 @@
 
     def note_held(self, connection: ServerConnection, unfinished: int, pipelined: int) -> None:
         """Note how many bytes a connection holds now; too many in all make the largest give way."""
+        if (unfinished, pipelined) == (connection.unfinished_bytes, connection.pipelined_bytes):
+            return
         self.request_bytes.change(connection.peer, unfinished - connection.unfinished_bytes)
         self.pipelined_bytes.change(connection.peer, pipelined - connection.pipelined_bytes)
         connection.unfinished_bytes = unfinished
--- a/apricotrail/http/tests/test_turns.py
+++ b/apricotrail/http/tests/test_turns.py
@@ -38,7 +38,7 @@
         self.written = b""
         self.unsent = 0
         self.is_paused = False
-        self.is_closed = False
+        self.is_closed = self.is_cut = False
         self._connection = connection
 
     def drain(self):
@@ -58,10 +58,10 @@
         pass
 
     def close(self):
-        pass
+        self.is_closed = True
 
     def abort(self):
-        self.is_closed = True
+        self.is_closed = self.is_cut = True
 
     def set_write_buffer_limits(self, high):
         pass
@@ -195,6 +195,28 @@
             transport.drain()
         self.assertEqual(server.answer_bytes.total, transport.unsent)
 
+    # Guards against requests that are lost as their connection closes before they had their turn.
+    async def test_request_that_waits_for_its_turn_is_answered_after_a_stop_or_a_half_close(self):
+        for how in ("stop", "half-close"):
+            with self.subTest(how):
+                server = HttpServer(lambda request: Response(200, b"done"), clock=self.clock)
+                server.turns.charge(1_000)
+                connection = ServerConnection(server)
+                transport = FakeTransport(connection)
+                connection.connection_made(transport)
+                connection.data_received(GET)
+                self.assertTrue(server.turns.is_waiting(connection))
+                if how == "stop":
+                    server.begin_draining()
+                    server.close_idle()
+                else:
+                    self.assertTrue(connection.eof_received())
+                self.assertFalse(transport.is_closed)
+                self.clock.advance(200.0)
+                server.turns.run()
+                self.assertTrue(transport.written.endswith(b"done"))
+                self.assertIn(b"Connection: close", transport.written)
+
     # Guards against an answer that is cut while a slow peer reads it, as its connection closes.
     async def test_last_answer_is_delivered_as_long_as_its_peer_reads(self):
         server = HttpServer(lambda request: Response(200, b"a" * 100_000), clock=self.clock)
@@ -208,7 +230,7 @@
             self.clock.advance(server.limits.linger_ms)
             connection.note_unsent()
             connection.expire(self.clock())
-            self.assertFalse(transport.is_closed)
+            self.assertFalse(transport.is_cut)
         self.clock.advance(server.limits.linger_ms)
         connection.expire(self.clock())
-        self.assertTrue(transport.is_closed)
+        self.assertTrue(transport.is_cut)
