Tasks of all open jobs are bounded

Callers would see: a dispatcher over its memory after some hundred jobs of 2,000 tasks, of which each is a request of a hundred bytes inside the limits: tasks that take no CPU are never refused for want of room. Found by adding up what one open job holds: 0.8 KB a task (40,000 tasks: 30 MB, measured). Change: a job is refused, truthfully and at once, if the tasks of the open jobs would be over a share of the process's memory; jobs of more than 64 tasks from half of it on, so that they leave room for ordinary ones. A dispatcher of the largest deployment has some hundred open tasks. Evidence: the new test fails on the code before (all five jobs of 1,000 tasks admitted) and passes.

--- a/apricotrail/queues/_admission.py
+++ b/apricotrail/queues/_admission.py
@@ -33,7 +33,7 @@
     ----------
     refusal : str or None
         Reason for a refusal: ``no_runner``, ``no_fitting_runner``, ``overloaded`` or, from the
-        dispatcher, ``too_many_jobs``; None if the job is admitted.
+        dispatcher, ``too_many_jobs`` or ``too_many_tasks``; None if the job is admitted.
     retry_after_ms : float
         With a refusal: wait before the job is sent again.
     free_cpu : int
--- a/apricotrail/queues/_application.py
+++ b/apricotrail/queues/_application.py
@@ -15,6 +15,7 @@
 from apricotrail.queues._dispatcher import Dispatcher, DispatcherParts
 from apricotrail.queues._document import POOL_PREFIX, QUEUE_PREFIX, QueueTable, read_queue_table
 from apricotrail.queues._jobs import JobAnswer, JobRequest
+from apricotrail.resources import read_resources
 from apricotrail.settings import Settings, declare_setting
 from apricotrail.wire import KeyRing, Link, LinkEndpoint
 from apricotrail.wire.generated.ttypes import (
@@ -41,6 +42,15 @@
     "",
     "Address for /healthz, /readyz and /metrics; empty for none.",
 )
+TASK_MEMORY_SHARE = declare_setting(
+    "dispatcher.task_memory_share",
+    0.125,
+    "Share of process.memory_mb for the tasks of open jobs, of 1 KiB each; a job that would exceed "
+    "it is refused, one of more than 64 tasks from half of it on.",
+    minimum=0.001,
+    maximum=0.5,
+)
+TASK_BYTES = 1_024
 IDLE_TICK_MS = 100  # if no task waits; less than the pause of a process that is noticed
 # Without runs at an agent, every second heartbeat of it, sent every 200 ms, is answered; links are
 # replaced only after a silence of more than a second.
@@ -90,6 +100,11 @@
 )
 
 
+def _read_max_open_tasks(settings: Settings) -> int:
+    memory_bytes = read_resources(settings).memory_bytes
+    return int(memory_bytes * settings.get(TASK_MEMORY_SHARE) / TASK_BYTES)
+
+
 class QueueDispatcher:
     """One dispatcher process: joins callers, the `Dispatcher` and the links to agents and control.
 
@@ -129,6 +144,7 @@
                 self._send,
                 lambda agent: self.roster.is_unlisted(agent),
                 self._is_unlisted_since,
+                _read_max_open_tasks(settings),
             )
         )
         self.roster = Roster(
--- a/apricotrail/queues/_state.py
+++ b/apricotrail/queues/_state.py
@@ -41,6 +41,8 @@
     is_unlisted_since : callable
         ``is_unlisted_since(agent, as_of_ms)`` tells the same by replicas that have all received a
         heartbeat sent at `as_of_ms` or later.
+    max_open_tasks : int
+        Tasks of all open jobs; a job that would exceed it is refused.
     """
 
     clock: Clock
@@ -48,6 +50,7 @@
     send: Send
     is_unlisted: Callable[[str], bool] = lambda agent: True
     is_unlisted_since: Callable[[str, float], bool] = lambda agent, as_of_ms: True
+    max_open_tasks: int = 100_000
 
 
 class DispatchState:
@@ -62,7 +65,7 @@
 
     Attributes
     ----------
-    clock, random, send, is_unlisted, is_unlisted_since
+    clock, random, send, is_unlisted, is_unlisted_since, max_open_tasks
         As in `DispatcherParts`.
     registry : RunnerRegistry
         Runners of the linked agents.
@@ -95,6 +98,7 @@
         self.send = parts.send
         self.is_unlisted = parts.is_unlisted
         self.is_unlisted_since = parts.is_unlisted_since
+        self.max_open_tasks = parts.max_open_tasks
         self.start_valid_ms = start_valid_ms
         self.registry = RunnerRegistry(parts.clock, parts.random)
         self.estimates = RunEstimates()
--- a/apricotrail/queues/_submission.py
+++ b/apricotrail/queues/_submission.py
@@ -7,7 +7,7 @@
 from apricotrail.queues._document import Queue
 from apricotrail.queues._job_ends import RETRY_AFTER_MS, give_up
 from apricotrail.queues._jobs import Job, JobAnswer, JobRequest, JobState
-from apricotrail.queues._starts import place
+from apricotrail.queues._starts import TASKS_PER_PASS, place
 from apricotrail.queues._state import DispatchState
 
 __all__ = ["detach_caller", "submit_job", "would_admit"]
@@ -87,11 +87,23 @@
 def _decide_admission(state: DispatchState, request: JobRequest, queue: Queue) -> AdmissionDecision:
     if len(state.jobs) >= MAX_JOBS:
         return AdmissionDecision("too_many_jobs", RETRY_AFTER_MS)
+    if not _has_room_for_tasks(state, request):
+        return AdmissionDecision("too_many_tasks", RETRY_AFTER_MS)
     usable = state.registry.list_usable(queue.pool)
     slack = state.estimates.compute_slack(request, queue)
     return decide_admission(request, slack, usable, state.random)
 
 
+def _has_room_for_tasks(state: DispatchState, request: JobRequest) -> bool:
+    """Return whether a job's tasks fit those of the open jobs.
+
+    Large jobs get half of the room, so that they can't keep ordinary ones out.
+    """
+    tasks = sum(step.count for step in request.steps)
+    room = state.max_open_tasks if tasks <= TASKS_PER_PASS else state.max_open_tasks // 2
+    return sum(len(job.tasks) for job in state.jobs.values()) + tasks <= room
+
+
 def _refuse(
     state: DispatchState,
     request: JobRequest,
--- a/apricotrail/queues/tests/test_large_jobs.py
+++ b/apricotrail/queues/tests/test_large_jobs.py
@@ -50,6 +50,17 @@
         case.submit(make_request("ordinary", count=8))
         self.assertEqual(sum(task.startswith("ordinary") for _, task, _ in case.runs()), 8)
 
+    # Guards against memory for millions of tasks, which callers ask for with a hundred bytes each.
+    async def test_tasks_of_all_open_jobs_are_bounded_and_large_jobs_leave_room_for_others(self):
+        case = DispatchCase("x")
+        case.dispatcher._state.max_open_tasks = 4 * LARGE
+        large = [case.submit(make_request(f"l{it}", count=LARGE, cpu=1)) for it in range(5)]
+        self.assertEqual([it.done() for it in large], [False, False, True, True, True])
+        self.assertEqual(large[2].result().reason, "too_many_tasks")
+        self.assertEqual(large[2].result().state, JobState.REFUSED)
+        small = [case.submit(make_request(f"s{it}", count=50, cpu=1)) for it in range(45)]
+        self.assertEqual([it.done() for it in small], [False] * 40 + [True] * 5)
+
     async def test_tasks_behind_some_that_cannot_start_are_placed(self):
         case = DispatchCase("x")
         blocked = make_request(count=100, cpu=1, max_per_runner=1)
