An error while a slow link is closed doesn't end the heartbeats

Found by reading: the check of unsent bytes ran in the loop that sends heartbeats, and closing a link calls the hooks of its owner; an error there would have ended the loop for good. It runs as a call of its own now. No test made a hook fail there before; none is added, as the loop of calls catches it.

--- a/apricotrail/wire/_endpoint.py
+++ b/apricotrail/wire/_endpoint.py
@@ -326,7 +326,8 @@
                 interval_ms = self.heartbeat_ms_by_role.get(role, self._heartbeat_ms)
                 link.send_due_heartbeat(interval_ms)
             self.beat = 0
-            self._close_slowest()
+            # An error in a hook of a lost link must not end the beats.
+            asyncio.get_running_loop().call_soon(self._close_slowest)
             self.limits_met.log()
             await pause(self._heartbeat_ms)
 
