--- a/review/rig3/http3.py
+++ b/review/rig3/http3.py
@@ -45,7 +45,7 @@
 
     async def serve_connection(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         writers.add(writer)
-        with suppress(ConnectionError, asyncio.IncompleteReadError):
+        with suppress(ConnectionError, asyncio.IncompleteReadError, asyncio.CancelledError):
             while True:
                 line = await reader.readline()
                 if not line:
--- a/review/rig3/runner3.py
+++ b/review/rig3/runner3.py
@@ -21,13 +21,16 @@
 
 
 class RunnerKind(NamedTuple):
-    """What a runner says of itself, and by how much its pings are numbered apart."""
+    """What a runner says of itself.
+
+    Its pings are numbered 1, 2, 3, or by the milliseconds of its clock.
+    """
 
     cpu: int = 16_000
     memory_mb: int = 32_768
     gpus: int = 0
     labels: tuple[str, ...] = ("a", "r1")
-    seq_step: int = 1
+    is_numbered_by_clock: bool = False
 
 
 class _Work(NamedTuple):
@@ -116,7 +119,7 @@
 
     async def announce(self) -> int:
         """Send one ping; return the status of the answer, 0 for none."""
-        self._seq += self.kind.seq_step
+        self._seq = self._clock() if self.kind.is_numbered_by_clock else self._seq + 1
         fields: dict[str, Any] = {
             "service": self.service,
             "address": self.address,
