--- a/review/13/case.py
+++ b/review/13/case.py
@@ -1,5 +1,6 @@
-"""A runner drains; the agent acknowledges that and goes on to start tasks there."""
+"""A runner crashes; tasks that must not share a runner are then started on the same one."""
 
+import asyncio
 import sys
 from pathlib import Path
 
@@ -9,48 +10,74 @@
 from runner3 import RunnerKind
 
 QUEUE = Queue("r-gate", "nony24.example", "/lohu930/")
-DRAIN_S = 2.0
-RUNNERS = 4
-JOBS = 30
-WAIT_MS = 4_000
-# `seq` increases with each call; the page doesn't say by how much.
-KIND = RunnerKind(is_numbered_by_clock=True)
+# Runners of two kinds, as on the sites; the tasks ask for kind b.
+KINDS = [RunnerKind(labels=("a" if number % 3 < 2 else "b", "r1")) for number in range(9)]
+KINDS[0] = RunnerKind(labels=("a", "r1"))
+ANTI_AFFINITY = 1
+TASKS = 3
+JOBS = 4
+PAUSE_S = 1.0  # no two jobs are at work at the same time
+WAIT_MS = 8_000
+DOWN_S = 4.5
 
 
 async def play(deployment: Deployment) -> int:
-    """Let one runner drain, and go on handing jobs in until it leaves."""
+    """Crash one of the runners of a kind and hand jobs in that need three of them."""
     if not await deployment.put_state(1, [QUEUE], timeout_ms=WAIT_MS):
         return CANNOT_RUN
     if not await deployment.wait_until_ready():
         return CANNOT_RUN
-    leaving = deployment.runners[0]
-    acked_s = None
+    crashed = next(runner for runner in deployment.runners if "b" in runner.kind.labels)
     if has_trouble():
-        leaving.state = "draining"
-        status = await leaving.announce()
-        acked_s = deployment.now_s()
-        deployment.note("draining", runner=leaving.name, status=status)
-        if status != 200:
-            return CANNOT_RUN
-    # One task for each runner, as two don't fit on one.
-    step = {"count": RUNNERS, "cpu": 9_000, "memMb": 64, "estimateMs": 150}
-    body = {"spec": '{"ms": 150}', "preemptible": True, "steps": [step]}
+        await crashed.crash()
+    await asyncio.sleep(DOWN_S - JOBS * PAUSE_S)
+    body = {
+        "spec": '{"ms": 300}',
+        "preemptible": True,
+        "steps": [
+            {
+                "count": TASKS,
+                "cpu": 7_000,
+                "memMb": 64,
+                "estimateMs": 300,
+                "constraints": "b",
+                "antiAffinity": ANTI_AFFINITY,
+            }
+        ],
+    }
+    answers = []
     for number in range(JOBS):
-        await deployment.submit(number % 3, QUEUE, f"{number + 1:016x}", body, WAIT_MS)
-    return judge(deployment, leaving.name, acked_s)
+        job = f"{number + 1:016x}"
+        answers.append(
+            asyncio.ensure_future(deployment.submit(number % 3, QUEUE, job, body, WAIT_MS))
+        )
+        await asyncio.sleep(PAUSE_S)
+    if has_trouble():
+        await crashed.start()
+    await asyncio.gather(*answers)
+    return judge(deployment)
 
 
-def judge(deployment: Deployment, leaving: str, acked_s: float | None) -> int:
-    """Return whether a task was started on a draining runner too late after the ack."""
-    starts = deployment.list_events("run_start")
-    if not starts:
+def judge(deployment: Deployment) -> int:
+    """Return whether more tasks of a step than allowed were at work on one runner."""
+    at_work: dict[tuple[str, str], set[str]] = {}
+    broken = 0
+    for line in deployment.events:
+        if line["event"] not in ("run_start", "run_end", "run_lost"):
+            continue
+        step = line["task"].rpartition(".")[0]
+        tasks = at_work.setdefault((line["runner"], step), set())
+        if line["event"] != "run_start":
+            tasks.discard(line["task"])
+            continue
+        tasks.add(line["task"])
+        if len(tasks) > ANTI_AFFINITY:
+            broken += 1
+            deployment.note("beyond", runner=line["runner"], step=step, tasks=sorted(tasks))
+    if not deployment.list_events("run_start"):
         return CANNOT_RUN
-    if acked_s is None:
-        return HELD
-    late = [it for it in starts if it["runner"] == leaving and it["s"] > acked_s + DRAIN_S]
-    deployment.note("judged", acked_s=round(acked_s, 3), late_starts=[it["s"] for it in late])
-    return BROKEN if late else HELD
+    return BROKEN if broken else HELD
 
 
 if __name__ == "__main__":
-    run_case(play, Path(__file__).resolve().parent, [KIND] * RUNNERS)
+    run_case(play, Path(__file__).resolve().parent, KINDS)
