--- a/review/rig3/deployment3.py
+++ b/review/rig3/deployment3.py
@@ -22,7 +22,16 @@
 from http3 import Answer, request
 from runner3 import Runner, RunnerKind
 
-__all__ = ["HELD", "BROKEN", "CANNOT_RUN", "Deployment", "Queue", "has_trouble", "run_case"]
+__all__ = [
+    "BROKEN",
+    "CANNOT_RUN",
+    "HELD",
+    "MEMORY_MB",
+    "Deployment",
+    "Queue",
+    "has_trouble",
+    "run_case",
+]
 
 HELD, BROKEN, CANNOT_RUN = 0, 1, 2
 ROOT = Path(__file__).resolve().parents[2]
@@ -30,7 +39,8 @@
 REGION = "magdalena"
 METRICS_PORTS = (9_401, 9_402, 9_403)
 PORTS_OF_RANGE = 16
-LIMIT_S = 110.0
+LIMIT_S = 112.0
+MEMORY_MB = 300  # of each process on a machine of class front
 BOUNDS = {
     "seedLagS": 3,
     "reuseS": 2,
@@ -282,7 +292,7 @@
             lines += [f'front = "{ip}:{ports.front}"', f'ready = "{ip}:{ports.ready}"']
         else:
             lines.append(f'control = "{ip}:{ports.control}"')
-        lines += ["[limits]", f"memoryMb = {300 if is_front else 168}", "maxFds = 4100"]
+        lines += ["[limits]", f"memoryMb = {MEMORY_MB if is_front else 168}", "maxFds = 4100"]
         lines += ["[faultTolerance]", "machines = 1", "zones = 1", "regions = 0", "[bounds]"]
         lines += [f"{name} = {value}" for name, value in BOUNDS.items()]
         return "\n".join(lines) + "\n"
@@ -293,7 +303,7 @@
     return os.environ.get("TROUBLE", "1") != "0"
 
 
-def run_case(case: Any, folder: Path, kinds: list[RunnerKind]) -> None:
+def run_case(case: Any, folder: Path, kinds: list[RunnerKind], starts_all: bool = True) -> None:
     """Run a case on a new deployment and exit with its result.
 
     ``case(deployment)`` returns `HELD`, `BROKEN` or `CANNOT_RUN`.
@@ -302,19 +312,33 @@
     async def run() -> int:
         deployment = Deployment(folder / "record.txt", kinds)
         result = CANNOT_RUN
+        loop, task = asyncio.get_running_loop(), asyncio.current_task()
+        for number in (signal.SIGTERM, signal.SIGINT):
+            loop.add_signal_handler(number, task.cancel)
         try:
             async with asyncio.timeout(LIMIT_S):
                 deployment.note("begun", trouble=has_trouble())
-                await deployment.start()
+                if starts_all:
+                    await deployment.start()
                 result = await case(deployment)
         except TimeoutError:
             deployment.note("out_of_time")
+        except asyncio.CancelledError:
+            deployment.note("told_to_stop")
+        except Exception as error:
+            # An error of the script must not look like a broken rule.
+            deployment.note("script_failed", error=repr(error))
         finally:
             deployment.note("result", exit=result)
             await deployment.stop()
         return result
 
-    sys.exit(asyncio.run(run()))
+    try:
+        code = asyncio.run(run())
+    except Exception as error:
+        print(f"the case could not run: {error!r}", file=sys.stderr)
+        code = CANNOT_RUN
+    sys.exit(code)
 
 
 def _read_commands() -> dict[str, list[str]]:
