The limit of a step's tasks per runner holds within a pass and over dispatchers

Cause: place() counted the tasks at each runner before its pass of up to 64 tasks, so those placed in the pass didn't count. Ruled out: retries (no run was lost in the traces) and two owners (one entry per job).

Change: a placed task counts at once; trial runs obey the limit; starts carry it, and the agent, which sees the starts of all dispatchers, queues a run while as many of its step may be running. The limit holds for tasks at work at the same time: done tasks counted before, so a wide step waited for its caller's whole time budget. Admission counts limit and labels in its waves.

--- a/apricotrail/queues/_admission.py
+++ b/apricotrail/queues/_admission.py
@@ -12,7 +12,7 @@
 from typing import NamedTuple
 
 from apricotrail.queues._jobs import JobRequest, Slack, Step
-from apricotrail.queues._registry import RunnerStatus, sum_free_cpu
+from apricotrail.queues._registry import RunnerStatus, fits, sum_free_cpu
 
 __all__ = ["URGENT_MS", "AdmissionDecision", "decide_admission", "fits_somewhere"]
 
@@ -111,23 +111,24 @@
 
 
 def _count_further_waves(request: JobRequest, runners: list[RunnerStatus]) -> int:
-    """Return how many more waves than one the widest step needs on idle runners.
+    """Return how many more waves than one the widest step needs on idle runners that fit it.
 
     A wave is as many tasks of a step as run at the same time. Each wave has to wait for the one
     before it, whatever other jobs are queued, so these waits are no reason for a refusal.
     """
     most = 0
     for step in request.steps:
-        slots = sum(runner.load.cpu_millis // max(1, step.cpu_millis) for runner in runners)
+        slots = sum(_count_slots(runner, step) for runner in runners if fits(runner, step))
         most = max(most, (step.count - 1) // max(1, slots))
     return most
 
 
+def _count_slots(runner: RunnerStatus, step: Step) -> int:
+    """Return how many tasks of a step run at the same time on an idle runner."""
+    slots = runner.load.cpu_millis // max(1, step.cpu_millis)
+    return min(slots, step.max_per_runner) if step.max_per_runner else slots
+
+
 def fits_somewhere(step: Step, runners: list[RunnerStatus]) -> bool:
     """Return whether a task of `step` fits the whole capacity and the labels of any runner."""
-    return any(
-        runner.load.cpu_millis >= step.cpu_millis
-        and runner.load.memory_mb >= step.memory_mb
-        and (not step.label or step.label in (runner.load.labels or ()))
-        for runner in runners
-    )
+    return any(fits(runner, step) for runner in runners)
--- a/apricotrail/queues/_jobs.py
+++ b/apricotrail/queues/_jobs.py
@@ -27,7 +27,7 @@
     preferred_label : str
         Label of the runners that run it faster and so are preferred, empty for none.
     max_per_runner : int
-        Most tasks of the step that one runner gets, 0 for no limit.
+        Most tasks of the step that run on one runner at the same time, 0 for no limit.
     """
 
     count: int
--- a/apricotrail/queues/_registry.py
+++ b/apricotrail/queues/_registry.py
@@ -13,7 +13,7 @@
 from apricotrail.queues._jobs import Step, Task
 from apricotrail.wire.generated.ttypes import RunnerLoad
 
-__all__ = ["RunnerRegistry", "RunnerStatus"]
+__all__ = ["RunnerRegistry", "RunnerStatus", "fits", "sum_free_cpu"]
 
 LOAD_STALE_MS = 450  # two reports, sent every 200 ms, were missed; the rest allows for delays
 # Runners compared for a task: two, after Mitzenmacher, "The power of two choices", 2001, and one
@@ -221,7 +221,7 @@
         is_urgent : bool
             Whether the task is due soon and so overtakes less urgent ones in the queue.
         """
-        fitting = [runner for runner in usable if _fits(runner, step) and is_allowed(runner.agent)]
+        fitting = [runner for runner in usable if fits(runner, step) and is_allowed(runner.agent)]
         preferred = self._list_preferred(fitting)
         for group in (
             [runner for runner in preferred if runner.agent not in task.avoid],
@@ -250,7 +250,7 @@
         healthy = [
             runner
             for runner in self._list_accepting(pool)
-            if runner.trials_left() < 0 and _fits(runner, step) and is_allowed(runner.agent)
+            if runner.trials_left() < 0 and fits(runner, step) and is_allowed(runner.agent)
         ]
         isolating = [runner for runner in healthy if runner.is_isolating()]
         down_count = sum(self._is_in_pool(agent, pool) for agent in down)
@@ -264,10 +264,13 @@
         runner = self.by_agent.get(agent)
         return runner is not None and runner.load is not None and runner.load.pool == pool
 
-    def find_trial_runner(self, usable: list[RunnerStatus], step: Step) -> RunnerStatus | None:
+    def find_trial_runner(
+        self, usable: list[RunnerStatus], step: Step, is_allowed: Callable[[str], bool]
+    ) -> RunnerStatus | None:
         """Return an unhealthy runner with capacity that may take a trial run now, or None."""
         for runner in usable:
-            if runner.trials_left() > 0 and _fits(runner, step) and runner.has_capacity(step):
+            may_try = runner.trials_left() > 0 and is_allowed(runner.agent)
+            if may_try and fits(runner, step) and runner.has_capacity(step):
                 return runner
         return None
 
@@ -302,7 +305,8 @@
         return max(sample, key=_rate_free_capacity)
 
 
-def _fits(runner: RunnerStatus, step: Step) -> bool:
+def fits(runner: RunnerStatus, step: Step) -> bool:
+    """Return whether a task of `step` fits the whole capacity and the labels of a runner."""
     load = runner.load
     if load.cpu_millis < step.cpu_millis or load.memory_mb < step.memory_mb:
         return False
--- a/apricotrail/queues/_starts.py
+++ b/apricotrail/queues/_starts.py
@@ -75,15 +75,16 @@
         answer_job(state, job, JobAnswer(JobState.REFUSED, refusal, RETRY_AFTER_MS))
         return 0
     tasks_by_agent: dict[str, list[Task]] = {}
-    taken = _count_taken(job)
+    sent = _count_sent(job)
     for task in considered:
         step = job.request.steps[task.step]
         if restarts[task.name] is Restart.LATER:
             continue
         task.is_isolated = restarts[task.name] is Restart.ISOLATED
-        runner = _choose(state, job, usable, step, task, taken)
+        runner = _choose(state, job, usable, step, task, sent)
         if runner is not None:
             runner.note_sent(step, task.is_isolated)
+            sent[task.step, runner.agent] += 1
             task.agent = runner.agent
             tasks_by_agent.setdefault(runner.agent, []).append(task)
     placed = 0
@@ -114,15 +115,19 @@
         place(state, job, first)
 
 
-def _count_taken(job: Job) -> Counter[tuple[int, str]]:
-    """Return how many tasks of each limited step an agent has or had, by step and agent."""
+def _count_sent(job: Job) -> Counter[tuple[int, str]]:
+    """Return how many tasks of each limited step may be running at an agent, by step and agent.
+
+    Tasks that are done don't count, so a step with more tasks than the runners may take at once
+    runs in waves.
+    """
     steps = job.request.steps
     if not any(step.max_per_runner for step in steps):
         return Counter()
     return Counter(
         (task.step, task.agent)
         for task in job.tasks
-        if task.phase is not TaskPhase.WAITING and steps[task.step].max_per_runner
+        if task.phase is TaskPhase.SENT and steps[task.step].max_per_runner
     )
 
 
@@ -145,7 +150,7 @@
     usable: list[RunnerStatus],
     step: Step,
     task: Task,
-    taken: Counter[tuple[int, str]],
+    sent: Counter[tuple[int, str]],
 ) -> RunnerStatus | None:
     """Return the runner for a task, or None if it must wait.
 
@@ -154,13 +159,13 @@
     limit = step.max_per_runner
 
     def is_allowed(agent: str) -> bool:
-        return not limit or taken[task.step, agent] < limit
+        return not limit or sent[task.step, agent] < limit
 
     if task.is_isolated:
         down = state.crashes.list_at_risk()
         return state.registry.choose_isolated(job.queue.pool, step, task, is_allowed, down)
     if job.starts == 0 and task.index == 0:
-        trial = state.registry.find_trial_runner(usable, step)
+        trial = state.registry.find_trial_runner(usable, step, is_allowed)
         if trial is not None:
             return trial
     is_urgent = job.slack.due_ms - (state.clock() - job.received_ms) <= URGENT_MS
@@ -218,6 +223,7 @@
         int(job.slack.due_ms - passed_ms),
         int(job.slack.late_due_ms - passed_ms),
         task.is_isolated,
+        step.max_per_runner or None,
     )
 
 
--- a/apricotrail/queues/tests/test_placement.py
+++ b/apricotrail/queues/tests/test_placement.py
@@ -1,6 +1,8 @@
 """Placement, waits and refusals under load patterns seen on the users' deployments."""
 
+import asyncio
 import unittest
+from collections import Counter
 
 from apricotrail.queues._estimates import RunEstimates
 from apricotrail.queues._jobs import JobState
@@ -54,6 +56,81 @@
         self.assertEqual(len(case.runs()), 1)
 
 
+class TestLimitPerRunner(unittest.IsolatedAsyncioTestCase):
+    """Steps of which one runner may run only some tasks at the same time."""
+
+    async def count_sent(self, case: DispatchCase, count: int, limit: int) -> list[int]:
+        """Submit a job; return how many of its tasks each runner got, the most first."""
+        case.submit(make_request(count=count, cpu=100, max_per_runner=limit))
+        for _ in range(count):
+            await asyncio.sleep(0)
+        return sorted(Counter(agent for agent, *_ in case.runs()).values(), reverse=True)
+
+    # Guards against tasks beyond the limit of their step at one runner (review, case 13): those
+    # placed in the same pass didn't count.
+    async def test_tasks_of_one_pass_count(self):
+        for agents, count, limit, expected in (
+            ("ab", 3, 1, [1, 1]),
+            ("abc", 3, 1, [1, 1, 1]),
+            ("ab", 6, 2, [2, 2]),
+            ("ab", 90, 30, [30, 30]),
+        ):
+            with self.subTest(agents=agents, count=count, limit=limit):
+                self.assertEqual(
+                    await self.count_sent(DispatchCase(*agents), count, limit), expected
+                )
+
+    async def test_trial_runs_and_slow_runners_count(self):
+        case = DispatchCase("a", "b", "c")
+        case.report("a", trial_runs=1)
+        case.report("b", slowness=9.0)
+        self.assertEqual(await self.count_sent(case, 4, 1), [1, 1, 1])
+
+    # Guards against a task that waits until its caller gives up: its step has as many tasks done
+    # at each runner as may run there at the same time.
+    async def test_tasks_beyond_the_limit_run_once_others_have_ended(self):
+        case = DispatchCase("a", "b")
+        answer = case.submit(make_request(count=5, max_per_runner=1))
+        for done in range(5):
+            self.assertEqual(len(case.runs()), min(5, done + 2))
+            case.end(case.runs()[done])
+        self.assertEqual(answer.result().state, JobState.COMPLETED)
+
+    async def test_run_that_may_still_go_on_counts_until_it_is_written_off(self):
+        case = DispatchCase("a", "b")
+        case.submit(make_request(count=3, max_per_runner=1))
+        first, second = case.runs()
+        case.dispatcher.link_down(first[0])
+        case.dispatcher.link_up(first[0])
+        case.report(first[0])
+        case.advance(200)
+        self.assertEqual(len(case.runs()), 2)
+        case.end(first, RunState.LOST)
+        self.assertEqual([run[0] for run in case.runs()[2:]], [first[0]])
+        case.end(second, RunState.NOT_RUN, RunReason.FULL)
+        self.assertEqual(len({run[0] for run in case.runs()[2:]}), 2)
+
+    async def test_starts_carry_the_limit(self):
+        case = DispatchCase("a")
+        for limit in (0, 2):
+            case.submit(make_request(f"j{limit}", max_per_runner=limit))
+        starts = [it.starts[0] for _, it in case.sent if isinstance(it, StartRuns)]
+        self.assertEqual([start.max_per_runner for start in starts], [None, 2])
+
+    # Guards against a refusal of a job that needs several waves only since its step is limited.
+    async def test_waves_of_a_limited_step_are_no_overload(self):
+        for limit, labels, refused in ((0, "", True), (1, "", False), (0, "b", False)):
+            with self.subTest(limit=limit, labels=labels):
+                case = DispatchCase("a", "b")
+                case.report("b", labels=["b"])
+                for agent in "ab":
+                    case.report(agent, **FULL, start_spacing_ms=300)
+                request = make_request(
+                    count=11, cpu=1_600, estimate_ms=1_000, max_per_runner=limit, label=labels
+                )
+                self.assertEqual(case.submit(request).done(), refused)
+
+
 class TestQueueWait(unittest.IsolatedAsyncioTestCase):
     async def test_late_task_stays_in_its_queue(self):
         """Pattern: a lasting overload; moving late tasks between queues only costs messages."""
--- a/apricotrail/runners/_capacity.py
+++ b/apricotrail/runners/_capacity.py
@@ -4,7 +4,7 @@
 from apricotrail.runners._gate_state import GateState
 from apricotrail.runners._leases import has_lease_left
 from apricotrail.runners._load import sum_resources
-from apricotrail.runners._outcomes import report_once
+from apricotrail.runners._outcomes import report_once, step_of
 from apricotrail.runners._owners import has_live_owner
 from apricotrail.runners._runs import Order, OrderKind, Run, RunPhase
 from apricotrail.wire.generated.ttypes import RunReason, RunStart, RunState
@@ -42,17 +42,35 @@
 
 
 def start_queued(gate: GateState) -> None:
-    """Start isolated runs first, then by `Run.effective_due_ms`, until one can't start."""
+    """Start isolated runs first, then by `Run.effective_due_ms`, until one can't start.
+
+    A run that only waits for others of its step doesn't hold up those behind it.
+    """
     queued = [run for run in gate._runs.values() if run.phase is RunPhase.QUEUED]
     if not queued:
         return
     now_ms = gate._clock()
     queued.sort(key=lambda run: (not run.start.isolated, run.effective_due_ms(now_ms)))
     for run in queued:
-        if has_live_owner(gate, run) and not _start_run(gate, run):
+        if not has_live_owner(gate, run) or _is_step_full(gate, run.start):
+            continue
+        if not _start_run(gate, run):
             return
 
 
+def _is_step_full(gate: GateState, start: RunStart) -> bool:
+    """Return whether as many runs of the step may be running as may at one runner.
+
+    Owners count only their own runs. Another one may have begun the same job before, and a run that
+    its owner gave up as lost may still be here.
+    """
+    if not start.max_per_runner:
+        return False
+    step = step_of(start.task)
+    count = sum(step_of(run.start.task) == step for run in gate.list_running())
+    return count >= start.max_per_runner
+
+
 def _start_run(gate: GateState, run: Run) -> bool:
     """Order the start of a run if capacity allows; return whether it was ordered.
 
--- a/apricotrail/runners/_outcomes.py
+++ b/apricotrail/runners/_outcomes.py
@@ -7,7 +7,7 @@
 from apricotrail.wire import bound_i32
 from apricotrail.wire.generated.ttypes import RunOutcome, RunReason, RunState
 
-__all__ = ["job_of", "log_health_change", "report_once", "report_refused"]
+__all__ = ["job_of", "log_health_change", "report_once", "report_refused", "step_of"]
 
 RUN_REFUSED = declare_event(
     11003,
@@ -82,3 +82,8 @@
 def job_of(run: Run) -> str:
     """Return the id of a run's job: the part of the task name before the first dot."""
     return run.start.task.partition(".")[0]
+
+
+def step_of(task: str) -> str:
+    """Return the name of a task's step: the task name up to its last dot."""
+    return task.rpartition(".")[0]
--- a/apricotrail/runners/tests/harness.py
+++ b/apricotrail/runners/tests/harness.py
@@ -29,7 +29,10 @@
     due_ms = changes.get("due_ms", 1_000)
     late_ms = changes.get("late_due_ms", 3_000)
     priority = changes.get("priority", 0)
-    return RunStart(task, run, b"spec", cpu, 64, 400, priority, wait_ms, due_ms, late_ms)
+    limit = changes.get("max_per_runner")
+    return RunStart(
+        task, run, b"spec", cpu, 64, 400, priority, wait_ms, due_ms, late_ms, None, limit
+    )
 
 
 class GateCase:
--- a/apricotrail/runners/tests/test_gate.py
+++ b/apricotrail/runners/tests/test_gate.py
@@ -88,6 +88,32 @@
         self.assertEqual(case.ordered(START), [KEY])
 
 
+class TestLimitOfAStep(unittest.TestCase):
+    # Guards against tasks of a step beyond its limit that two owners start at one runner: each
+    # counts its own only.
+    def test_runs_of_other_owners_count(self):
+        case = GateCase()
+        case.gate.record_owner_alive(BOB, case.clock())
+        case.start(make_start(max_per_runner=1))
+        other = make_start("j.0.0.1", wait_ms=400, max_per_runner=1)
+        case.start(other, owner=BOB, reply=None)
+        case.start(make_start("j.0.1.0", max_per_runner=1))
+        case.start(make_start("k.0.0.0", wait_ms=400))
+        self.assertEqual(case.ordered(START), [KEY, ("j.0.1.0", 1), ("k.0.0.0", 1)])
+        case.list(
+            running=[("j.0.1.0", 1, 5), ("k.0.0.0", 1, 5)],
+            ended=[(*KEY, "done")],
+        )
+        self.assertEqual(case.ordered(START)[-1], ("j.0.0.1", 1))
+
+    def test_run_that_is_not_free_in_time_is_refused(self):
+        case = GateCase()
+        case.start(make_start(max_per_runner=1))
+        case.start(make_start("j.0.0.1", wait_ms=100, max_per_runner=1), reply=None)
+        case.advance(150, running=[KEY])
+        self.assertEqual(case.outcomes(), [("j.0.0.1", 1, RunState.NOT_RUN)])
+
+
 class TestChangedCapacity(unittest.TestCase):
     # Guards against starts over the capacity of a runner that has shrunk.
     def test_nothing_starts_over_a_capacity_that_has_shrunk(self):
--- a/apricotrail/wire/messages.thrift
+++ b/apricotrail/wire/messages.thrift
@@ -308,6 +308,7 @@
   9: i32 due_ms,              // from now: latest start that keeps the job's objective
   10: i32 late_due_ms,        // from now: latest start with which the job is late, but still of use
   11: optional bool isolated, // starts only while nothing else runs, and nothing starts beside it
+  12: optional i32 max_per_runner, // most tasks of its step that run here at the same time
 }
 
 struct StartRuns {
