A runner that numbers its announcements in large steps is heard

Cause: numbers alone decided which announcements are the runner's, and one more than 10 above the last was ignored until the next went on from it as closely.

Change: the runner's clock orders announcements that name it, checked against the clock in its answers; numbers, in steps as large as seen, order the rest. An unproven announcement restricts the runner at once and frees nothing.

--- a/apricotrail/runners/_boots.py
+++ b/apricotrail/runners/_boots.py
@@ -24,12 +24,11 @@
 
 
 def announce(gate: GateState, report: RunnerReport) -> bool:
-    """Apply an announcement of the runner; return False for one that has no effect now."""
-    accepted = gate._announcements.accept(report, gate.runner)
-    if accepted is None:
-        return False
-    _apply_announcement(gate, accepted)
-    return True
+    """Apply an announcement of the runner; return False unless it counts as its newest."""
+    verdict = gate._announcements.accept(report, gate.runner)
+    if verdict.effect is not None:
+        _apply_announcement(gate, verdict.effect)
+    return verdict.is_newest
 
 
 def withdraw(gate: GateState, runner: str) -> None:
@@ -42,7 +41,7 @@
 
 def _apply_announcement(gate: GateState, report: RunnerReport) -> None:
     former, gate.runner = gate.runner, report
-    if former is None or former._replace(sequence=0) != report._replace(sequence=0):
+    if former is None or _without_position(former) != _without_position(report):
         emit(
             RUNNER_ANNOUNCED,
             runner=report.runner,
@@ -58,6 +57,10 @@
     start_queued(gate)
 
 
+def _without_position(report: RunnerReport) -> RunnerReport:
+    return report._replace(sequence=0, clock_ms=None)
+
+
 def check_id(gate: GateState, listing: Listing) -> None:
     """Note by which id the runner goes, and drop an announcement under another one."""
     if listing.instance:
--- a/apricotrail/runners/_gate.py
+++ b/apricotrail/runners/_gate.py
@@ -56,9 +56,10 @@
     # ---- messages from the runner ----
 
     def announce(self, report: RunnerReport) -> bool:
-        """Apply an announcement of the runner; return False for one that has no effect now.
+        """Apply an announcement of the runner; return False unless it counts as its newest.
 
-        It may be old, repeated, of another writer, or of a boot that the runner hasn't listed yet.
+        It may be old, repeated, of a boot that the runner hasn't listed yet, or of another writer.
+        One that may be another writer's takes effect as far as it restricts the runner.
         """
         return announce(self, report)
 
--- a/apricotrail/runners/_listings.py
+++ b/apricotrail/runners/_listings.py
@@ -18,6 +18,7 @@
     """Update the runs from the runner's lists of running and ended runs."""
     if listing.boot < gate.boot:
         return
+    gate._announcements.note_clock(listing.boot, listing.clock_ms, asked_ms)
     enter_boot(gate, listing.boot)
     check_id(gate, listing)
     gate.losses.note_answer()
--- a/apricotrail/runners/_runs.py
+++ b/apricotrail/runners/_runs.py
@@ -60,6 +60,9 @@
         Whether it is leaving and accepts no new runs.
     sequence : int
         Number of the announcement, which grows within one boot.
+    clock_ms : int or None
+        The runner's monotonic clock in milliseconds when it made the announcement, as in `Listing`;
+        None if it doesn't say.
     """
 
     runner: str
@@ -72,6 +75,7 @@
     memory_mb: int
     leaving: bool
     sequence: int
+    clock_ms: int | None = None
 
 
 class RunningRow(NamedTuple):
--- a/apricotrail/runners/tests/harness.py
+++ b/apricotrail/runners/tests/harness.py
@@ -14,6 +14,7 @@
 from apricotrail.wire.generated.ttypes import RunStart
 
 BOOT = 1_000
+RUNNER_ZERO_MS = 7_000.0  # when the runner's clock began, on the clock of the test
 ALICE = Owner("alice", 1)
 BOB = Owner("bob", 1)
 
@@ -61,13 +62,18 @@
         if reply is not None:
             self.gate.receive_start_reply((start.task, start.run), reply)
 
+    def runner_clock_ms(self) -> int:
+        """Return the runner's monotonic clock, which its listings show."""
+        return int(self.clock() - RUNNER_ZERO_MS)
+
     def list(self, running=(), ended=(), boot=BOOT, asked_ms=None) -> None:
         """Give the gate a listing; `ended` holds (task, run, end_state)."""
         rows = []
         for task, run, end_state in ended:
             self.ends += 1
             rows.append(EndedRow(self.ends, task, run, end_state))
-        listing = Listing(boot, 0, tuple(RunningRow(*row) for row in running), tuple(rows))
+        running_rows = tuple(RunningRow(*row) for row in running)
+        listing = Listing(boot, self.runner_clock_ms(), running_rows, tuple(rows))
         self.gate.receive_listing(listing, self.clock() if asked_ms is None else asked_ms)
 
     def advance(self, total_ms, running=(), alive=(ALICE,), step_ms=50.0) -> None:
--- a/apricotrail/runners/tests/test_announcements.py
+++ b/apricotrail/runners/tests/test_announcements.py
@@ -1,6 +1,7 @@
 """Announcements of other writers among those of the agent's own runner."""
 
 import unittest
+from random import Random
 
 from apricotrail.clocks import VirtualClock
 from apricotrail.runners._announcements import LATE_SPREAD_MS, MAX_WAITING, Announcements
@@ -169,6 +170,145 @@
         self.assertTrue(case.gate.announce(make_report(sequence=41)))
 
 
+class TestStepsOfNumbers(unittest.TestCase):
+    """Runners that number their announcements by a clock, or in steps of any size."""
+
+    # By name: the first number, and the number after another one.
+    STEPS = (
+        ("by one", 1, lambda number, draw: number + 1),
+        ("in uneven steps", 1, lambda number, draw: number + draw.randint(3, 42)),
+        ("by milliseconds", 900, lambda number, draw: number + 1_500),
+        ("by microseconds", 900_000, lambda number, draw: number + 1_500_000),
+        ("by the time of day", 1_796_000_000_000, lambda number, draw: number + 1_500),
+    )
+
+    def announce(self, case: GateCase, number: int, names_clock: bool, **changes) -> None:
+        case.advance(HEARTBEAT_MS)
+        clock_ms = case.runner_clock_ms() if names_clock else None
+        case.gate.announce(make_report(sequence=number, clock_ms=clock_ms, **changes))
+
+    # Guards against tasks that start at a runner after the agent acknowledged that it drains, or
+    # over a capacity that has shrunk (review, case 12): the numbers grew by more than 10 a call.
+    def test_a_runner_that_leaves_or_shrinks_is_heard_at_once(self):
+        for names_clock in (False, True):
+            for name, first, step in self.STEPS:
+                for others in range(4):
+                    with self.subTest(name, names_clock=names_clock, others=others):
+                        draw = Random(others)
+                        case = GateCase(announced=False)
+                        case.list()
+                        number = first
+                        for _ in range(others + 1):
+                            self.announce(case, number, names_clock)
+                            number = step(number, draw)
+                        self.announce(case, number, names_clock, cpu_millis=4_000)
+                        self.assertEqual(case.gate.runner.cpu_millis, 4_000)
+                        for _ in range(4):
+                            number = step(number, draw)
+                            self.announce(case, number, names_clock, leaving=True)
+                            self.assertTrue(case.gate.runner.leaving)
+
+    def test_a_capacity_that_grows_again_is_heard_soon(self):
+        for names_clock in (False, True):
+            for name, number, step in self.STEPS:
+                with self.subTest(name, names_clock=names_clock):
+                    draw, case = Random(1), GateCase(announced=False)
+                    case.list()
+                    self.announce(case, number, names_clock, cpu_millis=4_000)
+                    for _ in range(1 if names_clock else 4):
+                        number = step(number, draw)
+                        self.announce(case, number, names_clock)
+                    self.assertEqual(case.gate.runner.cpu_millis, 16_000)
+
+    # Guards against late announcements of a runner whose numbers alone don't tell them apart.
+    def test_late_announcements_take_nothing_back(self):
+        for names_clock in (False, True):
+            for name, first, step in self.STEPS[1:]:
+                for gap_ms in (100.0, 600.0, HEARTBEAT_MS, 6_000.0):
+                    with self.subTest(name, names_clock=names_clock, gap_ms=gap_ms):
+                        draw, case = Random(1), GateCase(announced=False)
+                        case.list()
+                        numbers = [first]
+                        while len(numbers) < 8:
+                            numbers.append(step(numbers[-1], draw))
+                        for number in numbers[:5]:
+                            self.announce(case, number, names_clock)
+                        late = []
+                        for number in numbers[5:7]:
+                            clock_ms = case.runner_clock_ms() if names_clock else None
+                            late.append(make_report(sequence=number, clock_ms=clock_ms))
+                            case.advance(HEARTBEAT_MS)
+                        leaving = {"leaving": True, "cpu_millis": 4_000}
+                        self.announce(case, numbers[7], names_clock, **leaving)
+                        for report in late:
+                            case.advance(gap_ms)
+                            case.gate.announce(report)
+                            self.assertTrue(case.gate.runner.leaving)
+                            self.assertEqual(case.gate.runner.cpu_millis, 4_000)
+
+
+class TestClocks(unittest.TestCase):
+    """Announcements that name a clock, among them those of other writers."""
+
+    # Guards against an agent that is deaf to its runner since another writer named a later clock.
+    def test_a_clock_ahead_of_the_runners_proves_nothing(self):
+        for first in (False, True):
+            case = GateCase(announced=False)
+            case.list()
+            own = make_report(sequence=5, clock_ms=case.runner_clock_ms())
+            odd = make_report(sequence=2**53 - 1, clock_ms=10**9, leaving=True)
+            for report in (odd, own) if first else (own, odd):
+                case.gate.announce(report)
+            for number in (6, 7):
+                case.advance(HEARTBEAT_MS)
+                clock_ms = case.runner_clock_ms()
+                case.gate.announce(make_report(sequence=number, clock_ms=clock_ms))
+            self.assertFalse(case.gate.runner.leaving)
+
+    # Guards against a restriction by another writer that holds for good.
+    def test_what_another_writer_restricts_ends_with_the_runners_own_announcements(self):
+        for names_clock in (False, True):
+            case = GateCase()
+            odd = make_report(sequence=2**53 - 1, cpu_millis=1, leaving=True)
+            self.assertFalse(case.gate.announce(odd))
+            self.assertEqual((case.gate.runner.cpu_millis, case.gate.runner.leaving), (1, True))
+            for number in (2, 3):
+                case.advance(HEARTBEAT_MS)
+                clock_ms = case.runner_clock_ms() if names_clock else None
+                case.gate.announce(make_report(sequence=number, clock_ms=clock_ms))
+                self.assertEqual(case.gate.runner.cpu_millis, 16_000)
+            self.assertFalse(case.gate.runner.leaving)
+
+    def test_an_old_clock_is_late_whatever_its_number(self):
+        case = GateCase()
+        old_ms = case.runner_clock_ms()
+        case.advance(HEARTBEAT_MS)
+        new_ms = case.runner_clock_ms()
+        self.assertTrue(case.gate.announce(make_report(sequence=2, clock_ms=new_ms, leaving=True)))
+        for number in (3, 4):
+            case.advance(HEARTBEAT_MS)
+            late = make_report(sequence=number, clock_ms=old_ms + number)
+            self.assertFalse(case.gate.announce(late))
+            self.assertTrue(case.gate.runner.leaving)
+
+    # Guards against an agent that stays deaf when the answer that shows the clock was slow.
+    def test_the_clock_is_known_as_of_the_call_that_showed_it(self):
+        case = GateCase()
+        asked_ms, shown_ms = case.clock(), case.runner_clock_ms()
+        case.clock.advance(5_000)
+        listing = Listing(BOOT, shown_ms, (), ())
+        case.gate.receive_listing(listing, asked_ms)
+        report = make_report(sequence=50_000, clock_ms=case.runner_clock_ms(), cpu_millis=8_000)
+        self.assertTrue(case.gate.announce(report))
+
+    def test_announcements_of_the_same_millisecond_are_told_by_their_numbers(self):
+        case = GateCase()
+        clock_ms = case.runner_clock_ms()
+        for number, is_newest in ((5, True), (6, True), (5, False)):
+            report = make_report(sequence=number, clock_ms=clock_ms)
+            self.assertEqual(case.gate.announce(report), is_newest)
+
+
 class TestOddId(unittest.TestCase):
     # Guards against an entry under another id that takes the place of the runner.
     def test_an_entry_under_another_id_changes_nothing(self):
