Control goes on by evidence of lost disks where zones hold several voters

Cause: the machine that was replaced still voted, as its successor had the seat of another one; with the two lost disks no majority was left.

Change, in groups where that can happen and in no others: a change is committed once all members with a disk, spares included, but as many as may be lost have synced it; members whose disks are known to be lost leave the denominator of elections, confirmations and commits once no majority of the voters can be formed without those who decide. A change of members is proposed only if the replicas that answer can commit it by that rule, and of several silent voters the first that can be spared goes.

--- a/apricotrail/control/_application.py
+++ b/apricotrail/control/_application.py
@@ -23,12 +23,13 @@
 from apricotrail.control._node import Node
 from apricotrail.control._operations import QueueOperations
 from apricotrail.control._proposals import PROPOSE_MS, ProposalRouter
+from apricotrail.control._quorums import GroupPlan
 from apricotrail.control._reopening import keep_trying
 from apricotrail.control._replica import Timing
 from apricotrail.control._service import CONTROL_STORAGE_FAILED, ControlService, ServiceParts
 from apricotrail.control._setup import Limits, NodeSetup
 from apricotrail.control._storage import make_random_identity
-from apricotrail.control._voters import GroupPlan, decide_departure
+from apricotrail.control._voters import decide_departure
 from apricotrail.document import check_succession, make_items, parse_document
 from apricotrail.errors import ApricotrailError, ErrorKind, Problem
 from apricotrail.events import Level, declare_event, emit
--- a/apricotrail/control/_election.py
+++ b/apricotrail/control/_election.py
@@ -4,7 +4,7 @@
 election time is `Timing.election_ms`.
 """
 
-from apricotrail.control._members import is_quorum
+from apricotrail.control._quorums import is_quorum
 from apricotrail.control._replica import (
     Progress,
     ReplicaState,
@@ -15,6 +15,7 @@
     set_term,
 )
 from apricotrail.control._replication import append_command, start_round
+from apricotrail.membership import has_durable_log
 from apricotrail.wire.generated.ttypes import TimeoutNow, Vote, VoteReply
 
 __all__ = [
@@ -37,13 +38,16 @@
 
     That time is one to two election times after a leader was last heard or the election was
     postponed for another reason. A replica that is a quorum by itself starts its election at once.
+    A spare, which alone may have the last entries if disks are lost, leaves it to the voters for
+    one election time more.
     """
-    if state.is_leader or not state.is_voter:
+    if state.is_leader or not _may_campaign(state):
         return
-    if is_quorum(state.log.members, {state.own_id}):
+    if is_quorum(state.make_quorum_rule(), {state.own_id}):
         _campaign(state, transfer=False)
         return
-    if state.now_ms >= state.election_due_ms:
+    wait_ms = 0.0 if state.is_voter else state.timing.election_ms
+    if state.now_ms >= state.election_due_ms + wait_ms:
         _ask_pre_votes(state)
 
 
@@ -165,7 +169,7 @@
     if message.pre_vote != state.pre_vote or message.term != expected_term:
         return
     state.votes.add(sender)
-    if not is_quorum(state.log.members, state.votes):
+    if not is_quorum(state.make_quorum_rule(), state.votes):
         return
     if state.pre_vote:
         _campaign(state, transfer=False)
@@ -173,6 +177,17 @@
         _become_leader(state)
 
 
+def _may_campaign(state: ReplicaState) -> bool:
+    is_member = state.own_id in state.log.members
+    return state.is_voter or (is_member and _may_spares_vote(state, state.own_id))
+
+
+def _may_spares_vote(state: ReplicaState, replica_id: str) -> bool:
+    """Return whether a learner counts in elections, as disks of members are lost."""
+    is_needed = bool(state.lost_disks) and state.make_quorum_rule().is_guarded
+    return is_needed and has_durable_log(replica_id)
+
+
 def _has_leader(state: ReplicaState) -> bool:
     """Return whether this replica leads or has heard a leader within the election time.
 
@@ -212,7 +227,7 @@
     set_term(state, state.term + 1, state.own_id)
     state.votes = {state.own_id}
     postpone_election(state)
-    if is_quorum(state.log.members, state.votes):
+    if is_quorum(state.make_quorum_rule(), state.votes):
         _become_leader(state)
         return
     _ask_votes(state, state.term, transfer)
@@ -221,7 +236,7 @@
 def _ask_votes(state: ReplicaState, term: int, transfer: bool) -> None:
     log = state.log
     for peer, member in log.members.items():
-        if member.voter and peer != state.own_id:
+        if (member.voter or _may_spares_vote(state, peer)) and peer != state.own_id:
             vote = Vote(
                 term, state.own_id, log.last_index, log.last_term, state.pre_vote, transfer or None
             )
--- a/apricotrail/control/_group_watch.py
+++ b/apricotrail/control/_group_watch.py
@@ -58,6 +58,16 @@
 )
 
 
+DISKS_LOST = declare_event(
+    3015,
+    "disks_lost",
+    Level.WARNING,
+    "Replicas are linked in the place of these members with new identities, so their disks are "
+    "lost. With guarded, the members that are left may elect a leader without a majority of the "
+    "voters, as apricotrail.control._quorums tells.",
+)
+
+
 class GroupWatch:
     """Observes the group of a replica and logs what changes.
 
@@ -74,6 +84,7 @@
         self._count_missing_ms = count_missing_ms
         self._counted_ms = 0
         self._members: Members = {}
+        self._lost_disks: frozenset[str] = frozenset()
         self._succession = SuccessionWatch()
         limit_ms = MISSING_AFTER_ELECTIONS * node.replica.timing.election_ms
         self._majority = MajorityWatch(limit_ms, REPEAT_MS, MAX_LOOK_GAP_MS)
@@ -94,6 +105,18 @@
                 **describe_members(log.members),
             )
 
+    def note_lost_disks(self) -> None:
+        """Log the members whose disks are newly known to be lost."""
+        replica = self._node.replica
+        former, self._lost_disks = self._lost_disks, replica.lost_disks
+        if not replica.lost_disks <= former:
+            emit(
+                DISKS_LOST,
+                lost=sorted(replica.lost_disks),
+                guarded=replica.make_quorum_rule().is_guarded,
+                **describe_members(replica.log.members),
+            )
+
     def look(
         self, silences_ms: Mapping[str, float], reachable: Iterable[str], now_ms: float
     ) -> None:
--- a/apricotrail/control/_member_repair.py
+++ b/apricotrail/control/_member_repair.py
@@ -13,10 +13,10 @@
 from collections.abc import Collection, Mapping, Sequence
 
 from apricotrail.control._members import Members, make_member_change
+from apricotrail.control._quorums import GroupPlan
 from apricotrail.control._repair_limits import RepairLimits
 from apricotrail.control._replica import ReplicaState, is_leader_ready
 from apricotrail.control._voters import (
-    GroupPlan,
     LinkedReplica,
     OpenGroup,
     decide_voter_change,
@@ -26,7 +26,7 @@
 from apricotrail.membership import has_durable_log, replica_name
 from apricotrail.wire.generated.ttypes import ChangeMember
 
-__all__ = ["decide_member_change", "decide_open_member_change"]
+__all__ = ["decide_member_change", "decide_open_member_change", "note_contacts"]
 
 DEFAULT_LIMITS = RepairLimits()
 DEFAULT_PLAN = GroupPlan()
@@ -83,6 +83,33 @@
     return decide_voter_change(group) or _find_silent_learner(group)
 
 
+def note_contacts(
+    replica: ReplicaState,
+    linked: Collection[str],
+    silences_ms: Mapping[str, float],
+    limits: RepairLimits = DEFAULT_LIMITS,
+) -> None:
+    """Record on any replica of an open group what decides on its quorums.
+
+    Parameters
+    ----------
+    replica : ReplicaState
+        Protocol state of this replica.
+    linked : collection of str
+        Ids of the replicas that are linked now, and the own one.
+    silences_ms : dict of str to float
+        Time since the last message of each member in milliseconds, by id.
+    limits : RepairLimits
+        Silences after which members are removed.
+    """
+    absent = [key for key in replica.log.members if _is_silent(key, silences_ms, limits)]
+    replica.note_contacts(linked, absent)
+
+
+def _is_silent(replica_id: str, silences_ms: Mapping[str, float], limits: RepairLimits) -> bool:
+    return silences_ms.get(replica_id, 0.0) >= limits.replace_after_ms
+
+
 def _may_change(replica: ReplicaState) -> bool:
     return is_leader_ready(replica) and replica.commit_index >= replica.log.member_change_index
 
@@ -116,7 +143,7 @@
     """
     members = group.replica.log.members
     for replica_id in sorted(members):
-        is_silent = group.silences_ms.get(replica_id, 0.0) >= group.limits.replace_after_ms
+        is_silent = _is_silent(replica_id, group.silences_ms, group.limits)
         if is_silent and not members[replica_id].voter:
             return propose_if_safe(group.replica, replica_id, "remove")
     return None
--- a/apricotrail/control/_members.py
+++ b/apricotrail/control/_members.py
@@ -17,11 +17,10 @@
     "Members",
     "apply_member_change",
     "count_voters",
-    "is_quorum",
+    "is_majority",
     "make_member_change",
     "make_memory_identity",
     "make_replica_id",
-    "quorum_value",
 ]
 
 
@@ -87,24 +86,7 @@
     return sum(member.voter for member in members.values())
 
 
-def is_quorum(members: Members, replica_ids: Iterable[str]) -> bool:
+def is_majority(members: Members, replica_ids: Iterable[str]) -> bool:
     """Return whether `replica_ids` contain a majority of the voters."""
     voters = {key for key, member in members.items() if member.voter}
     return len(voters.intersection(replica_ids)) * 2 > len(voters)
-
-
-def quorum_value(members: Members, values: Mapping[str, float]) -> float:
-    """Return the highest value that a majority of the voters has reached.
-
-    Parameters
-    ----------
-    members : dict
-        Members by replica id, with at least one voter.
-    values : dict
-        Value by replica id; a missing one counts as minus infinity.
-    """
-    descending = sorted(
-        (values.get(key, float("-inf")) for key, member in members.items() if member.voter),
-        reverse=True,
-    )
-    return descending[len(descending) // 2]
--- a/apricotrail/control/_replica.py
+++ b/apricotrail/control/_replica.py
@@ -7,12 +7,14 @@
 """
 
 from collections import OrderedDict
-from collections.abc import Callable
+from collections.abc import Callable, Collection, Iterable
 from enum import StrEnum
 from random import Random
 from typing import Any, NamedTuple
 
 from apricotrail.control._log import ReplicatedLog
+from apricotrail.control._members import Members
+from apricotrail.control._quorums import GroupPlan, QuorumRule, find_lost_disks
 from apricotrail.control._snapshots import Snapshot
 from apricotrail.membership import NEVER_CONFIRMED_AGE_MS, Freshness
 from apricotrail.wire.generated.ttypes import LogEntry
@@ -151,6 +153,12 @@
         Messages that may be sent before the records are synced, and those that must wait for it.
     snapshot_to_install : Snapshot or None
         Snapshot received completely and not yet installed.
+    plan : GroupPlan or None
+        What an open group must bear; None for a group whose members are listed.
+    lost_disks : frozenset of str
+        Ids of the members whose disks are known to be lost.
+    absent_learners : frozenset of str
+        Ids of the learners that were silent for so long that they are about to be removed.
     """
 
     def __init__(
@@ -204,6 +212,9 @@
         self.messages_before_sync: list[tuple[str, Any]] = []
         self.messages_after_sync: list[tuple[str, Any]] = []
         self.snapshot_to_install: Snapshot | None = None
+        self.plan: GroupPlan | None = None
+        self.lost_disks: frozenset[str] = frozenset()
+        self.absent_learners: frozenset[str] = frozenset()
         postpone_election(self)
 
     @property
@@ -217,6 +228,29 @@
         member = self.log.members.get(self.own_id)
         return member is not None and member.voter
 
+    def make_quorum_rule(self, members: Members | None = None) -> QuorumRule:
+        """Return what decides which sets are quorums, among `members` or the present ones."""
+        members = self.log.members if members is None else members
+        lost = self.lost_disks.intersection(members)
+        return QuorumRule(members, lost, self.absent_learners.intersection(members), self.plan)
+
+    def note_contacts(self, linked: Collection[str], absent: Iterable[str]) -> None:
+        """Record which replicas are linked, which tells whose disks are lost.
+
+        A lost disk doesn't come back, so it counts even while its successor isn't linked.
+
+        Parameters
+        ----------
+        linked : collection of str
+            Ids of the replicas that are linked now, and the own one.
+        absent : iterable of str
+            Ids of the members that were silent for so long that learners are removed.
+        """
+        members = self.log.members
+        self.absent_learners = frozenset(key for key in absent if not members[key].voter)
+        lost = self.lost_disks.union(find_lost_disks(members, linked))
+        self.lost_disks = lost.intersection(members).difference(linked)
+
     def send(self, peer: str, message: Any) -> None:
         """Queue a message that is sent once all records are synced."""
         self.messages_after_sync.append((peer, message))
--- a/apricotrail/control/_replication.py
+++ b/apricotrail/control/_replication.py
@@ -1,10 +1,13 @@
 """Replication: appends in numbered rounds, commit by quorum, proof that the leader still leads.
 
 A round is one append to every other replica. A quorum that answers a round proves that no other
-leader had been elected when the round was sent.
+leader had been elected when the round was sent. `_quorums` tells which replicas are a quorum.
 """
 
-from apricotrail.control._members import Members, is_quorum, quorum_value
+from functools import partial
+
+from apricotrail.control._members import Members
+from apricotrail.control._quorums import find_quorum_value, is_commit_quorum, is_quorum
 from apricotrail.control._replica import (
     Progress,
     ReplicaState,
@@ -98,7 +101,7 @@
 
 
 def advance_commit(state: ReplicaState) -> None:
-    """Commit what a majority of the voters has synced, up to an entry of this term.
+    """Commit what enough replicas have synced, up to an entry of this term.
 
     Entries of former terms are committed only along with one of this term (Raft, section 5.4.2).
     A leader that is no longer a voter steps down once its removal is committed.
@@ -107,7 +110,7 @@
         return
     held: dict[str, float] = {key: it.match_index for key, it in state.progress.items()}
     held[state.own_id] = state.synced_index
-    index = quorum_value(state.log.members, held)
+    index = find_quorum_value(partial(is_commit_quorum, state.make_quorum_rule()), held)
     if index <= state.commit_index or state.log.term_at(int(index)) != state.term:
         return
     state.commit_index = int(index)
@@ -117,13 +120,13 @@
 
 
 def has_live_quorum(state: ReplicaState, members: Members) -> bool:
-    """Return whether a majority of the voters in `members` answers this leader now.
+    """Return whether enough of `members` answer this leader now to commit an entry.
 
     A change of members takes effect before it is committed. One that leaves a group without such a
-    majority may never be committed, and then nothing else can be.
+    quorum may never be committed, and then nothing else can be.
     """
     live = {peer for peer in state.progress if is_live(state, peer)}
-    return is_quorum(members, {state.own_id, *live})
+    return is_commit_quorum(state.make_quorum_rule(members), {state.own_id, *live})
 
 
 def is_live(state: ReplicaState, peer: str) -> bool:
@@ -182,7 +185,8 @@
 def _confirm_round(state: ReplicaState) -> None:
     acked: dict[str, float] = {key: it.acked_round for key, it in state.progress.items()}
     acked[state.own_id] = state.round
-    sent_ms = state.rounds_sent.get(int(max(0, quorum_value(state.log.members, acked))))
+    confirmed = find_quorum_value(partial(is_quorum, state.make_quorum_rule()), acked)
+    sent_ms = state.rounds_sent.get(int(max(0, confirmed)))
     if sent_ms is not None and (
         state.quorum_round_sent_ms is None or sent_ms > state.quorum_round_sent_ms
     ):
--- a/apricotrail/control/_service.py
+++ b/apricotrail/control/_service.py
@@ -17,15 +17,17 @@
 from apricotrail.control._files import StorageError
 from apricotrail.control._group_watch import GroupWatch
 from apricotrail.control._majority import find_silent_voters
+from apricotrail.control._member_repair import note_contacts
 from apricotrail.control._members import Members
 from apricotrail.control._node import Node
 from apricotrail.control._nodes import NodeSharing
 from apricotrail.control._orders import PauseWatch
 from apricotrail.control._protocol import MESSAGE_TYPES, ms_until_tick
+from apricotrail.control._quorums import GroupPlan
 from apricotrail.control._repair_limits import OVERSEE_INTERVAL_MS
 from apricotrail.control._requests import Outcome
 from apricotrail.control._upkeep import UpkeepInput, decide_upkeep, removes_proposer
-from apricotrail.control._voters import GroupPlan, LinkedReplica
+from apricotrail.control._voters import LinkedReplica
 from apricotrail.errors import Problem
 from apricotrail.events import Level, declare_event, emit
 from apricotrail.membership import replica_name
@@ -145,6 +147,7 @@
         self.entries = EntryTable()
         self.committed_ms: dict[int, float] = {}
         self.failed = asyncio.Event()
+        self.node.replica.plan = parts.plan
         self._pushed_version = parts.node.machine.version
         self._flush_due = False
         self._proposing = False
@@ -277,18 +280,11 @@
     def gather_upkeep_input(self) -> UpkeepInput:
         """Return what `decide_upkeep` needs to choose the leader's next own command."""
         now_ms = monotonic_ms()
-        links = self.endpoint.links.items()
-        replicas = {
-            key: link.peer
-            for key, link in links
-            if link.peer.role == "control" and link not in self._departed
-        }
-        replicas[self.node.replica_id] = self.endpoint.identity
         since_ms = self._leading_since_ms
         silent_ms = self.parts.entry_silent_ms
         return UpkeepInput(
             self.node,
-            {key: LinkedReplica(peer.address, peer.zone or "") for key, peer in replicas.items()},
+            self._list_linked(),
             self.parts.peers,
             self.entries.heard_within(now_ms, silent_ms),
             since_ms is not None and now_ms - since_ms >= silent_ms,
@@ -296,6 +292,16 @@
             self.parts.plan,
         )
 
+    def _list_linked(self) -> dict[str, LinkedReplica]:
+        """Return the replicas that are linked, and this one, by id."""
+        peers = {
+            key: link.peer
+            for key, link in self.endpoint.links.items()
+            if link.peer.role == "control" and link not in self._departed
+        }
+        peers[self.node.replica_id] = self.endpoint.identity
+        return {key: LinkedReplica(peer.address, peer.zone or "") for key, peer in peers.items()}
+
     def _list_retired(self) -> frozenset[str]:
         """Return the names of the replicas that the group removed and that have not come back."""
         machine = self.node.machine
@@ -362,6 +368,8 @@
         self._dial_members()
         self._nodes.share()
         self._record_contacts()
+        note_contacts(self.node.replica, self._list_linked(), self._silences_ms)
+        self._group_watch.note_lost_disks()
         if self.node.replica.is_leader and not self._proposing:
             command = decide_upkeep(self.gather_upkeep_input())
             if command is not None and removes_proposer(command):
--- a/apricotrail/control/_upkeep.py
+++ b/apricotrail/control/_upkeep.py
@@ -12,7 +12,8 @@
 from apricotrail.control._members import make_replica_id
 from apricotrail.control._node import Node
 from apricotrail.control._overseer import Observation, decide_view
-from apricotrail.control._voters import GroupPlan, LinkedReplica
+from apricotrail.control._quorums import GroupPlan
+from apricotrail.control._voters import LinkedReplica
 from apricotrail.events import Level, declare_event, emit
 from apricotrail.membership import read_view
 from apricotrail.wire.generated.ttypes import ChangeMember, Command
--- a/apricotrail/control/_voters.py
+++ b/apricotrail/control/_voters.py
@@ -25,6 +25,7 @@
     count_voters,
     make_member_change,
 )
+from apricotrail.control._quorums import MIN_VOTERS, GroupPlan, count_safe_seats
 from apricotrail.control._repair_limits import RepairLimits
 from apricotrail.control._replica import ReplicaState
 from apricotrail.control._replication import has_live_quorum, is_live
@@ -33,8 +34,6 @@
 
 __all__ = [
     "CAUGHT_UP_LAG_ENTRIES",
-    "MIN_VOTERS",
-    "GroupPlan",
     "LinkedReplica",
     "count_seats",
     "decide_departure",
@@ -44,7 +43,6 @@
 ]
 
 CAUGHT_UP_LAG_ENTRIES = 100
-MIN_VOTERS = 3  # with fewer, the loss of one more would leave no majority
 
 
 class LinkedReplica(NamedTuple):
@@ -62,21 +60,6 @@
     zone: str = ""
 
 
-class GroupPlan(NamedTuple):
-    """What an open group must bear.
-
-    Attributes
-    ----------
-    tolerated_losses : int
-        Replicas that may be lost at the same time.
-    zones : int
-        Number of availability zones with replicas, 0 if unknown.
-    """
-
-    tolerated_losses: int = 1
-    zones: int = 0
-
-
 class OpenGroup(NamedTuple):
     """What the leader of an open group knows when it chooses the voters.
 
@@ -116,9 +99,8 @@
     >>> count_seats(GroupPlan(1, 3)), count_seats(GroupPlan(2, 6)), count_seats(GroupPlan(2, 4))
     (3, 5, 9)
     """
-    losses = plan.tolerated_losses
-    seats = max(MIN_VOTERS, 2 * losses + 1)
-    return seats if plan.zones >= seats else seats + 2 * losses
+    seats = count_safe_seats(plan)
+    return seats if plan.zones >= seats else seats + 2 * plan.tolerated_losses
 
 
 def decide_voter_change(group: OpenGroup) -> ChangeMember | None:
@@ -139,7 +121,7 @@
     if silent:
         is_gone = group.silences_ms[silent[0]] >= group.limits.remove_after_ms
         may_remove = spares or (is_gone and voters > MIN_VOTERS)
-        return _propose(group, silent[0], "remove") if may_remove else None
+        return _remove_silent(group, silent) if may_remove else None
     if voters < count_seats(group.plan) and len(spares) >= 2:
         return _promote_one(group, spares)
     return _promote_one(group, [key for key in spares if _takes_a_seat(group, key)])
@@ -186,7 +168,7 @@
     if voters < seats and spares:
         return _promote_one(group, spares)
     if silent:
-        return _propose(group, silent[0], "remove")
+        return _remove_silent(group, silent)
     return _remove_one(group, silent) if voters > seats or not spares else None
 
 
@@ -206,7 +188,7 @@
     joined first.
     """
     if silent:
-        return _propose(group, silent[0], "remove")
+        return _remove_silent(group, silent)
     voters = _list_voters(group)
     if any(key not in group.linked for key in voters):
         return None
@@ -222,6 +204,16 @@
     return _propose(group, surplus, "remove")
 
 
+def _remove_silent(group: OpenGroup, silent: list[str]) -> ChangeMember | None:
+    """Remove the voter that is silent for longest, of those that the group can do without.
+
+    A group that goes on without a majority of its voters needs those whose disks are lost as
+    evidence until the others have gone.
+    """
+    changes = (_propose(group, key, "remove") for key in silent)
+    return next((change for change in changes if change is not None), None)
+
+
 def _takes_a_seat(group: OpenGroup, spare: str) -> bool:
     """Return whether a spare takes the seat of a voter that is well.
 
--- a/apricotrail/control/tests/simulation.py
+++ b/apricotrail/control/tests/simulation.py
@@ -12,10 +12,15 @@
 from apricotrail.control._changes import DocumentFunctions
 from apricotrail.control._contacts import MemberContacts
 from apricotrail.control._files import StorageError
-from apricotrail.control._member_repair import decide_member_change, decide_open_member_change
+from apricotrail.control._member_repair import (
+    decide_member_change,
+    decide_open_member_change,
+    note_contacts,
+)
 from apricotrail.control._members import Member
 from apricotrail.control._node import Node
 from apricotrail.control._protocol import ms_until_tick
+from apricotrail.control._quorums import GroupPlan
 from apricotrail.control._repair_limits import (
     OVERSEE_INTERVAL_MS,
     REMOVE_AFTER_MS,
@@ -26,7 +31,7 @@
 from apricotrail.control._replica import Timing
 from apricotrail.control._setup import Limits, NodeSetup
 from apricotrail.control._upkeep import removes_proposer
-from apricotrail.control._voters import GroupPlan, LinkedReplica, count_seats, decide_departure
+from apricotrail.control._voters import LinkedReplica, count_seats, decide_departure
 from apricotrail.control.tests.disk import Crash, MemoryDisk
 from apricotrail.errors import ErrorKind, Problem
 from apricotrail.membership import replica_name
@@ -158,6 +163,8 @@
         apply = node.machine.apply
         node.machine.apply = lambda command: self.cluster.apply_checked(node, command, apply)
         self.node = node
+        if self.cluster.is_open:
+            node.replica.plan = self.cluster.plan
         self.stated_version = 0
 
     def _run_when_idle(self, node: Node | None, work) -> None:
@@ -385,10 +392,12 @@
             change = decide_member_change(node.replica, linked, self.replicas)
         else:
             linked = {key: it for key, it in linked.items() if self._is_linked(node, it.address)}
+            silences_ms = self._record_contacts(node, linked)
+            note_contacts(node.replica, linked, silences_ms, REPAIR_LIMITS)
             change = decide_open_member_change(
                 node.replica,
                 linked,
-                self._record_contacts(node, linked),
+                silences_ms,
                 node.machine.joined,
                 self.plan,
                 REPAIR_LIMITS,
--- a/apricotrail/control/tests/test_group_watch.py
+++ b/apricotrail/control/tests/test_group_watch.py
@@ -6,9 +6,10 @@
 from nose2.tools import params
 from structlog.testing import capture_logs
 
+from apricotrail.control._group_watch import GroupWatch
 from apricotrail.control._meters import watch_service
+from apricotrail.control._quorums import GroupPlan
 from apricotrail.control._service import ControlService, ServiceParts
-from apricotrail.control._voters import GroupPlan
 from apricotrail.control.tests.simulation import Cluster
 from apricotrail.control.tests.test_nodes import FakeEndpoint, FakeLink
 from apricotrail.control.tests.test_process import ControlCase, find_ports, wait_until
@@ -63,6 +64,21 @@
     assert 'apricotrail_voters_silent{role="control"} 0.0' in text
 
 
+def test_disks_that_are_lost_are_logged_once():
+    cluster = Cluster(1, 3, is_open=True, per_zone=2)
+    cluster.run_until(lambda: cluster.leader() is not None)
+    replica = cluster.leader().node.replica
+    watch = GroupWatch(cluster.leader().node, lambda ms: None)
+    lost = next(key for key in replica.log.members if key != replica.own_id)
+    replica.note_contacts([f"{lost}-new"], [])
+    with capture_logs() as lines:
+        for _ in range(2):
+            watch.note_lost_disks()
+    assert [(it["event"], it["lost"], it["guarded"]) for it in lines] == [
+        ("disks_lost", [lost], True)
+    ]
+
+
 class TestProcesses(ControlCase):
     """Processes over loopback links."""
 
--- a/apricotrail/control/tests/test_voters.py
+++ b/apricotrail/control/tests/test_voters.py
@@ -7,8 +7,9 @@
 from apricotrail.control._log import ReplicatedLog
 from apricotrail.control._member_repair import decide_member_change, decide_open_member_change
 from apricotrail.control._members import Member
+from apricotrail.control._quorums import GroupPlan
 from apricotrail.control._replica import Progress, ReplicaState, Role, Timing
-from apricotrail.control._voters import GroupPlan, LinkedReplica, count_seats, decide_departure
+from apricotrail.control._voters import LinkedReplica, count_seats, decide_departure
 
 A, B, C, D, E, F, G = "a#1", "b#1", "c#1", "d#1", "e#1", "f#1", "g#1"
 C2, M = "c#2", "m#memory-1"
