--- a/apricotrail/http/_connection.py
+++ b/apricotrail/http/_connection.py
@@ -94,7 +94,7 @@
         self._running_bytes = 0
         self._running: asyncio.Task | None = None
         self._is_paused = False
-        self._is_last = False
+        self._closes_after_answer = False
         self._is_blocked = False
         self._peer_closed = False
         self._disconnected = asyncio.get_running_loop().create_future()
@@ -113,10 +113,10 @@
 
     def data_received(self, data: bytes) -> None:
         """Parse what came; bytes of a further request wait for the running one."""
-        if self.phase is Phase.LINGERING or self._is_last:
+        if self.phase is Phase.LINGERING or self._closes_after_answer:
             return
         self._input.add(data)
-        self._server.turns.take(self)
+        self._server.turns.request_turn(self)
         if self._input.waiting_bytes:
             self._update_held()
 
@@ -128,7 +128,7 @@
         """Go on parsing."""
         self._is_blocked = False
         self.note_unsent()
-        self._server.turns.take(self)
+        self._server.turns.request_turn(self)
         self._update_held()
 
     def eof_received(self) -> bool:
@@ -190,7 +190,7 @@
 
     def drop_pipelined(self) -> None:
         """Drop what came behind the running request, whose answer is the last one."""
-        self._is_last = True
+        self._closes_after_answer = True
         self._drop_input()
         self._update_held()
 
@@ -281,7 +281,7 @@
             response = self._report_failure(error)
         self._running = None
         self._respond(response)
-        self._server.turns.take(self)
+        self._server.turns.request_turn(self)
         self._update_held()
 
     def _report_failure(self, error: Exception) -> Response:
@@ -294,7 +294,9 @@
         self._server.turns.charge(len(response.body) // BYTES_PER_UNIT)
         if self._transport is None or self._transport.is_closing():
             return
-        self._write(response, self._server.draining or self._peer_closed or self._is_last)
+        self._write(
+            response, self._server.draining or self._peer_closed or self._closes_after_answer
+        )
         if self._h11.our_state is not h11.DONE or self._h11.their_state is not h11.DONE:
             self._transport.close()
             self._enter(Phase.LINGERING, self._limits.linger_ms)
@@ -344,7 +346,7 @@
         self._deadline_ms = self.since_ms + timeout_ms
 
     def _drop_input(self) -> None:
-        self._server.turns.leave(self)
+        self._server.turns.cancel(self)
         self._input.drop()
 
     def _update_held(self) -> None:
--- a/apricotrail/http/_turns.py
+++ b/apricotrail/http/_turns.py
@@ -66,7 +66,7 @@
         self._peers: OrderedDict[str, list[tuple[int, int, Reader]]] = OrderedDict()
         self._timer: asyncio.TimerHandle | None = None
 
-    def take(self, reader: Reader) -> None:
+    def request_turn(self, reader: Reader) -> None:
         """Let a connection with new input parse it now, or wait for its turn."""
         if reader in self._waiting or not reader.has_input():
             return
@@ -79,7 +79,7 @@
         """Count the cost of work that a request caused besides parsing it."""
         self._allowance -= units
 
-    def leave(self, reader: Reader) -> None:
+    def cancel(self, reader: Reader) -> None:
         """Forget a connection that has nothing to parse any more."""
         self._waiting.discard(reader)
         if not self._waiting:
--- a/apricotrail/http/tests/test_turns.py
+++ b/apricotrail/http/tests/test_turns.py
@@ -90,7 +90,7 @@
 
     def add(self, peer: str, units: int) -> FakeReader:
         reader = FakeReader(peer, units, self.log)
-        self.turns.take(reader)
+        self.turns.request_turn(reader)
         return reader
 
     def run_for(self, steps: int) -> None:
@@ -130,7 +130,7 @@
     async def test_connections_that_leave_are_forgotten(self):
         gone = [self.add("10.0.0.1", 100_000) for _ in range(50)]
         for reader in gone:
-            self.turns.leave(reader)
+            self.turns.cancel(reader)
         self.run_for(3)
         self.assertEqual(len(self.log), sum(it.request_units > 0 for it in gone))
 
