The bounds on open links are a class of their own

LinkEndpoint counted the open links, those without a handshake and the bytes held for them beside all that it does with links in use. OpenLinks holds that now, unchanged.

--- a/apricotrail/agent/_target_agent.py
+++ b/apricotrail/agent/_target_agent.py
@@ -287,7 +287,7 @@
     def _watch_metrics(self) -> None:
         metrics, agent = self.agent.metrics, self.agent
         metrics.links.watch(self._endpoint.links.__len__)
-        self._endpoint.limits_met.on_limit = metrics.limits_met.add
+        self._endpoint.open_links.limits_met.on_limit = metrics.limits_met.add
         metrics.config_version.watch(lambda: self._follower.configuration.version)
         metrics.config_age_ms.watch(self._follower.freshness.age_ms)
         metrics.slots.watch(lambda: agent.slots.count)
--- a/apricotrail/control/_meters.py
+++ b/apricotrail/control/_meters.py
@@ -28,7 +28,7 @@
     """Make the gauges read their values from `service`."""
     node, replica = service.node, service.node.replica
     metrics.links.watch(lambda: len(service.endpoint.links))
-    service.endpoint.limits_met.on_limit = metrics.limits_met.add
+    service.endpoint.open_links.limits_met.on_limit = metrics.limits_met.add
     metrics.config_version.watch(lambda: node.machine.version)
     metrics.config_age_ms.watch(node.confirmation_age_ms)
     metrics.lease_age_ms.watch(node.confirmation_age_ms)
--- a/apricotrail/control/tests/test_nodes.py
+++ b/apricotrail/control/tests/test_nodes.py
@@ -4,6 +4,7 @@
 """
 
 import unittest
+from types import SimpleNamespace
 
 from apricotrail.control._nodes import PIECE_NODES, NodeSharing
 from apricotrail.resources import LimitCounts
@@ -29,7 +30,7 @@
     def __init__(self) -> None:
         self.identity = Identity("control-1#a", "control", "pipa", 1, "control-1")
         self.links = {}
-        self.limits_met = LimitCounts("links")
+        self.open_links = SimpleNamespace(limits_met=LimitCounts("links"))
 
 
 class NodeCase:
--- a/apricotrail/entry/_observation.py
+++ b/apricotrail/entry/_observation.py
@@ -65,7 +65,7 @@
 ) -> None:
     """Make the gauges of links, configuration and claims read these objects when rendered."""
     metrics.links.watch(endpoint.links.__len__)
-    endpoint.limits_met.on_limit = metrics.limits_met.add
+    endpoint.open_links.limits_met.on_limit = metrics.limits_met.add
     metrics.config_version.watch(lambda: relay.configuration.version)
     metrics.config_age_ms.watch(relay.freshness.age_ms)
     metrics.lease_age_ms.watch(relay.freshness.age_ms)
--- a/apricotrail/entry/tests/system.py
+++ b/apricotrail/entry/tests/system.py
@@ -306,7 +306,7 @@
         endpoint.dial = lambda address: None
         for address in endpoint.cut_addresses:
             endpoint.undial(address)
-        endpoint._max_links = 0
+        endpoint.open_links.max_links = 0
         for link in list(endpoint.links.values()):
             link.close()
 
@@ -315,7 +315,7 @@
     """Let an entry dial and accept links again after `cut_off`."""
     for endpoint in _endpoints(entry):
         del endpoint.dial
-        endpoint._max_links = 1_000
+        endpoint.open_links.max_links = 1_000
         for address in endpoint.cut_addresses:
             endpoint.dial(address)
 
--- a/apricotrail/queues/_application.py
+++ b/apricotrail/queues/_application.py
@@ -169,7 +169,7 @@
         self.endpoint.heartbeat_ms_by_role["runner"] = ANSWERED_HEARTBEAT_MS
         metrics = self.dispatcher.metrics
         metrics.links.watch(lambda: len(self.endpoint.links))
-        self.endpoint.limits_met.on_limit = metrics.limits_met.add
+        self.endpoint.open_links.limits_met.on_limit = metrics.limits_met.add
         metrics.config_version.watch(lambda: self.table.version)
         metrics.config_age_ms.watch(self.roster.freshness.age_ms)
         self.application.on_start(self._start)
--- a/apricotrail/runners/_application.py
+++ b/apricotrail/runners/_application.py
@@ -151,7 +151,7 @@
         self._connect()
         metrics = self.gate.metrics
         metrics.links.watch(lambda: len(self.endpoint.links))
-        self.endpoint.limits_met.on_limit = metrics.limits_met.add
+        self.endpoint.open_links.limits_met.on_limit = metrics.limits_met.add
         metrics.config_version.watch(lambda: self.roster.configuration.version)
         metrics.config_age_ms.watch(self.roster.freshness.age_ms)
         self.application.on_start(self._start)
--- a/apricotrail/wire/_endpoint.py
+++ b/apricotrail/wire/_endpoint.py
@@ -3,18 +3,17 @@
 import asyncio
 import random
 import socket
-from collections import Counter
 from collections.abc import Awaitable, Callable
 from typing import Any
 
 from apricotrail.clocks import Clock, monotonic_ms
 from apricotrail.events import Level, declare_event, emit
 from apricotrail.pauses import pause
-from apricotrail.resources import LimitCounts
 from apricotrail.settings import Settings, declare_setting
 from apricotrail.wire._keys import KeyRing
-from apricotrail.wire._limits import LinkLimits, read_link_limits
+from apricotrail.wire._limits import read_link_limits
 from apricotrail.wire._link import HEARTBEAT_MS, SILENT_MS, Link
+from apricotrail.wire._open_links import OpenLinks
 from apricotrail.wire.generated import ttypes
 from apricotrail.wire.generated.ttypes import Heartbeat, Identity
 
@@ -102,8 +101,8 @@
         Time between heartbeats to peers of a role, if it is longer than ``link.heartbeat_ms``.
     limits : LinkLimits
         Bounds on links and on what is buffered for them.
-    limits_met : LimitCounts
-        Counts how often they are met.
+    open_links : OpenLinks
+        All links from when their connections open.
     beat : int
         Number of the beat in which heartbeats for all links are being made, one after the other:
         what is computed for one of them holds for the others. 0 between two beats.
@@ -123,8 +122,8 @@
         self.clock = clock
         self.links: dict[str, Link] = {}
         self.silent_ms = settings.get(SILENT_MS)
-        self.limits: LinkLimits = read_link_limits(settings)
-        self.limits_met = LimitCounts("links")
+        self.limits = read_link_limits(settings)
+        self.open_links = OpenLinks(self.limits)
         self.make_heartbeat: HeartbeatSource = lambda link: Heartbeat(config_version=0)
         self.receive_heartbeat: HeartbeatSink = lambda link, heartbeat, heartbeat_sent_ms: None
         self.may_echo: Callable[[], bool] = lambda: True
@@ -133,14 +132,10 @@
         self._heartbeat_ms = settings.get(HEARTBEAT_MS)
         self._redial_ms = settings.get(REDIAL_MS)
         self._connect_ms = settings.get(CONNECT_MS)
-        self._max_links = self.limits.links
         self._advertise = settings.get(ADVERTISE)
         self._handlers: dict[type, Handler] = {}
         self._up_hooks: list[Callable[[Link], None]] = []
         self._down_hooks: list[Callable[[Link], None]] = []
-        self._open: dict[Link, None] = {}  # the oldest first
-        self._unproven: dict[Link, None] = {}  # opened by others, handshake not done
-        self._received_bytes = 0
         self._dialers: dict[str, asyncio.Task] = {}
         self._dialed_names: dict[str, str] = {}
         self._tasks: set[asyncio.Task] = set()
@@ -215,7 +210,7 @@
             self._server.close()
         for task in list(self._tasks):
             task.cancel()
-        for link in list(self._open):
+        for link in self.open_links:
             link.close()
         await asyncio.gather(*self._tasks, return_exceptions=True)
 
@@ -228,54 +223,9 @@
         task.add_done_callback(self._tasks.discard)
         return task
 
-    def track(self, link: Link) -> None:
-        """Count a new connection; above a bound, one without a handshake or the new one is closed.
-
-        Of those without a handshake, the oldest of the address with most gives way.
-        """
-        self._open[link] = None
-        if not link.dialing:
-            self._unproven[link] = None
-        if len(self._unproven) > self.limits.unproven:
-            self.limits_met.note("unproven")
-            self._find_oldest_unproven().close()
-        if len(self._open) > self._max_links:
-            self.limits_met.note("connections")
-            (self._find_oldest_unproven() or link).close()
-
-    def _find_oldest_unproven(self) -> Link | None:
-        most = Counter(link.address for link in self._unproven).most_common(1)
-        return next((it for it in self._unproven if it.address == most[0][0]), None)
-
-    def note_received(self, link: Link, held: int) -> None:
-        """Note the size of a link's incomplete frame; too much in all closes the largest."""
-        self._received_bytes += held - link.received_bytes_held
-        link.received_bytes_held = held
-        while self._received_bytes > self.limits.received_bytes:
-            holding = [it for it in self._open if it.received_bytes_held]
-            if len(holding) == 1:
-                return
-            self.limits_met.note("receive_memory")
-            max(holding, key=lambda it: it.received_bytes_held).close()
-
-    def has_room(self, size: int) -> bool:
-        """Return whether a frame of `size` bytes may be added to what waits to be written."""
-        unsent = sum(link.unsent_bytes for link in self._open)
-        return not unsent or unsent + size <= self.limits.unsent_bytes
-
-    def _close_slowest(self) -> None:
-        """Close the links with most unsent bytes while those of all links are over the bound."""
-        unsent = {link: link.unsent_bytes for link in self._open}
-        total = sum(unsent.values())
-        while total > self.limits.unsent_bytes and len(unsent) > 1:
-            slowest = max(unsent, key=unsent.__getitem__)
-            total -= unsent.pop(slowest)
-            self.limits_met.note("send_memory")
-            slowest.close()
-
     def admit(self, link: Link) -> None:
         """Take a link into use after its handshake."""
-        self._unproven.pop(link, None)
+        self.open_links.note_handshake(link)
         older = self.links.get(link.peer.name)
         if older is not None and self._is_better(older, link):
             link.close()
@@ -297,10 +247,7 @@
 
     def release(self, link: Link) -> None:
         """Forget a closed link."""
-        self._open.pop(link, None)
-        self._unproven.pop(link, None)
-        self._received_bytes -= link.received_bytes_held
-        link.received_bytes_held = 0
+        self.open_links.discard(link)
         if not link.ready or self.links.get(link.peer.name) is not link:
             return
         del self.links[link.peer.name]
@@ -321,14 +268,14 @@
         while True:
             self._beats += 1
             self.beat = self._beats
-            for link in list(self._open):
+            for link in self.open_links:
                 role = link.peer.role if link.peer is not None else ""
                 interval_ms = self.heartbeat_ms_by_role.get(role, self._heartbeat_ms)
                 link.send_due_heartbeat(interval_ms)
             self.beat = 0
             # An error in a hook of a lost link must not end the beats.
-            asyncio.get_running_loop().call_soon(self._close_slowest)
-            self.limits_met.log()
+            asyncio.get_running_loop().call_soon(self.open_links.close_slowest)
+            self.open_links.limits_met.log()
             await pause(self._heartbeat_ms)
 
     async def _dial_forever(self, address: str, host: str, port: int) -> None:
--- a/apricotrail/wire/_limits.py
+++ b/apricotrail/wire/_limits.py
@@ -25,7 +25,7 @@
 UNPROVEN_SHARE = declare_setting(
     "link.unproven_share",
     0.5,
-    "Share of a process's links for connections that others opened and whose handshake isn't done; "
+    "Share of a process's links for connections that others opened and whose handshake is pending; "
     "above it, the oldest one of the address with most gives way.",
     minimum=0.01,
     maximum=1.0,
@@ -69,8 +69,8 @@
 
     Attributes
     ----------
-    links, unproven : int
-        Open links, and those that others opened and whose handshake isn't done.
+    links, pending : int
+        Open links, and those that others opened and whose handshake is pending.
     frame_bytes, handshake_frame_bytes : int
         Largest payload of a frame after and before the handshake, in bytes.
     received_bytes, unsent_bytes, unsent_bytes_of_one : int
@@ -78,7 +78,7 @@
     """
 
     links: int
-    unproven: int
+    pending: int
     frame_bytes: int
     handshake_frame_bytes: int
     received_bytes: int
--- a/apricotrail/wire/_link.py
+++ b/apricotrail/wire/_link.py
@@ -136,7 +136,7 @@
         """Send Hello when this side dialed."""
         self._transport = transport  # type: ignore[assignment]
         self.address = (transport.get_extra_info("peername") or ("unknown",))[0]
-        self._endpoint.track(self)
+        self._endpoint.open_links.add(self)
         if self.dialing:
             self._write(self._hello(), 0)
 
@@ -154,7 +154,7 @@
             self._refuse_frame(error)
             return
         if len(self._reader) != self.received_bytes_held:
-            self._endpoint.note_received(self, len(self._reader))
+            self._endpoint.open_links.note_received(self, len(self._reader))
 
     def connection_lost(self, exc: Exception | None) -> None:
         """Fail open calls and tell the endpoint."""
@@ -333,7 +333,7 @@
         if self.ready:
             emit(LINK_MALFORMED, peer=self._peer_name(), error=str(error))
         else:
-            self._endpoint.limits_met.note("handshake")
+            self._endpoint.open_links.limits_met.note("handshake")
             emit(LINK_REFUSED, peer=self.address, reason=str(error))
         self.close()
 
@@ -402,7 +402,7 @@
         except WireError as error:
             emit(LINK_OVERFLOW, peer=self._peer_name(), error=str(error))
             return False
-        if len(frame) > LARGE_FRAME_BYTES and not self._endpoint.has_room(len(frame)):
+        if len(frame) > LARGE_FRAME_BYTES and not self._endpoint.open_links.has_room(len(frame)):
             emit(LINK_OVERFLOW, peer=self._peer_name(), kind=type(message).__name__)
             return False
         self.sent_frames += 1
--- a/apricotrail/wire/tests/test_limits.py
+++ b/apricotrail/wire/tests/test_limits.py
@@ -24,7 +24,7 @@
         self.address = (await endpoint.listen("127.0.0.1", 0)).split(":")
         self.addAsyncCleanup(endpoint.stop)
         self.met = []
-        endpoint.limits_met.on_limit = self.met.append
+        endpoint.open_links.limits_met.on_limit = self.met.append
         return endpoint
 
     async def connect(self, data: bytes = b"") -> tuple:
@@ -46,7 +46,7 @@
         await self.dial(endpoint, "first")
         silent = [await self.connect() for _ in range(30)]
         await wait_until(lambda: len(self.met) >= 25)
-        self.assertLessEqual(len(endpoint._open), LINKS)
+        self.assertLessEqual(len(endpoint.open_links), LINKS)
         await self.dial(endpoint, "second")
         self.assertEqual(set(endpoint.links), {"first", "second"})
         self.assertEqual(await silent[0][0].read(), b"")
@@ -61,7 +61,9 @@
                 reader, _ = await self.connect(data)
                 async with asyncio.timeout(10):
                     await reader.read()
-                self.assertEqual((len(endpoint._open), endpoint._received_bytes), (0, 0))
+                self.assertEqual(
+                    (len(endpoint.open_links), endpoint.open_links.received_bytes), (0, 0)
+                )
 
     async def test_incomplete_frames_over_the_bound_cost_the_link_that_holds_most(self):
         endpoint = await self.listen(**{"process.memory_mb": 8, "link.receive_memory_share": 0.01})
@@ -71,12 +73,14 @@
         for other, part in zip(others, (len(whole) // 3, len(whole) - 1), strict=True):
             link = other.links["right"]
             link._transport.write(whole[:part])
-            await wait_until(lambda part=part: endpoint._received_bytes >= part or self.met)
+            await wait_until(
+                lambda part=part: endpoint.open_links.received_bytes >= part or self.met
+            )
         await wait_until(lambda: self.met)
         self.assertEqual(self.met, ["links receive_memory"])
         self.assertTrue(largest.closed.done())
         others[0].links["right"]._transport.write(whole[len(whole) // 3 :])
-        await wait_until(lambda: not endpoint._received_bytes)
+        await wait_until(lambda: not endpoint.open_links.received_bytes)
         self.assertFalse(kept.closed.done())
 
     async def test_messages_that_peers_do_not_read_are_bounded_over_all_links(self):
@@ -92,7 +96,7 @@
         for link in endpoint.links.values():
             while link.send(small):
                 pass
-        endpoint._close_slowest()
+        endpoint.open_links.close_slowest()
         unsent = sum(link.unsent_bytes for link in endpoint.links.values())
         self.assertLessEqual(unsent, endpoint.limits.unsent_bytes)
         self.assertIn("links send_memory", self.met)
